--- a/src/lagoonpulley/ownership/role.py
+++ b/src/lagoonpulley/ownership/role.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING, Any
 
 from pydantic import ValidationError
@@ -69,6 +70,25 @@
     session: str
 
 
+class _WriteOutcome(Enum):
+    """What became of the write of an ownership record."""
+
+    WRITTEN = "written"
+    LOST = "lost"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class _RecordWrite:
+    """Outcome of a write; ``revision`` is that of a record that was written."""
+
+    outcome: _WriteOutcome
+    revision: int = ABSENT
+
+
+_UNKNOWN = _RecordWrite(_WriteOutcome.UNKNOWN)
+
+
 class OwnershipRole(FlowRole):
     """Keeps one session lease and the groups that hang on it.
 
@@ -187,11 +207,11 @@
                 continue
             record = self._record(owned.epoch, session.name)
             result = yield from self._write_record(group, record, owned.revision)
-            if result is None:
+            if result.outcome is _WriteOutcome.UNKNOWN:
                 self._session = None
                 return
-            if isinstance(result, int):
-                owned.revision = result
+            if result.outcome is _WriteOutcome.WRITTEN:
+                owned.revision = result.revision
                 owned.session = session.name
             else:
                 self._lose(group)
@@ -296,9 +316,10 @@
             return
         record = self._record(epoch + 1, self._session.name)
         result = yield from self._write_record(group, record, revision)
-        if not isinstance(result, int):
+        if result.outcome is not _WriteOutcome.WRITTEN:
             return
-        self._owned_by_group[group] = _Owned(epoch + 1, result, record.session)
+        owned = _Owned(epoch + 1, result.revision, record.session)
+        self._owned_by_group[group] = owned
         self._tell_owned()
         self._announce_lease()
         self.emit("scheduler", GroupAcquired(group, epoch + 1))
@@ -355,23 +376,22 @@
     def _write_record(self, group: str, record: OwnerRecord, revision: int) -> Flow:
         """Write a record, resolving a lost answer by reading back.
 
-        :returns: the new revision, ``False`` when another write came first, or
-            ``None`` when the store cannot be asked.
+        :returns: a :class:`_RecordWrite`.
         """
         put = self._put(owner_key(group), record.model_dump_json(), revision)
         result = yield self._store(put)
         if isinstance(result, CallFailed):
             if result.ran is Ran.NO:
-                return None
+                return _UNKNOWN
             result = yield self._store(Get(put.key))
             if isinstance(result, CallFailed):
-                return None
+                return _UNKNOWN
         entry = result.entry
         if entry is not None and entry.write_id == put.write_id:
-            return entry.revision
-        if entry is not None and entry.revision == revision:
-            return None
-        return False
+            return _RecordWrite(_WriteOutcome.WRITTEN, entry.revision)
+        if (entry.revision if entry is not None else ABSENT) == revision:
+            return _UNKNOWN
+        return _RecordWrite(_WriteOutcome.LOST)
 
     def _store(self, operation: Any) -> Call:
         return Call(STORE, operation, self._settings.store.timeout_s)
--- a/src/lagoonpulley/standin/worker.py
+++ b/src/lagoonpulley/standin/worker.py
@@ -61,8 +61,8 @@
         self.seen_epoch = 0
         self._boot_count = 1
         self.fail_everything = False
+        self.enforce_capacity = True
         self.executions: list[Execution] = []
-        self.peak_overcommit = False
         self._attempt_by_key: dict[tuple[str, int], _Attempt] = {}
         self._refused_keys: set[tuple[str, int]] = set()
 
@@ -162,7 +162,8 @@
             return known.report
         if key in self._refused_keys:
             return _report(start, TaskStatus.REFUSED, "stopped before it started")
-        if not self.committed().plus(start.request).fits_in(self.capacity):
+        wanted = self.committed().plus(start.request)
+        if self.enforce_capacity and not wanted.fits_in(self.capacity):
             return _report(start, TaskStatus.REFUSED, "no capacity")
         behaviour = _behaviour(start.payload)
         run_s = float(behaviour.get("run_s", start.run_time_s))
