--- a/src/lagoonpulley/configuration/role.py
+++ b/src/lagoonpulley/configuration/role.py
@@ -28,8 +28,8 @@
 
 __all__ = ["ConfigurationRole", "pack_document", "unpack_document"]
 
-WATCH_WAIT_S = 15.0
-WATCH_SLACK_S = 2.0
+WATCH_WAIT_S = 2.5
+WATCH_SLACK_S = 0.5
 WATCH_RETRY_S = 0.5
 BACKSTOP_INTERVAL_S = 10.0
 FIRST_READ_RETRY_S = 1.0
--- a/src/lagoonpulley/scheduler/needs.py
+++ b/src/lagoonpulley/scheduler/needs.py
@@ -51,11 +51,16 @@
 def needs_of_team(
     core: PlacementCore, name: str, limit: Resources, now: Now
 ) -> Need | None:
-    """Return what a team needs for its oldest waiting job, if any waits."""
+    """Return what a team needs for its oldest waiting job, if any waits.
+
+    A job that is larger than the whole limit, which may have been lowered since
+    its acceptance, needs nothing: no allotment could let it run.
+    """
     team = core.team_by_name.get(name)
     if team is None or not core.waiting_tasks_of(name):
         return None
     waiting = [*team.waiting(JOBS_LOOKED_AT), *core.urgent_waiting_of(name)]
+    waiting = [item for item in waiting if _request_of(item).fits_in(limit)]
     if not waiting:
         return None
     oldest = min(waiting, key=lambda pending: pending.submitted_at)
