--- a/src/lagoonpulley/journal/log.py
+++ b/src/lagoonpulley/journal/log.py
@@ -36,7 +36,8 @@
 
 __all__ = ["GroupLog"]
 
-COMMIT_INTERVAL_S = 0.05
+COMMITS_PER_S = 20.0
+COMMITS_IN_BURST = 10.0
 RETRY_PAUSE_S = 0.5
 MAX_SEGMENT_BYTES = 400_000
 MAX_PAGE_BYTES = 400_000
@@ -87,7 +88,8 @@
         self._snapshotting = False
         self._closed = False
         self._opened = False
-        self._last_write_at = float("-inf")
+        self._commit_tokens = COMMITS_IN_BURST
+        self._tokens_counted_at = role.now.mono
         self._write_count = 0
 
     # Opening.
@@ -206,15 +208,24 @@
         """Begin a commit if one is due."""
         if self._closed or not self._opened:
             return
-        now = self._role.now.mono
-        is_due = now - self._last_write_at >= COMMIT_INTERVAL_S
-        if self._waiting and not self._writing and is_due:
+        if self._waiting and not self._writing and self._take_commit_token():
             self._writing = True
             self._role.start(self._commit())
         if self._snapshot_is_due():
             self._snapshotting = True
             self._role.start(self._write_snapshot())
 
+    def _take_commit_token(self) -> bool:
+        """Return whether the bound on store writes allows a commit now."""
+        now = self._role.now.mono
+        earned = (now - self._tokens_counted_at) * COMMITS_PER_S
+        self._commit_tokens = min(COMMITS_IN_BURST, self._commit_tokens + earned)
+        self._tokens_counted_at = now
+        if self._commit_tokens < 1.0:
+            return False
+        self._commit_tokens -= 1.0
+        return True
+
     def close(self, reason: str) -> None:
         """Refuse everything that waits."""
         self._closed = True
@@ -223,7 +234,6 @@
             self._role.answer(item.request, NotCommitted(Ran.NO, reason))
 
     def _commit(self) -> Flow:
-        self._last_write_at = self._role.now.mono
         batch = self._take_batch()
         segment = Segment(self.epoch)
         for item in batch:
--- a/src/lagoonpulley/routing/role.py
+++ b/src/lagoonpulley/routing/role.py
@@ -127,6 +127,10 @@
             answer = yield from self._call_owner(group, call, attempts)
             if not isinstance(answer, SubmitAnswer):
                 break
+            if answer.refusal is not None:
+                refused = [JobVerdict(job.id, answer.refusal) for job in waiting]
+                settled.update((verdict.job_id, verdict) for verdict in refused)
+                break
             still_waiting = []
             for job, verdict in zip(waiting, answer.verdicts):
                 if self._is_transient(verdict.refusal):
@@ -138,6 +142,8 @@
             waiting = tuple(still_waiting)
             if waiting and not (yield from self._pause(attempts)):
                 break
+        if len(settled) == len(jobs):
+            return [settled[job.id] for job in jobs]
         refusal = self._give_up(group, attempts)
         return [settled.get(job.id, JobVerdict(job.id, refusal)) for job in jobs]
 
--- a/src/lagoonpulley/scheduler/admission.py
+++ b/src/lagoonpulley/scheduler/admission.py
@@ -77,11 +77,9 @@
     refused: dict[str, Refusal] = {}
     for record in fresh:
         role.accepting_by_id.pop(record.job.id, None)
-        if record.job.durable and not isinstance(result, Committed):
-            refused[record.job.id] = _not_committed(result)
-            continue
-        if group.is_closed:
-            refused[record.job.id] = _group_moved(record.job)
+        refusal = _refusal_of(group, record.job, result)
+        if refusal is not None:
+            refused[record.job.id] = refusal
             continue
         group.admit(record)
         log_event(
@@ -102,15 +100,24 @@
     role.answer(pending.request, SubmitAnswer(verdicts))
 
 
-def _not_committed(result: NotCommitted) -> Refusal:
-    return Refusal("store_unavailable", result.ran, result.reason, RETRY_AFTER_STORE_S)
+def _refusal_of(
+    group: Group, job: Job, result: Committed | NotCommitted
+) -> Refusal | None:
+    """Return why a job whose journalling ended is not accepted here after all."""
+    committed = isinstance(result, Committed)
+    if group.is_closed:
+        ran = Ran.NO
+        if job.durable:
+            ran = Ran.MAYBE if committed else result.ran
+        detail = "the group changed its owner"
+        return Refusal("owner_changed", ran, detail, RETRY_AFTER_ACCEPTING_S)
+    if committed or not job.durable:
+        return None
+    return _not_committed(result)
 
 
-def _group_moved(job: Job) -> Refusal:
-    ran = Ran.MAYBE if job.durable else Ran.NO
-    return Refusal(
-        "owner_changed", ran, "the group changed its owner", RETRY_AFTER_ACCEPTING_S
-    )
+def _not_committed(result: NotCommitted) -> Refusal:
+    return Refusal("store_unavailable", result.ran, result.reason, RETRY_AFTER_STORE_S)
 
 
 def check_job(role: SchedulerRole, group: Group, job: Job) -> Refusal | None:
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -126,8 +126,10 @@
         self.last_fault_at = float("-inf")
         self.faults_present: set[str] = set()
         self.cut_off_by_drain: list[Caller] = []
+        self.drained_at: list[float] = []
         self.keys: dict[str, NewKey] = {}
         self.document = ConfigurationDocument()
+        self.last_write_at = 0.0
         self._write_count = 0
         self._caller_by_request_id: dict[str, Caller] = {}
         self._peer_replies: dict[str, Any] = {}
@@ -200,6 +202,7 @@
             f"operator.{self._write_count}",
         )
         assert self.network.store.apply(put, self.clock.mono).ok
+        self.last_write_at = self.clock.mono
 
     def settings_of(self, entry_id: str, data_centre: str) -> Settings:
         return Settings.model_validate(
@@ -499,6 +502,7 @@
         if entry.draining or not entry.alive:
             return
         entry.draining = True
+        self.drained_at.append(self.clock.mono)
         self.post(entry, "membership", Leave())
         self.post(entry, "ownership", ReleaseAll())
         self.post(entry, "scheduler", ReleaseAll())
