--- a/src/lagoonpulley/placement/core.py
+++ b/src/lagoonpulley/placement/core.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..model.job import Job, JobKind, task_id_of
+from .copies import CopyCounter, copies_in
 from .estimates import RunTimeEstimates
 from .events import (
     Decision,
@@ -29,8 +30,13 @@
 from .policies import BestFit, Spread, WorkerPolicy
 from .preemption import choose_over_capacity, choose_over_limit, choose_victims
 from .quarantine import Quarantine
-from .reservation import ExpectedEnd, Reservation, plan_reservation
-from .teams import PendingJob, Team
+from .reservation import (
+    ExpectedEnd,
+    Reservation,
+    ReservationBook,
+    plan_reservation,
+)
+from .teams import SMALLEST_WEIGHT, PendingJob, Team
 from .workers import WorkerTable
 
 if TYPE_CHECKING:
@@ -41,6 +47,7 @@
 
 MAX_DECISIONS_PER_ROUND = 64
 FORGET_SHAPES_ABOVE = 10_000
+SHARE_PREEMPTION_PAUSE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,12 +55,16 @@
     """How a deployment weighs its aims; times are in seconds."""
 
     waiting_weight: float = 0.0
-    history_weight: float = 0.1
+    history_weight: float = 0.0
     history_half_life_s: float = 120.0
     backfill_depth: int = 8
-    reserve_after_s: float = 5.0
+    reserve_after_s: float = 2.0
+    overtake_for_s: float = 10.0
+    preempt_slack_s: float = 4.0
     replan_after_s: float = 1.0
     preempt_again_after_s: float = 5.0
+    share_preempt_after_s: float | None = 0.5
+    share_slack: float = 0.05
 
 
 @dataclass(slots=True, eq=False)
@@ -89,7 +100,11 @@
         self._urgent: list[tuple[float, int, PendingJob]] = []
         self._urgent_order = 0
         self._blocked_version_by_request: dict[Resources, int] = {}
-        self._reservation: Reservation | None = None
+        self._reservations = ReservationBook(self.table)
+        self._copies = CopyCounter(self.table)
+        self._waiting_teams: dict[str, None] = {}
+        self._share_level = 0.0
+        self._next_share_preemption_at = float("-inf")
         self._next_plan_at = float("-inf")
         self._limits_to_check = False
         self._shrunk_worker_ids: set[str] = set()
@@ -136,7 +151,7 @@
         self._preempt_over_capacity(decisions)
         self._preempt_over_limit(decisions)
         self._place_urgent(now, decisions, most)
-        self._serve_reservation(now, decisions)
+        self._keep_reservations(now)
         self._place_fairly(now, decisions, most)
         if len(self._blocked_version_by_request) > FORGET_SHAPES_ABOVE:
             self._blocked_version_by_request.clear()
@@ -166,7 +181,7 @@
         found = 0
         lacking: set[str] = set()
         for worker in self.table.by_id.values():
-            copies = _copies_in(job.request, worker.capacity)
+            copies = copies_in(job.request, worker.capacity)
             found += copies
             if not copies:
                 lacking.update(_lacking(job.request, worker.capacity))
@@ -195,6 +210,7 @@
         self.pending_by_job_id[pending.job.id] = pending
         if pending.job.kind is not JobKind.URGENT:
             self._team(pending.job.team).add(pending, at_head)
+            self._waiting_teams[pending.job.team] = None
             return
         self._urgent_order += 1
         entry = (self._latest_start(pending), self._urgent_order, pending)
@@ -317,80 +333,147 @@
         team = self._team(job.team)
         if not team.may_add(job.request):
             return
+        if self._latest_start(pending) - now > self.settings.preempt_slack_s:
+            return
         if now - pending.preempted_at < self.settings.preempt_again_after_s:
             return
-        victims = choose_victims(
-            self.table, self.placed_by_task_id, self.team_by_name, team, job.request
-        )
-        if victims:
-            pending.preempted_at = now
+        rank = _rank(team)
+        above = {
+            name for name, other in self.team_by_name.items() if _rank(other) >= rank
+        }
+        victims = choose_victims(self.table, self.placed_by_task_id, above, job.request)
+        pending.preempted_at = now
         self._preempt(victims, PreemptReason.URGENT, decisions)
 
-    # Reservation.
+    # Reservations.
 
-    def _serve_reservation(self, now: float, decisions: list[Decision]) -> None:
-        held = self._reservation
-        if held is not None and not held.pending.is_done:
-            self._place_job(held.pending, now, decisions, MAX_DECISIONS_PER_ROUND)
-            self._forget_if_done(held.pending)
-        if now < self._next_plan_at and not self._reservation_ended():
+    def _keep_reservations(self, now: float) -> None:
+        """Drop reservations that ended, and plan anew for one blocked gang."""
+        if now < self._next_plan_at:
             return
         self._next_plan_at = now + self.settings.replan_after_s
-        self._reservation = self._plan_reservation(now)
-        if held is not None:
-            self._unblock(held)
+        self._reservations.drop_ended(now, self._is_due)
+        gang = self._blocked_gang(now)
+        if gang is None:
+            return
+        count = len(gang.indexes)
+        workers = list(self.table.accepting())
+        planned = plan_reservation(gang, count, workers, self._expected_ends(), now)
+        if planned is not None:
+            self._reservations.add(planned)
 
-    def _reservation_ended(self) -> bool:
-        held = self._reservation
-        if held is None:
-            return False
-        team = self._team(held.pending.job.team)
-        return held.pending.is_done or not team.may_add(held.pending.job.request)
+    def _is_due(self, pending: PendingJob) -> bool:
+        team = self._team(pending.job.team)
+        return team.may_add(self._whole_request(pending))
 
-    def _plan_reservation(self, now: float) -> Reservation | None:
-        oldest = self._oldest_waiting(now)
-        if oldest is None:
-            return None
-        is_gang = oldest.job.kind is JobKind.GANG
-        count = len(oldest.indexes) if is_gang else 1
-        return plan_reservation(
-            oldest, count, self.table.accepting(), self._expected_ends(now), now
-        )
+    def _blocked_gang(self, now: float) -> PendingJob | None:
+        """Return the blocked gang of the team that is next in the fair order.
+
+        Gangs get a reservation one at a time, so that none waits for workers that
+        another one keeps.
+        """
+        due = None
+        due_key = float("inf")
+        for name in self._waiting_teams:
+            team = self.team_by_name[name]
+            pending = self._first_blocked_gang(team, now)
+            if pending is None or not self._is_due(pending):
+                continue
+            key = self._order_key(team, now)
+            if key < due_key:
+                due, due_key = pending, key
+        return due
+
+    def _first_blocked_gang(self, team: Team, now: float) -> PendingJob | None:
+        for pending in team.waiting(self.settings.backfill_depth):
+            if pending.job.kind is not JobKind.GANG or pending.blocked_at is None:
+                continue
+            if now - pending.blocked_at >= self.settings.reserve_after_s:
+                return pending
+        return None
+
+    def _reserve_for(self, team: Team, now: float) -> None:
+        """Keep a worker for the blocked job of a team that is below its share."""
+        if self._reservations.is_full() or not self._is_below_share(team):
+            return
+        for pending in team.waiting(self.settings.backfill_depth):
+            if pending.job.kind is JobKind.GANG or pending.blocked_at is None:
+                continue
+            if self._reservations.has(pending) or not self._is_due(pending):
+                continue
+            worker = self._reservations.nearest_worker(pending.job.request)
+            if worker is None or self._reservations.is_full():
+                return
+            self._reservations.add(self._plan_on(worker, pending, now))
 
-    def _oldest_waiting(self, now: float) -> PendingJob | None:
-        oldest = None
+    def _preempt_for_share(
+        self, team: Team, now: float, decisions: list[Decision]
+    ) -> None:
+        """Checkpoint batch work above its share for a team below its own."""
+        after_s = self.settings.share_preempt_after_s
+        if after_s is None or now < self._next_share_preemption_at:
+            return
+        if not self._is_below_share(team):
+            return
+        level = self._share_level * (1.0 + self.settings.share_slack)
+        for pending in team.waiting(self.settings.backfill_depth):
+            job = pending.job
+            if pending.blocked_at is None or now - pending.blocked_at < after_s:
+                continue
+            if job.kind is JobKind.GANG or not self._is_due(pending):
+                continue
+            if now - pending.preempted_at < self.settings.preempt_again_after_s:
+                continue
+            above = {
+                name
+                for name, other in self.team_by_name.items()
+                if _rank(other) > level
+            }
+            victims = choose_victims(
+                self.table, self.placed_by_task_id, above, job.request
+            )
+            pending.preempted_at = now
+            self._next_share_preemption_at = now + SHARE_PREEMPTION_PAUSE_S
+            self._preempt(victims, PreemptReason.SHARE, decisions)
+            return
+
+    def _plan_on(self, worker: Worker, pending: PendingJob, now: float) -> Reservation:
+        placed = [self.placed_by_task_id[task_id] for task_id in worker.task_ids]
+        ends = [ExpectedEnd(task.expected_end, task.job.request) for task in placed]
+        ends_by_worker_id = {worker.id: ends}
+        planned = plan_reservation(pending, 1, [worker], ends_by_worker_id, now)
+        if planned is not None:
+            return planned
+        return Reservation(pending, frozenset((worker.id,)), now, now)
+
+    def _is_below_share(self, team: Team) -> bool:
+        """Return whether a team uses less than an even level of share by weight."""
+        return _rank(team) < self._share_level
+
+    def _measure_share_level(self) -> None:
+        share = 0.0
+        weight = 0.0
         for team in self.team_by_name.values():
-            for pending in team.waiting(1):
-                if now - pending.submitted_at < self.settings.reserve_after_s:
-                    continue
-                if not team.may_add(self._whole_request(pending)):
-                    continue
-                if oldest is None or pending.submitted_at < oldest.submitted_at:
-                    oldest = pending
-        return oldest
-
-    def _expected_ends(self, now: float) -> dict[str, list[ExpectedEnd]]:
+            if not team.share and team.name not in self._waiting_teams:
+                continue
+            share += team.share
+            weight += team.policy.weight
+        self._share_level = share / weight if weight else 0.0
+
+    def _expected_ends(self) -> dict[str, list[ExpectedEnd]]:
         ends: dict[str, list[ExpectedEnd]] = {}
         for placed in self.placed_by_task_id.values():
             expected = ExpectedEnd(placed.expected_end, placed.job.request)
             ends.setdefault(placed.worker.id, []).append(expected)
         return ends
 
-    def _unblock(self, released: Reservation) -> None:
-        for worker_id in released.worker_ids:
-            worker = self.table.by_id.get(worker_id)
-            if worker is not None:
-                self.table.mark_freed(worker)
-
     # Fair order.
 
     def _place_fairly(self, now: float, decisions: list[Decision], most: int) -> None:
-        heap = [
-            (self._order_key(team, now), name)
-            for name, team in self.team_by_name.items()
-            if self._may_progress(team)
-        ]
-        heapq.heapify(heap)
+        heap = self._teams_in_order(now)
+        if not heap:
+            return
+        self._measure_share_level()
         while heap and len(decisions) < most:
             _, name = heapq.heappop(heap)
             team = self.team_by_name[name]
@@ -399,9 +482,26 @@
                 heapq.heappush(heap, (self._order_key(team, now), name))
             else:
                 team.blocked_version = version
+                self._reserve_for(team, now)
+                self._preempt_for_share(team, now, decisions)
+
+    def _teams_in_order(self, now: float) -> list[tuple[float, str]]:
+        """Return a heap of the teams that may get a task now."""
+        heap = []
+        idle = []
+        for name in self._waiting_teams:
+            team = self.team_by_name[name]
+            if not team.has_waiting():
+                idle.append(name)
+            elif self._may_progress(team):
+                heap.append((self._order_key(team, now), name))
+        for name in idle:
+            del self._waiting_teams[name]
+        heapq.heapify(heap)
+        return heap
 
     def _may_progress(self, team: Team) -> bool:
-        if not team.has_waiting() or team.policy.withdrawn:
+        if team.policy.withdrawn:
             return False
         if not team.blocked_version:
             return True
@@ -423,8 +523,16 @@
             self._forget_if_done(pending)
             if len(decisions) > before:
                 return True
+            if self._may_not_be_overtaken(pending, now):
+                return False
         return False
 
+    def _may_not_be_overtaken(self, pending: PendingJob, now: float) -> bool:
+        """Return whether a job was passed long enough by its team's others."""
+        if pending.blocked_at is None:
+            pending.blocked_at = now
+        return now - pending.blocked_at >= self.settings.overtake_for_s
+
     def _place_job(
         self, pending: PendingJob, now: float, decisions: list[Decision], most: int
     ) -> None:
@@ -453,7 +561,7 @@
             return
         places: list[Place] = []
         for index in pending.indexes:
-            place = self._try_place(pending, index, now)
+            place = self._try_place(pending, index, now, remembers=False)
             if place is None:
                 self._undo(places, now)
                 return
@@ -462,33 +570,40 @@
         decisions.extend(places)
 
     def _has_room_for_all(self, pending: PendingJob) -> bool:
-        needed = len(pending.indexes)
         request = pending.job.request
-        for bucket in self.table.buckets_from(request.processors_milli):
-            for worker in bucket.values():
-                needed -= _copies_in(request, worker.free)
-                if needed <= 0:
-                    return True
-        return False
+        room = self._copies.count(request)
+        for worker in self._reservations.workers_of(pending):
+            room += copies_in(request, worker.free)
+        return room >= len(pending.indexes)
 
     def _undo(self, places: list[Place], now: float) -> None:
         for place in reversed(places):
             placed = self.placed_by_task_id.pop(place.task_id)
             self._count_waiting(placed.job.team, 1)
             self._forget_task_of_job(placed)
-            self.table.release(placed.worker, placed.task_id, placed.job.request)
+            request = placed.job.request
+            self.table.release(placed.worker, placed.task_id, request, is_new=False)
             team = self._team(placed.job.team)
-            self._change_use(team, team.used.minus(placed.job.request), now)
+            self._change_use(team, team.used.minus(request), now)
 
     # One placement.
 
-    def _try_place(self, pending: PendingJob, index: int, now: float) -> Place | None:
+    def _try_place(
+        self, pending: PendingJob, index: int, now: float, remembers: bool = True
+    ) -> Place | None:
+        """Place one task, if there is room.
+
+        :param remembers: whether a failure holds for the request until room
+            appears; not so while a gang holds room that it may give back.
+        """
         job = pending.job
         team = self._team(job.team)
         if not team.may_add(job.request):
             return None
         recent = self._recent_workers(job.request)
         if recent is not None and not recent:
+            if remembers:
+                self._blocked_version_by_request[job.request] = self.table.version
             return None
         policy = self._policy_by_kind[job.kind]
         version = self.table.version
@@ -500,7 +615,8 @@
             self.table, job.request, recent, admits, self._workers_of(job.id)
         )
         if choice.worker is None:
-            self._blocked_version_by_request[job.request] = version
+            if remembers:
+                self._blocked_version_by_request[job.request] = version
             return None
         self._hold(job, index, choice.worker, now, pending.submitted_at)
         self._count_waiting(job.team, -1)
@@ -528,13 +644,7 @@
             for worker in self.table.freed_since(version)
             if request.fits_in(worker.free)
         ]
-        held = self._reservation
-        if held is None:
-            return recent
-        for worker_id in held.worker_ids:
-            worker = self.table.by_id.get(worker_id)
-            if worker is None or not worker.accepting:
-                continue
+        for worker in self._reservations.reserved_workers():
             if worker.freed_version <= version and request.fits_in(worker.free):
                 recent.append(worker)
         return recent
@@ -543,10 +653,10 @@
         job = pending.job
         if not self.quarantine.admits(worker, job, now):
             return False
-        held = self._reservation
-        if held is None or held.pending is pending or job.kind is JobKind.URGENT:
+        if job.kind is JobKind.URGENT:
             return True
-        return held.admits(worker, self._expected_end(job, now))
+        expected_end = self._expected_end(job, now)
+        return self._reservations.admits(worker, pending, expected_end)
 
     def _expected_end(self, job: Job, now: float) -> float:
         if job.kind is JobKind.SERVICE:
@@ -624,7 +734,10 @@
         team.change_use(used, self.table.total, now, half_life_s)
 
     def _forget_if_done(self, pending: PendingJob) -> None:
-        if pending.is_done and self.pending_by_job_id.get(pending.job.id) is pending:
+        if not pending.is_done:
+            return
+        self._reservations.drop(pending)
+        if self.pending_by_job_id.get(pending.job.id) is pending:
             del self.pending_by_job_id[pending.job.id]
 
     @staticmethod
@@ -634,9 +747,9 @@
         return pending.job.request.times(len(pending.indexes))
 
 
-def _copies_in(request: Resources, room: Resources) -> int:
-    copies = [have // want for want, have in zip(request, room) if want > 0]
-    return max(0, min(copies, default=0))
+def _rank(team: Team) -> float:
+    """Return a team's dominant share by its weight."""
+    return team.share / max(team.policy.weight, SMALLEST_WEIGHT)
 
 
 def _lacking(request: Resources, capacity: Resources) -> list[str]:
--- a/src/lagoonpulley/placement/events.py
+++ b/src/lagoonpulley/placement/events.py
@@ -159,6 +159,7 @@
     """Why a running task has to give up its room."""
 
     URGENT = "urgent work waits"
+    SHARE = "team is above its share while others wait below theirs"
     OVER_LIMIT = "team is over its limit"
     OVER_CAPACITY = "worker has less capacity than is committed"
 
--- a/src/lagoonpulley/placement/policies.py
+++ b/src/lagoonpulley/placement/policies.py
@@ -13,7 +13,7 @@
 
     Admits = Callable[[Worker], bool]
 
-__all__ = ["BestFit", "Choice", "Spread", "WorkerPolicy", "leftover_score"]
+__all__ = ["BestFit", "Choice", "Spread", "WorkerPolicy"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,27 +41,18 @@
 
         :param recent: the only workers on which the request may fit, or ``None``
             when every worker has to be looked at.
-        :param admits: whether the task may use a worker that has room.
+        :param admits: whether the task may use a restricted worker.
         :param used_workers: workers that hold other tasks of the same job.
         """
         ...
 
 
-def leftover_score(worker: Worker, request: Resources) -> tuple[float, int]:
-    """Return how much room a task would leave; lower packs better.
+class BestFit:
+    """Packs: takes the worker with the fewest free processors that suffices.
 
-    The key is exact: free whole processors first, then accelerators and memory
-    left over, measured excess use, and the order in which workers were added.
+    Among workers with equally many free whole processors, the one with the least
+    memory and accelerators left over and the least measured excess use is taken.
     """
-    free = worker.free
-    memory = (free.memory_mb - request.memory_mb) / max(1, worker.capacity.memory_mb)
-    spare_accelerators = free.accelerators - request.accelerators
-    excess = worker.measured_excess_milli / max(1, worker.capacity.processors_milli)
-    return (spare_accelerators + memory + excess, worker.order)
-
-
-class BestFit:
-    """Packs: takes the worker with the fewest free processors that suffices."""
 
     reason = "best fit"
 
@@ -89,14 +80,28 @@
         workers: Iterable[Worker], request: Resources, admits: Admits
     ) -> Choice:
         best = None
-        best_key = None
+        best_key: tuple[int, float, int] = (0, 0.0, 0)
         seen = 0
+        processors, memory, accelerators, slots, connections = request
         for worker in workers:
             seen += 1
-            if not request.fits_in(worker.free) or not admits(worker):
+            free = worker.free
+            # Unrolled, because this is where placement spends its time.
+            if (
+                free[0] < processors
+                or free[1] < memory
+                or free[2] < accelerators
+                or free[3] < slots
+                or free[4] < connections
+            ):
                 continue
-            key = (worker.bucket, leftover_score(worker, request))
-            if best_key is None or key < best_key:
+            if worker.restricted and not admits(worker):
+                continue
+            leftover = (free[1] - memory) / worker.memory_scale
+            leftover += free[2] - accelerators
+            leftover += worker.measured_excess_milli / worker.processor_scale
+            key = (worker.bucket, leftover, worker.order)
+            if best is None or key < best_key:
                 best, best_key = worker, key
         return Choice(best, seen)
 
@@ -121,7 +126,9 @@
         seen = 0
         for worker in table.accepting() if recent is None else recent:
             seen += 1
-            if not request.fits_in(worker.free) or not admits(worker):
+            if not request.fits_in(worker.free):
+                continue
+            if worker.restricted and not admits(worker):
                 continue
             key = (
                 in_rack.get(worker.rack, 0),
--- a/src/lagoonpulley/placement/preemption.py
+++ b/src/lagoonpulley/placement/preemption.py
@@ -7,7 +7,7 @@
 from ..model.job import JobKind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from ..model.resources import Resources
     from .core import PlacedTask
@@ -16,30 +16,31 @@
 
 __all__ = ["choose_over_capacity", "choose_over_limit", "choose_victims"]
 
-SMALLEST_WEIGHT = 1e-6
+
+WORKERS_LOOKED_AT = 48
 
 
 def choose_victims(
     table: WorkerTable,
     placed_by_task_id: Mapping[str, PlacedTask],
-    team_by_name: Mapping[str, Team],
-    urgent_team: Team,
+    team_names: Collection[str],
     request: Resources,
 ) -> list[PlacedTask]:
-    """Return the fewest batch tasks of one worker that make room for urgent work.
+    """Return the fewest batch tasks of one worker that make room for a request.
 
-    Only repeatable batch tasks of teams that stand above the urgent team, by
-    share over weight, are taken, so a team that floods the cell with urgent work
-    gains nothing by it.
+    A bounded number of workers is looked at, others the next time.
 
+    :param team_names: teams whose repeatable batch tasks may be checkpointed.
     :returns: an empty list when no worker can be freed this way.
     """
     best: list[PlacedTask] = []
-    for worker in table.accepting():
+    for worker in table.next_in_turn(WORKERS_LOOKED_AT):
+        if not request.fits_in(worker.capacity):
+            continue
         candidates = [
             placed_by_task_id[task_id]
             for task_id in worker.task_ids
-            if _may_yield(placed_by_task_id[task_id], team_by_name, urgent_team)
+            if _may_yield(placed_by_task_id[task_id], team_names)
         ]
         victims = _fewest(worker, candidates, request)
         if victims and (not best or len(victims) < len(best)):
@@ -49,20 +50,10 @@
     return best
 
 
-def _may_yield(
-    placed: PlacedTask, team_by_name: Mapping[str, Team], urgent_team: Team
-) -> bool:
-    if placed.preempting or placed.job.kind is not JobKind.BATCH:
-        return False
-    if not placed.job.repeatable:
+def _may_yield(placed: PlacedTask, team_names: Collection[str]) -> bool:
+    if placed.preempting or not placed.job.repeatable:
         return False
-    if placed.job.team == urgent_team.name:
-        return True
-    return _rank(team_by_name[placed.job.team]) >= _rank(urgent_team)
-
-
-def _rank(team: Team) -> float:
-    return team.share / max(team.policy.weight, SMALLEST_WEIGHT)
+    return placed.job.kind is JobKind.BATCH and placed.job.team in team_names
 
 
 def _fewest(
--- a/src/lagoonpulley/placement/quarantine.py
+++ b/src/lagoonpulley/placement/quarantine.py
@@ -31,6 +31,8 @@
         worker.failed_job_ids.add(job_id)
         if len(worker.failed_job_ids) < JOBS_TO_SUSPECT:
             return
+        worker.suspected = True
+        self._table.mark_changed(worker)
         length_s = FIRST_QUARANTINE_S * 2**worker.quarantine_count
         worker.quarantine_count = min(worker.quarantine_count + 1, 10)
         worker.quarantined_until = now + min(length_s, LONGEST_QUARANTINE_S)
@@ -41,6 +43,8 @@
         if not worker.failed_job_ids:
             return
         worker.failed_job_ids.clear()
+        worker.suspected = False
+        self._table.mark_changed(worker)
         worker.quarantine_count = 0
         worker.quarantined_until = 0.0
         self._ends_by_worker_id.pop(worker.id, None)
--- a/src/lagoonpulley/placement/reservation.py
+++ b/src/lagoonpulley/placement/reservation.py
@@ -1,4 +1,4 @@
-"""Room kept for the job that has waited longest without fitting."""
+"""Room kept for blocked jobs, so that smaller ones cannot pass them for ever."""
 
 from __future__ import annotations
 
@@ -6,13 +6,18 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from ..model.resources import Resources
     from .teams import PendingJob
-    from .workers import Worker
+    from .workers import Worker, WorkerTable
 
-__all__ = ["ExpectedEnd", "Reservation", "plan_reservation"]
+__all__ = ["ExpectedEnd", "Reservation", "ReservationBook", "plan_reservation"]
+
+LONGEST_RESERVATION_S = 30.0
+WORKERS_PER_RESERVATION = 6
+MOST_RESERVATIONS = 24
+WORKERS_LOOKED_AT = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +37,111 @@
     ready_at: float
     planned_at: float
 
-    def admits(self, worker: Worker, expected_end: float) -> bool:
-        """Return whether a task that ends then may use a worker meanwhile."""
-        return worker.id not in self.worker_ids or expected_end <= self.ready_at
+
+class ReservationBook:
+    """Reservations by job and by worker; a worker is kept for one job only."""
+
+    def __init__(self, table: WorkerTable) -> None:
+        self._table = table
+        self._by_job_id: dict[str, Reservation] = {}
+        self._by_worker_id: dict[str, Reservation] = {}
+
+    def has(self, pending: PendingJob) -> bool:
+        """Return whether a job has a reservation."""
+        return pending.job.id in self._by_job_id
+
+    def is_full(self) -> bool:
+        """Return whether no further reservation may be made."""
+        most = max(1, len(self._table.by_id) // WORKERS_PER_RESERVATION)
+        return len(self._by_job_id) >= min(MOST_RESERVATIONS, most)
+
+    def admits(self, worker: Worker, pending: PendingJob, expected_end: float) -> bool:
+        """Return whether a job's task that ends then may use a worker."""
+        held = self._by_worker_id.get(worker.id)
+        if held is None or held.pending is pending:
+            return True
+        return expected_end <= held.ready_at
+
+    def reserved_workers(self) -> list[Worker]:
+        """Return the reserved workers that accept tasks."""
+        found = []
+        for worker_id in self._by_worker_id:
+            worker = self._table.by_id.get(worker_id)
+            if worker is not None and worker.accepting:
+                found.append(worker)
+        return found
+
+    def workers_of(self, pending: PendingJob) -> list[Worker]:
+        """Return the accepting workers that are kept for a job."""
+        reservation = self._by_job_id.get(pending.job.id)
+        if reservation is None:
+            return []
+        return [
+            worker
+            for worker in self.reserved_workers()
+            if self._by_worker_id[worker.id] is reservation
+        ]
+
+    def add(self, reservation: Reservation) -> None:
+        """Keep workers for a job; those kept for another job stay with it."""
+        self.drop(reservation.pending)
+        self._by_job_id[reservation.pending.job.id] = reservation
+        for worker_id in reservation.worker_ids:
+            self._by_worker_id.setdefault(worker_id, reservation)
+            worker = self._table.by_id.get(worker_id)
+            if worker is not None:
+                worker.reserved = True
+                self._table.mark_changed(worker)
+
+    def drop(self, pending: PendingJob) -> None:
+        """Let others use the workers kept for a job."""
+        reservation = self._by_job_id.pop(pending.job.id, None)
+        if reservation is None:
+            return
+        for worker_id in reservation.worker_ids:
+            if self._by_worker_id.get(worker_id) is not reservation:
+                continue
+            del self._by_worker_id[worker_id]
+            worker = self._table.by_id.get(worker_id)
+            if worker is not None:
+                worker.reserved = False
+                self._table.mark_changed(worker)
+                self._table.mark_freed(worker)
+
+    def drop_ended(self, now: float, is_due: Callable[[PendingJob], bool]) -> None:
+        """Drop reservations that are used, too old, or no longer due."""
+        for reservation in list(self._by_job_id.values()):
+            pending = reservation.pending
+            is_old = now - reservation.planned_at >= LONGEST_RESERVATION_S
+            if pending.is_done or is_old or not is_due(pending):
+                self.drop(pending)
+
+    def nearest_worker(self, request: Resources) -> Worker | None:
+        """Return the unreserved worker that lacks least for a request."""
+        best = None
+        best_lack = float("inf")
+        seen = 0
+        for bucket in self._table.buckets_downwards():
+            for worker in bucket.values():
+                seen += 1
+                if worker.id in self._by_worker_id:
+                    continue
+                if not request.fits_in(worker.capacity):
+                    continue
+                lack = _lack(request, worker)
+                if lack < best_lack:
+                    best, best_lack = worker, lack
+            if seen >= WORKERS_LOOKED_AT and best is not None:
+                break
+        return best
+
+
+def _lack(request: Resources, worker: Worker) -> float:
+    lack = 0.0
+    for want, free, whole in zip(request, worker.free, worker.capacity):
+        if want > free:
+            lack += (want - free) / max(1, whole)
+    return lack
 
 
 def plan_reservation(
--- a/src/lagoonpulley/placement/teams.py
+++ b/src/lagoonpulley/placement/teams.py
@@ -23,13 +23,17 @@
 
 @dataclass(slots=True, eq=False)
 class PendingJob:
-    """Tasks of a job that wait; ``indexes`` holds those not yet placed."""
+    """Tasks of a job that wait; ``indexes`` holds those not yet placed.
+
+    ``blocked_at`` is when it was first the job's turn and there was no room.
+    """
 
     job: Job
     indexes: deque[int]
     submitted_at: float
     cancelled: bool = False
     preempted_at: float = float("-inf")
+    blocked_at: float | None = None
 
     @property
     def is_done(self) -> bool:
--- a/src/lagoonpulley/placement/workers.py
+++ b/src/lagoonpulley/placement/workers.py
@@ -21,6 +21,7 @@
         "accepting",
         "bucket",
         "capacity",
+        "changed_version",
         "committed",
         "free",
         "failed_job_ids",
@@ -28,10 +29,14 @@
         "gone",
         "id",
         "measured_excess_milli",
+        "memory_scale",
         "order",
+        "processor_scale",
         "quarantine_count",
         "quarantined_until",
         "rack",
+        "reserved",
+        "suspected",
         "task_ids",
     )
 
@@ -45,13 +50,23 @@
         self.accepting = True
         self.bucket = -1
         self.freed_version = 0
+        self.changed_version = 0
         self.measured_excess_milli = 0
         self.quarantined_until = 0.0
         self.quarantine_count = 0
         self.failed_job_ids: set[str] = set()
         self.gone = False
+        self.reserved = False
+        self.suspected = False
+        self.memory_scale = max(1, capacity.memory_mb)
+        self.processor_scale = max(1, capacity.processors_milli)
         self.task_ids: dict[str, None] = {}
 
+    @property
+    def restricted(self) -> bool:
+        """Whether only some tasks may use the worker: reserved or suspected."""
+        return self.reserved or self.suspected
+
     @property
     def is_over_capacity(self) -> bool:
         """Whether more is committed than the worker holds now."""
@@ -61,6 +76,9 @@
 class WorkerTable:
     """All workers, indexed by their free processors.
 
+    Workers without a free slot are left out of the index, since every task takes
+    at least one.
+
     A version counter rises whenever room appears on a worker. A caller that
     saw a request fit nowhere at version ``v`` needs to look only at the workers
     that :meth:`freed_since` ``v`` yields.
@@ -71,8 +89,11 @@
         self.version = 1
         self.total = ZERO
         self._buckets: list[dict[str, Worker]] = []
+        self.change_version = 0
         self._by_freed_version: dict[str, Worker] = {}
+        self._by_changed_version: dict[str, Worker] = {}
         self._next_order = 0
+        self._turn = 0
 
     def put(
         self, worker_id: str, rack: str, capacity: Resources, accepting: bool
@@ -87,6 +108,8 @@
             self._count_total(worker, -1)
         worker.rack = rack
         worker.capacity = capacity
+        worker.memory_scale = max(1, capacity.memory_mb)
+        worker.processor_scale = max(1, capacity.processors_milli)
         worker.accepting = accepting
         worker.gone = False
         self._count_total(worker, 1)
@@ -113,13 +136,20 @@
         worker.free = worker.capacity.minus(worker.committed)
         self._reindex(worker)
 
-    def release(self, worker: Worker, task_id: str, request: Resources) -> None:
-        """Give back the room of a task."""
+    def release(
+        self, worker: Worker, task_id: str, request: Resources, is_new: bool = True
+    ) -> None:
+        """Give back the room of a task.
+
+        :param is_new: ``False`` undoes a commit after which nothing was judged by
+            the room that was left.
+        """
         del worker.task_ids[task_id]
         worker.committed = worker.committed.minus(request)
         worker.free = worker.capacity.minus(worker.committed)
         self._reindex(worker)
-        self.mark_freed(worker)
+        if is_new:
+            self.mark_freed(worker)
         self._forget_if_empty(worker)
 
     def mark_freed(self, worker: Worker) -> None:
@@ -137,12 +167,38 @@
             if worker.accepting:
                 yield worker
 
+    def mark_changed(self, worker: Worker) -> None:
+        """Record that a worker's room or restriction is other than before."""
+        self.change_version += 1
+        worker.changed_version = self.change_version
+        self._by_changed_version.pop(worker.id, None)
+        self._by_changed_version[worker.id] = worker
+
+    def changed_since(self, version: int) -> Iterator[Worker]:
+        """Yield workers whose room changed after a change version."""
+        for worker in reversed(self._by_changed_version.values()):
+            if worker.changed_version <= version:
+                return
+            yield worker
+
     def accepting(self) -> Iterator[Worker]:
         """Yield all workers that accept tasks."""
         for worker in self.by_id.values():
             if worker.accepting:
                 yield worker
 
+    def next_in_turn(self, most: int) -> list[Worker]:
+        """Return up to ``most`` accepting workers, others at each call."""
+        workers = list(self.by_id.values())
+        if not workers:
+            return []
+        first = self._turn % len(workers)
+        self._turn = first + most
+        chosen = workers[first : first + most]
+        if len(chosen) < most:
+            chosen += workers[: min(first, most - len(chosen))]
+        return [worker for worker in chosen if worker.accepting]
+
     def buckets_from(self, processors_milli: int) -> Iterator[dict[str, Worker]]:
         """Yield groups of accepting workers, those with least room first.
 
@@ -153,9 +209,17 @@
             if self._buckets[index]:
                 yield self._buckets[index]
 
+    def buckets_downwards(self) -> Iterator[dict[str, Worker]]:
+        """Yield groups of accepting workers, those with most room first."""
+        for bucket in reversed(self._buckets):
+            if bucket:
+                yield bucket
+
     def _reindex(self, worker: Worker) -> None:
+        self.mark_changed(worker)
         wanted = -1
-        if worker.accepting and worker.free.processors_milli >= 0:
+        free = worker.free
+        if worker.accepting and free.processors_milli >= 0 and free.slots > 0:
             wanted = worker.free.processors_milli // MILLI_PER_BUCKET
         if wanted == worker.bucket:
             return
@@ -172,6 +236,8 @@
             return
         del self.by_id[worker.id]
         self._by_freed_version.pop(worker.id, None)
+        # It stays among the changed ones, so that counts of it end at nothing.
+        worker.free = ZERO
 
     def _count_total(self, worker: Worker, sign: int) -> None:
         if worker.accepting:
--- a/src/lagoonpulley/settings/schema.py
+++ b/src/lagoonpulley/settings/schema.py
@@ -82,7 +82,7 @@
     """Weights of the placement policy."""
 
     waiting_weight: Annotated[float, Field(ge=0, le=100)] = 0.0
-    history_weight: Annotated[float, Field(ge=0, le=10)] = 0.1
+    history_weight: Annotated[float, Field(ge=0, le=10)] = 0.0
 
 
 class Settings(_Model):
