--- a/src/lagoonpulley/runtime/actors.py
+++ b/src/lagoonpulley/runtime/actors.py
@@ -128,7 +128,9 @@
             self.callers.forget(request_id)
 
     def stop(self) -> None:
-        """Stop roles first, then ports."""
+        """Stop roles first, then ports; may be called again."""
+        if self._stopped.is_set():
+            return
         self._stopped.set()
         for executor in self._executor_by_name.values():
             executor.shutdown(wait=True, cancel_futures=True)
--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -100,7 +100,9 @@
         self._wake()
 
     def close(self) -> None:
-        """End the loop and abandon calls in flight."""
+        """End the loop and abandon calls in flight; may be called again."""
+        if not self._thread.is_alive():
+            return
         self._mailbox.put(None)
         self._wake()
         self._thread.join()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,9 @@
 def quiet_logs():
     """Keep the program's log lines out of the tests' output."""
     logger = logging.getLogger(ROOT_LOGGER)
-    handler = logging.NullHandler()
-    logger.addHandler(handler)
+    handlers, propagate, level = logger.handlers[:], logger.propagate, logger.level
+    logger.addHandler(logging.NullHandler())
     yield
-    logger.removeHandler(handler)
+    logger.handlers[:] = handlers
+    logger.propagate = propagate
+    logger.setLevel(level)
