Wake roles when they asked for it, and beat to one other data centre a time

Change: a wake port sends a tick at the time a role asked for, and the regular tick is 0.2 s; a heartbeat goes to one other data centre in turn, with three owners and one member.

--- a/benchmarks/budget.py
+++ b/benchmarks/budget.py
@@ -24,6 +24,7 @@
 COMMITS_PER_S = 20
 DOCUMENTS_PER_START = 3
 HEADER_BYTES = 120
+OWNERS_TOLD = 3
 TASK_LEASE_S = 15
 SYNC_BYTES = 350
 US_PER_S = 1_000_000
@@ -81,8 +82,8 @@
         f"{running:.0f} tasks",
         "within 6.8 s less the session lease",
     )
-    beats = (ENTRIES_PER_DATA_CENTRE - 1) + (DATA_CENTRES - 1)
-    beat_bytes = line["heartbeat_bytes"].at(DATA_CENTRES) + HEADER_BYTES
+    beats = ENTRIES_PER_DATA_CENTRE - 1 + 1
+    beat_bytes = line["heartbeat_bytes"].at(OWNERS_TOLD) + HEADER_BYTES
     sent = beats * beat_bytes
     add(
         "membership",
--- a/benchmarks/http.py
+++ b/benchmarks/http.py
@@ -22,7 +22,8 @@
 from lagoonpulley.runtime.curl import CurlLoop, HttpAnswer, HttpCall
 
 REQUESTS = 1500
-CLIENTS = 16
+JOBS = 150
+CLIENTS = 6
 ROUNDS = 3
 
 
@@ -41,20 +42,20 @@
     return response(environ, start_response)
 
 
-def requests_per_s(url: str, call: HttpCall) -> float:
+def requests_per_s(call: HttpCall, count: int) -> float:
     """Return the rate at which a server answers a fixed number of requests."""
     loop = CurlLoop("load")
     answers: queue.SimpleQueue = queue.SimpleQueue()
     began = time.perf_counter()
     for _ in range(CLIENTS):
         loop.submit(call, answers.put)
-    for number in range(REQUESTS):
+    for number in range(count):
         answer = answers.get()
         assert isinstance(answer, HttpAnswer), answer
         assert answer.status < 400, answer
-        if number + CLIENTS < REQUESTS:
+        if number + CLIENTS < count:
             loop.submit(call, answers.put)
-    rate = REQUESTS / (time.perf_counter() - began)
+    rate = count / (time.perf_counter() - began)
     loop.close()
     return rate
 
@@ -76,23 +77,24 @@
     body = json.dumps(
         {"queue": "enquiries", "run_time_s": 0.001, "exclusive": False}
     ).encode()
+    jobs_url = f"http://{entry.http_address}/v1/jobs"
     json_header = "Content-Type: application/json"
     targets = {
         "werkzeug's own server": _get(f"http://127.0.0.1:{werkzeug_server.port}/"),
         "cheroot": _get(f"http://127.0.0.1:{cheroot_server.bind_addr[1]}/"),
         "entry, /v1/ready": _get(f"http://{entry.http_address}/v1/ready"),
-        "entry, enquiry placed and accepted": HttpCall(
-            "POST",
-            f"http://{entry.http_address}/v1/jobs",
-            body,
-            30.0,
-            (json_header,),
+        "entry, enquiry accepted durably": HttpCall(
+            "POST", jobs_url, body, 30.0, (json_header,)
+        ),
+        "entry, enquiry placed, run and answered": HttpCall(
+            "POST", jobs_url, body, 30.0, (json_header, "Prefer: wait=20")
         ),
     }
     rates: dict[str, list[float]] = {name: [] for name in targets}
     for _ in range(ROUNDS):
         for name, call in targets.items():
-            rates[name].append(requests_per_s(call.url, call))
+            count = REQUESTS if call.method == "GET" else JOBS
+            rates[name].append(requests_per_s(call, count))
     bare = statistics.median(rates["cheroot"])
     for name, values in rates.items():
         median = statistics.median(values)
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -9,7 +9,6 @@
 import logging
 import multiprocessing
 import os
-import resource
 import threading
 import time
 import tracemalloc
@@ -219,7 +218,7 @@
     )
     me = replace(me, http_address="10.10.10.10:8080", configuration_revision=123_456)
     owner = GroupOwner("timisoara/0", 1234, "timisoara-entry-01", "10.10.10.10:9080")
-    heartbeat = Heartbeat(me, (owner,) * owners, (), (me, me))
+    heartbeat = Heartbeat(me, (owner,) * owners, (), (me,))
     return float(len(JsonCodec().encode(heartbeat, Heartbeat)))
 
 
@@ -238,7 +237,7 @@
     ports["caller"] = PeersPort("127.0.0.1", 0, deliver)
     ports["callee"] = PeersPort("127.0.0.1", 0, deliver)
     me = PeerInfo("a", 1, "timisoara", ports["caller"].address)
-    call = PeerCall(ports["callee"].address, Heartbeat(me, (), (), (me, me)))
+    call = PeerCall(ports["callee"].address, Heartbeat(me, (), (), (me,)))
     began = time.process_time()
     for number in range(beats):
         ports["caller"].submit(Request(str(number), "membership", call, 5.0))
@@ -253,9 +252,9 @@
     """Return store calls a second of two data centres at rest."""
     world = World(1, entries_per_data_centre=entries_per_data_centre)
     world.advance(20.0)
-    before = world.network.store.calls
+    before = world.network.store_requests
     world.advance(60.0)
-    return (world.network.store.calls - before) / 60.0
+    return (world.network.store_requests - before) / 60.0
 
 
 def store_writes(entries_per_data_centre: int) -> float:
@@ -326,11 +325,16 @@
     began, cpu = time.monotonic(), time.process_time()
     time.sleep(6.0)
     percent = (time.process_time() - cpu) / (time.monotonic() - began) * 100
-    peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KB
-    pipe.send((percent, peak_mb))
+    pipe.send((percent, _resident_mb()))
     os._exit(0)
 
 
+def _resident_mb() -> float:
+    status = Path("/proc/self/status").read_text(encoding="ascii")
+    line = next(item for item in status.splitlines() if item.startswith("VmRSS"))
+    return int(line.split()[1]) / KB
+
+
 def measure() -> list[Slope]:
     """Measure every slope."""
     slopes = [
@@ -433,7 +437,7 @@
         Slope("rest_cpu", "owner at rest, whole process", "workers", "% of a core", cpu)
     )
     slopes.append(
-        Slope("rest_memory", "owner at rest, peak resident", "workers", "MB", memory)
+        Slope("rest_memory", "owner at rest, resident", "workers", "MB", memory)
     )
     return slopes
 
--- a/src/lagoonpulley/journal/log.py
+++ b/src/lagoonpulley/journal/log.py
@@ -7,7 +7,7 @@
 
 from ..model.verdict import Ran
 from ..runtime.flows import Call, Flow, Sleep
-from ..runtime.role import STORE, CallFailed, Request
+from ..runtime.role import STORE, WAKE, CallFailed, Request, WakeAfter
 from ..store.messages import (
     ABSENT,
     Delete,
@@ -38,6 +38,7 @@
 
 COMMITS_PER_S = 20.0
 COMMITS_IN_BURST = 10.0
+WAKE_SLACK_S = 0.001
 RETRY_PAUSE_S = 0.5
 MAX_SEGMENT_BYTES = 400_000
 MAX_PAGE_BYTES = 400_000
@@ -208,9 +209,13 @@
         """Begin a commit if one is due."""
         if self._closed or not self._opened:
             return
-        if self._waiting and not self._writing and self._take_commit_token():
-            self._writing = True
-            self._role.start(self._commit())
+        if self._waiting and not self._writing:
+            if self._take_commit_token():
+                self._writing = True
+                self._role.start(self._commit())
+            else:
+                delay_s = (1.0 - self._commit_tokens) / COMMITS_PER_S + WAKE_SLACK_S
+                self._role.emit(WAKE, WakeAfter(self._role.name, delay_s))
         if self._snapshot_is_due():
             self._snapshotting = True
             self._role.start(self._write_snapshot())
--- a/src/lagoonpulley/membership/role.py
+++ b/src/lagoonpulley/membership/role.py
@@ -35,7 +35,8 @@
 SUSPECT_AFTER_INTERVALS = 2.5
 DEAD_AFTER_INTERVALS = 6.0
 REMOTE_DEAD_AFTER_INTERVALS = 120.0
-MEMBERS_PER_HEARTBEAT = 2
+MEMBERS_PER_HEARTBEAT = 1
+OTHER_OWNERS_PER_HEARTBEAT = 2
 FORGET_AFTER_INTERVALS = 300.0
 FORGET_ADDRESS_AFTER_TRIES = 30
 LIST_INTERVAL_S = 30.0
@@ -57,8 +58,8 @@
 class MembershipRole(FlowRole):
     """Knows which entries live and who owns which group.
 
-    Entries of the same data centre beat to each other every interval; of every
-    other data centre one entry is beaten to per interval, in turn.
+    Entries of the same data centre beat to each other every interval; of the
+    others, one entry of one data centre is beaten to per interval, in turn.
     """
 
     name = "membership"
@@ -77,6 +78,7 @@
         self._next_beat_at = float("-inf")
         self._next_list_at = float("-inf")
         self._list_revision = 0
+        self._turn = 0
 
     @classmethod
     def from_settings(
@@ -140,15 +142,18 @@
             else:
                 remote = remote_by_data_centre.setdefault(info.data_centre, [])
                 remote.append(info.address)
-        for name in sorted(remote_by_data_centre):
-            targets.add(self._random.choice(sorted(remote_by_data_centre[name])))
+        if remote_by_data_centre:
+            names = sorted(remote_by_data_centre)
+            self._turn += 1
+            remote = remote_by_data_centre[names[self._turn % len(names)]]
+            targets.add(self._random.choice(sorted(remote)))
         targets.discard(self._me.address)
         return sorted(targets)
 
     def _beat(self, address: str) -> Flow:
         heartbeat = Heartbeat(
             sender=self._me,
-            owners=self._owners(),
+            owners=self._owners_to_tell(),
             suspects=tuple(sorted(self._suspect_ids())),
             members=self._sample(),
         )
@@ -168,9 +173,8 @@
         self._learn(heartbeat.owners, heartbeat.members)
         answer = HeartbeatAnswer(
             sender=self._me,
-            owners=self._owners(),
+            owners=self._owners_to_tell(),
             vouched=self._vouch(heartbeat.suspects),
-            members=self._sample(),
         )
         self.answer(request, answer)
 
@@ -232,6 +236,16 @@
         owners = self._owner_by_group
         return tuple(owners[group] for group in sorted(owners) if owners[group].address)
 
+    def _owners_to_tell(self) -> tuple[GroupOwner, ...]:
+        """Return the owners of this data centre's groups and some others."""
+        owners = self._owners()
+        prefix = f"{self._me.data_centre}/"
+        own = [owner for owner in owners if owner.group.startswith(prefix)]
+        others = [owner for owner in owners if not owner.group.startswith(prefix)]
+        if len(others) > OTHER_OWNERS_PER_HEARTBEAT:
+            others = self._random.sample(others, OTHER_OWNERS_PER_HEARTBEAT)
+        return (*own, *others)
+
     def _sample(self) -> tuple[PeerInfo, ...]:
         live = [
             peer.info
--- a/src/lagoonpulley/runtime/actors.py
+++ b/src/lagoonpulley/runtime/actors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import logging
 import threading
 import time
@@ -9,11 +10,11 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, Protocol
 
-from .role import CALLERS, Now, Reply, Request, Role, Send, Tick
+from .role import CALLERS, WAKE, Now, Reply, Request, Role, Send, Tick, WakeAfter
 
-__all__ = ["CallerPort", "Port", "Runtime", "read_clocks"]
+__all__ = ["CallerPort", "Port", "Runtime", "WakePort", "read_clocks"]
 
-TICK_INTERVAL_S = 0.1
+TICK_INTERVAL_S = 0.2
 
 _log = logging.getLogger(__name__)
 
@@ -72,6 +73,58 @@
             future.cancel()
 
 
+class WakePort:
+    """Sends ticks: to every role at an interval, and to one when it asked."""
+
+    def __init__(self, deliver: Callable[[str, Any], None]) -> None:
+        self._deliver = deliver
+        self._condition = threading.Condition()
+        self._due: list[tuple[float, str]] = []
+        self._closed = False
+        self._roles: list[str] = []
+        self._thread = threading.Thread(target=self._run, name="wake", daemon=True)
+
+    def start(self, roles: list[str]) -> None:
+        """Begin to send ticks to roles."""
+        self._roles = roles
+        self._thread.start()
+
+    def submit(self, message: WakeAfter) -> None:
+        """Note a wish for one tick."""
+        with self._condition:
+            due = (time.monotonic() + message.delay_s, message.role)
+            heapq.heappush(self._due, due)
+            self._condition.notify()
+
+    def close(self) -> None:
+        """Send no more ticks."""
+        with self._condition:
+            self._closed = True
+            self._condition.notify()
+
+    def _run(self) -> None:
+        next_round = time.monotonic()
+        while not self._closed:
+            now = time.monotonic()
+            if now >= next_round:
+                next_round = now + TICK_INTERVAL_S
+                for role in self._roles:
+                    self._deliver(role, Tick())
+            for role in self._take_due(now):
+                self._deliver(role, Tick())
+            with self._condition:
+                until = min([next_round, *[at for at, _ in self._due[:1]]])
+                if not self._closed:
+                    self._condition.wait(max(0.0, until - time.monotonic()))
+
+    def _take_due(self, now: float) -> list[str]:
+        with self._condition:
+            roles = []
+            while self._due and self._due[0][0] <= now:
+                roles.append(heapq.heappop(self._due)[1])
+        return roles
+
+
 class Runtime:
     """Delivers messages between roles and ports of one process."""
 
@@ -81,9 +134,10 @@
         self._executor_by_name: dict[str, ThreadPoolExecutor] = {}
         self._port_by_name: dict[str, Port] = {}
         self._stopped = threading.Event()
-        self._ticker = threading.Thread(target=self._tick, daemon=True)
+        self._wake = WakePort(self.deliver)
         self.callers = CallerPort()
         self._port_by_name[CALLERS] = self.callers
+        self._port_by_name[WAKE] = self._wake
 
     def add_role(self, role: Role) -> None:
         """Give a role its own thread."""
@@ -98,7 +152,7 @@
 
     def start(self) -> None:
         """Begin to send ticks."""
-        self._ticker.start()
+        self._wake.start(list(self._role_by_name))
 
     def deliver(self, to: str, message: Any) -> None:
         """Put a message into the mailbox of a role or port."""
@@ -149,8 +203,3 @@
     def _send_all(self, sends: list[Send]) -> None:
         for send in sends:
             self.deliver(send.to, send.message)
-
-    def _tick(self) -> None:
-        while not self._stopped.wait(TICK_INTERVAL_S):
-            for name in self._executor_by_name:
-                self.deliver(name, Tick())
--- a/src/lagoonpulley/runtime/flows.py
+++ b/src/lagoonpulley/runtime/flows.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .role import Now, Reply, Request, Send, Tick
+from .role import WAKE, Now, Reply, Request, Send, Tick, WakeAfter
 
 __all__ = ["Call", "Flow", "FlowRole", "Sleep"]
 
@@ -46,7 +46,7 @@
 
     A flow yields one :class:`Call` and is resumed with its result, or yields a
     list of calls and is resumed with the list of results in the same order, or
-    yields a :class:`Sleep` and is resumed by a later tick.
+    yields a :class:`Sleep` and is resumed by the tick that ends it.
     """
 
     name = "role"
@@ -101,6 +101,7 @@
             self._counter += 1
             entry = (self.now.mono + wanted.duration_s, self._counter, flow)
             heapq.heappush(self._sleeping, entry)
+            self.emit(WAKE, WakeAfter(self.name, wanted.duration_s))
             return
         single = isinstance(wanted, Call)
         calls = [wanted] if single else wanted
--- a/src/lagoonpulley/runtime/role.py
+++ b/src/lagoonpulley/runtime/role.py
@@ -10,6 +10,7 @@
     "PEERS",
     "STORE",
     "UPSTREAM",
+    "WAKE",
     "CallFailed",
     "Now",
     "Reply",
@@ -17,12 +18,14 @@
     "Role",
     "Send",
     "Tick",
+    "WakeAfter",
 ]
 
 STORE = "store"
 UPSTREAM = "upstream"
 PEERS = "peers"
 CALLERS = "callers"
+WAKE = "wake"
 
 
 class Now(NamedTuple):
@@ -75,6 +78,14 @@
     """Periodic message that lets a role look at the clock."""
 
 
+@dataclass(frozen=True, slots=True)
+class WakeAfter:
+    """Ask for a :class:`Tick` to a role after ``delay_s`` seconds."""
+
+    role: str
+    delay_s: float
+
+
 class Role(Protocol):
     """State that one thread owns and that only messages change."""
 
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -71,7 +71,7 @@
         self.dead_addresses: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.place_by_address: dict[str, str] = {}
-        self.held_commands = 0
+        self.store_requests = 0
 
     def is_cut(self, one: str, other: str) -> bool:
         return frozenset((one, other)) in self.cut_pairs
@@ -84,6 +84,7 @@
 
     def call_store(self, place: str, request: Request, reply: Callable) -> None:
         """Perform a store operation, if the weather lets it through."""
+        self.store_requests += 1
         answer = _Once(self.clock, request, reply)
         if self.is_cut(place, "store"):
             self.clock.after(request.timeout_s, lambda: answer.fail(Ran.MAYBE))
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -37,6 +37,7 @@
     PEERS,
     STORE,
     UPSTREAM,
+    WAKE,
     CallFailed,
     Reply,
     Request,
@@ -288,6 +289,9 @@
             self._to_peer(entry, message)
         elif to == CALLERS:
             self._to_caller(message)
+        elif to == WAKE:
+            wake = (message.role, Tick())
+            self.clock.after(message.delay_s, lambda: self.post(entry, *wake))
         elif to == "gateway":
             entry.access.submit(message)
             entry.revisions.append(entry.access.revision)
