Split takeover and limits out of the scheduler's group

Change: scheduler/takeover.py holds the steps from acquisition to placing, scheduler/limits.py the shares, allotments and uncounted workers; behaviour is the same but that a list of workers which changed while a group opened is taken in when it becomes active, which it was not.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: setup demo test lint check bench fuzz slopes dist clean
+.PHONY: setup demo test lint check bench fuzz slopes dist dist-check clean
 
 $(VENV)/.ready: pyproject.toml
 	python3.11 -m venv $(VENV)
@@ -33,5 +33,8 @@
 	mkdir -p dist
 	$(VENV)/bin/pex . -c lagoonpulley -o dist/lagoonpulley --venv prepend
 
+dist-check: dist
+	$(PYTHON) -m benchmarks.dist_check dist/lagoonpulley
+
 clean:
 	rm -rf $(VENV) dist build
--- a/src/lagoonpulley/scheduler/admission.py
+++ b/src/lagoonpulley/scheduler/admission.py
@@ -163,7 +163,7 @@
     tasks = job.tasks if job.kind is JobKind.GANG else 1
     if limit is None or job.request.times(tasks).fits_in(limit):
         return None
-    if not group.whole_limit_allows(job, tasks):
+    if not group.limits.whole_limit_allows(job, tasks):
         return Refusal(
             "over_limit", Ran.NO, f"the job is larger than team {job.team}'s limit"
         )
--- a/src/lagoonpulley/scheduler/group.py
+++ b/src/lagoonpulley/scheduler/group.py
@@ -10,12 +10,9 @@
     Append,
     CloseJournal,
     Committed,
-    JournalOpened,
-    OpenJournal,
 )
-from ..limits.allotments import PARTS_PER_LIMIT, parts_needed
-from ..limits.messages import AllotmentNeeded, GiveUp, HoldAllotments
-from ..model.job import Job, JobKind, TaskState
+from ..limits.messages import HoldAllotments
+from ..model.job import JobKind, TaskState
 from ..model.resources import Resources
 from ..model.verdict import Ran
 from ..observability.events import log_event
@@ -30,28 +27,24 @@
     TaskAdopted,
     TaskEnded,
     TaskOutcome,
-    TeamsChanged,
     UsageReported,
     WorkerChanged,
     WorkerGone,
 )
-from ..runtime.flows import Call, Flow, Sleep
+from ..runtime.flows import Call, Flow
 from . import outcomes
+from .limits import GroupLimits
 from .link import Assignment, WorkerLink
 from .messages import GroupStatus
-from .needs import allotment_needs, needs_of_team
-from .policies import team_policies
 from .records import (
     JobRecord,
     TaskRecord,
-    decode_documents,
     job_key,
     task_document,
     task_key,
 )
 
 if TYPE_CHECKING:
-    from ..configuration.document import ConfigurationDocument
     from ..runtime.role import Now
     from ..settings.schema import Settings
     from ..store.messages import Instance
@@ -102,12 +95,9 @@
             )
         )
         self.link_by_worker_id: dict[str, WorkerLink] = {}
-        self._acquired_at = role.now.mono
-        self._document: ConfigurationDocument | None = None
-        self._instance_by_id: dict[str, Instance] = {}
-        self._parts_by_team: dict[str, int] = {}
-        self._default_parts = 0
-        self._paused_until_by_team: dict[str, float] = {}
+        self.acquired_at = role.now.mono
+        self.instance_by_id: dict[str, Instance] = {}
+        self.limits = GroupLimits(self)
 
     # What links and outcomes need.
 
@@ -139,6 +129,14 @@
         """Run a flow of this group."""
         self._role.start(flow)
 
+    def emit(self, to: str, message: Any) -> None:
+        """Send a message to another role."""
+        self._role.emit(to, message)
+
+    def wants_decisions(self) -> None:
+        """Have the core decide once the present message is processed."""
+        self._role.wants_decisions(self)
+
     def journal_call(
         self,
         puts: tuple[tuple[str, str], ...],
@@ -151,26 +149,8 @@
 
     # Opening and closing.
 
-    def open(self) -> Flow:
-        """Replay the journal, fence the workers, adopt tasks, then place."""
-        if not self.settings.workers_fence:
-            yield Sleep(START_IN_FLIGHT_S)
-        opened = yield from self._open_journal()
-        if opened is None:
-            return
-        decoded = decode_documents(opened.document_by_key)
-        if decoded.is_error():
-            self._give_up(decoded.error)
-            return
-        self.record_by_id = decoded.ok
-        while not self._instance_by_id and self.phase is Phase.OPENING:
-            yield Sleep(OPEN_RETRY_PAUSE_S)
-        self._add_links()
-        self._adopt_all()
-        yield from self._fence_workers()
-        if self.phase is not Phase.OPENING:
-            return
-        self._queue_waiting()
+    def activate(self) -> None:
+        """Begin to place: everything that an earlier owner left is known."""
         self.phase = Phase.ACTIVE
         self._role.emit("limits", HoldAllotments(self.name, self.epoch))
         log_event(
@@ -179,88 +159,17 @@
             epoch=self.epoch,
             jobs=len(self.record_by_id),
             workers=len(self.link_by_worker_id),
-            took_s=round(self.now.mono - self._acquired_at, 3),
+            took_s=round(self.now.mono - self.acquired_at, 3),
         )
         for link in self.link_by_worker_id.values():
             self.start(link.run())
-        self.start(self._end_tasks_on_unknown_workers())
-        self._role.wants_decisions(self)
-
-    def _open_journal(self) -> Flow:
-        while self.phase is Phase.OPENING:
-            operation = OpenJournal(self.name, self.epoch)
-            opened = yield Call(JOURNAL, operation, JOURNAL_TIMEOUT_S)
-            if isinstance(opened, JournalOpened):
-                return opened
-            log_event(
-                "journal_refused",
-                group=self.name,
-                epoch=self.epoch,
-                reason=opened.reason,
-            )
-            if getattr(opened, "is_permanent", False):
-                self._give_up(opened.reason)
-                return None
-            yield Sleep(OPEN_RETRY_PAUSE_S)
-        return None
+        self.set_instances(self.instance_by_id)
 
-    def _give_up(self, reason: str) -> None:
+    def give_up_serving(self, reason: str) -> None:
         """Stay owner without serving, so that nobody places on bad records."""
         log_event("group_unreadable", group=self.name, epoch=self.epoch, reason=reason)
         self._role.report_fault(self.name, reason)
 
-    def _add_links(self) -> None:
-        for instance in self._instance_by_id.values():
-            if not instance.gone:
-                self._add_link(instance)
-
-    def _adopt_all(self) -> None:
-        for record in self.record_by_id.values():
-            for task in record.tasks:
-                if task.holds_room:
-                    self.hold_room(record, task)
-
-    def _fence_workers(self) -> Flow:
-        links = list(self.link_by_worker_id.values())
-        results = yield [link.fence_call() for link in links]
-        for link, result in zip(links, results):
-            if self.phase is not Phase.OPENING:
-                return
-            yield from link.take_fence_result(result)
-
-    def _queue_waiting(self) -> None:
-        for record in self.record_by_id.values():
-            queued = self.core.pending_by_job_id.get(record.job.id)
-            known = set(queued.indexes) if queued is not None else set()
-            waiting = [
-                task.index
-                for task in record.tasks
-                if task.state is TaskState.PENDING and task.index not in known
-            ]
-            if waiting:
-                self._submit_to_core(record, tuple(waiting))
-        self._push_policies()
-
-    def _end_tasks_on_unknown_workers(self) -> Flow:
-        """Give up journalled attempts on workers that the list does not show."""
-        unknown = [
-            worker_id
-            for worker_id in self.core.table.by_id
-            if worker_id not in self.link_by_worker_id
-        ]
-        for worker_id in unknown:
-            line = self._instance_by_id.get(worker_id)
-            while line is None and self.now.mono < self._unknown_surely_ended_at():
-                yield Sleep(UNKNOWN_WORKER_PAUSE_S)
-                line = self._instance_by_id.get(worker_id)
-                if self.phase is not Phase.ACTIVE:
-                    return
-            if line is not None and not line.gone:
-                continue
-            for assignment in self.assignments_on(worker_id):
-                self.attempt_lost(assignment, "worker is gone")
-            self.core.apply(WorkerGone(worker_id), self.now.mono)
-
     def hold_room(self, record: JobRecord, task: TaskRecord) -> None:
         """Take room in the core for an attempt that an earlier owner placed."""
         if task.worker_id not in self.core.table.by_id:
@@ -303,7 +212,7 @@
 
     def set_instances(self, instance_by_id: dict[str, Instance]) -> None:
         """Take in the list of this data centre's workers."""
-        self._instance_by_id = instance_by_id
+        self.instance_by_id = instance_by_id
         if self.phase is not Phase.ACTIVE:
             return
         for instance in list(instance_by_id.values()):
@@ -311,12 +220,13 @@
             if instance.gone:
                 self._remove_link(link)
             elif link is None:
-                self.start(self._add_link(instance).run())
+                self.start(self.add_link(instance).run())
             else:
                 self._update_link(link, instance)
-        self._role.wants_decisions(self)
+        self.wants_decisions()
 
-    def _add_link(self, instance: Instance) -> WorkerLink:
+    def add_link(self, instance: Instance) -> WorkerLink:
+        """Begin to know a worker; its exchange is not yet started."""
         link = WorkerLink(self, instance)
         self.link_by_worker_id[instance.id] = link
         self.worker_changed(link)
@@ -352,28 +262,29 @@
             link.worker_id, link.rack, link.capacity, link.accepting
         )
         self.core.apply(changed, self.now.mono)
-        self._push_policies()
-        self._role.wants_decisions(self)
+        self.limits.push()
+        self.wants_decisions()
 
     def check_lost(self, link: WorkerLink) -> None:
         """Give up the tasks of a silent worker once their leases have ended."""
-        if self.now.mono < self._surely_ended_at(link):
+        if self.now.mono < self.surely_ended_at(link):
             return
         for assignment in self.assignments_on(link.worker_id):
             self.attempt_lost(assignment, "worker is silent and its lease ended")
 
-    def _surely_ended_at(self, link: WorkerLink) -> float:
+    def surely_ended_at(self, link: WorkerLink) -> float:
+        """Return when every lease on a worker has ended unless renewed from here."""
         if not link.ever_fenced:
-            return self._unknown_surely_ended_at()
+            return self.unknown_surely_ended_at()
         lease_s = self.settings.task_lease_s + LEASE_END_MARGIN_S
         return link.last_contact_at + lease_s
 
-    def _unknown_surely_ended_at(self) -> float:
+    def unknown_surely_ended_at(self) -> float:
         """Return when leases that an earlier owner renewed have all ended."""
         lease_s = self.settings.task_lease_s + LEASE_END_MARGIN_S
         if self.settings.workers_fence:
             lease_s += self.settings.longest_without_store_s
-        return self._acquired_at + lease_s
+        return self.acquired_at + lease_s
 
     def assignments_on(self, worker_id: str) -> list[Assignment]:
         """Return the attempts that hold room on a worker."""
@@ -398,94 +309,6 @@
             if assignment.task.state is TaskState.RUNNING
         }
 
-    # Configuration.
-
-    def set_configuration(self, document: ConfigurationDocument) -> None:
-        """Take in shares and limits."""
-        self._document = document
-        self._push_policies()
-        self._role.wants_decisions(self)
-
-    def _push_policies(self) -> None:
-        if self._document is None:
-            return
-        policies = team_policies(
-            self._document,
-            self._parts_by_team,
-            self._default_parts,
-            self._capacity_of_unknown_workers(),
-            self._paused_teams(),
-        )
-        self.core.apply(TeamsChanged(policies), self.now.mono)
-
-    def _paused_teams(self) -> set[str]:
-        for team, until in list(self._paused_until_by_team.items()):
-            if self.now.mono >= until:
-                del self._paused_until_by_team[team]
-        return set(self._paused_until_by_team)
-
-    # Allotments of limits.
-
-    def set_allotments(self, parts_by_team: dict[str, int]) -> None:
-        """Take in the parts of limits that this data centre holds."""
-        self._parts_by_team = dict(parts_by_team)
-        self._default_parts = PARTS_PER_LIMIT // len(self.settings.data_centres)
-        self._push_policies()
-        self._role.wants_decisions(self)
-
-    def _ask_for_allotments(self) -> None:
-        for need in allotment_needs(
-            self.core, self._whole_limits(), self._parts_of, self.now
-        ):
-            needed = AllotmentNeeded(self.epoch, need.team, need.parts, need.since)
-            self._role.emit("limits", needed)
-
-    def give_up(self, wish: GiveUp) -> int:
-        """Do without parts that are not in use; return how many.
-
-        A job that waits here longer than the asker's keeps what it has; otherwise
-        the team gets no new task for a moment, so that its use can only fall.
-        """
-        limit = self._whole_limits().get(wish.team)
-        team = self.core.team_by_name.get(wish.team)
-        if limit is None or self.phase is not Phase.ACTIVE:
-            return 0
-        used = team.used if team is not None else Resources()
-        for capacity in self._capacity_of_unknown_workers():
-            used = used.plus(capacity)
-        own_need = needs_of_team(self.core, wish.team, limit, self.now)
-        if own_need is not None and own_need.since <= wish.since:
-            return 0
-        if own_need is not None:
-            self._paused_until_by_team[wish.team] = self.now.mono + PAUSE_FOR_OTHERS_S
-        held = self._parts_of(wish.team)
-        given = max(0, min(wish.parts, held - parts_needed(used, limit)))
-        self._parts_by_team[wish.team] = held - given
-        self._push_policies()
-        return given
-
-    def _parts_of(self, team: str) -> int:
-        return self._parts_by_team.get(team, self._default_parts)
-
-    def _whole_limits(self) -> dict[str, Resources]:
-        if self._document is None:
-            return {}
-        limits = {
-            name: entry.limit.to_resources()
-            for name, entry in self._document.teams.items()
-        }
-        return {name: limit for name, limit in limits.items() if limit is not None}
-
-    def _capacity_of_unknown_workers(self) -> list[Any]:
-        """Return the capacities on which an earlier owner may still run tasks."""
-        if self.epoch <= 1:
-            return []
-        return [
-            link.capacity
-            for link in self.link_by_worker_id.values()
-            if not link.ever_fenced and self.now.mono < self._surely_ended_at(link)
-        ]
-
     # Jobs.
 
     def find_task(self, task_id: str) -> tuple[JobRecord, TaskRecord] | None:
@@ -499,10 +322,11 @@
     def admit(self, record: JobRecord) -> None:
         """Queue a job whose acceptance is final."""
         self.record_by_id[record.job.id] = record
-        self._submit_to_core(record, tuple(range(record.job.tasks)))
-        self._role.wants_decisions(self)
+        self.submit_to_core(record, tuple(range(record.job.tasks)))
+        self.wants_decisions()
 
-    def _submit_to_core(self, record: JobRecord, indexes: tuple[int, ...]) -> None:
+    def submit_to_core(self, record: JobRecord, indexes: tuple[int, ...]) -> None:
+        """Queue waiting tasks of a job in the core."""
         waited_s = max(0.0, self.now.wall - record.accepted_at)
         submitted_at = self.now.mono - waited_s
         event = JobSubmitted(record.job, indexes, submitted_at)
@@ -542,7 +366,7 @@
         for decision in decisions:
             self._carry_out(decision, took_s / len(decisions))
         if any(isinstance(decision, Place) for decision in decisions):
-            self._role.wants_decisions(self)
+            self.wants_decisions()
         for link in self.link_by_worker_id.values():
             link.flush()
 
@@ -676,7 +500,7 @@
         """Give back a task's room and let the core decide anew."""
         ended = TaskEnded(record.task_id(task), outcome, run_time_s, requeue)
         self.core.apply(ended, self.now.mono)
-        self._role.wants_decisions(self)
+        self.wants_decisions()
 
     def settle(
         self,
@@ -718,19 +542,9 @@
             record.is_settled = True
             self._role.job_settled(self, record)
 
-    def refresh(self) -> None:
-        """Look again at what depends on time alone."""
-        unknown = any(not link.ever_fenced for link in self.link_by_worker_id.values())
-        if unknown or self._paused_until_by_team:
-            self._push_policies()
-        self._ask_for_allotments()
-
-    def whole_limit_allows(self, job: Job, tasks: int) -> bool:
-        """Return whether the team's limit over all data centres holds a job."""
-        if self._document is None or job.team not in self._document.teams:
-            return False
-        limit = self._document.teams[job.team].limit.to_resources()
-        return limit is None or job.request.times(tasks).fits_in(limit)
+    def has_unknown_workers(self) -> bool:
+        """Return whether any worker was never fenced under this epoch."""
+        return any(not link.ever_fenced for link in self.link_by_worker_id.values())
 
     def waiting_tasks(self) -> int:
         """Return how many tasks wait for placement."""
--- a/src/lagoonpulley/scheduler/role.py
+++ b/src/lagoonpulley/scheduler/role.py
@@ -33,6 +33,7 @@
 from .group import Group, Phase
 from .messages import DecideMore, GroupStatus, GroupStatusQuery
 from .records import JobRecord, status_of
+from .takeover import Takeover
 
 if TYPE_CHECKING:
     from ..configuration.document import ConfigurationDocument
@@ -128,7 +129,7 @@
                 self._set_allotments(epoch, parts_by_team)
             case Request(operation=GiveUp() as wish):
                 groups = list(self._group_by_name.values())
-                parts = groups[0].give_up(wish) if groups else 0
+                parts = groups[0].limits.give_up(wish) if groups else 0
                 self.answer(message, GaveUp(parts))
             case ReleaseAll() | Leave():
                 for group in list(self._group_by_name.values()):
@@ -186,9 +187,9 @@
         group = Group(self, name, epoch, self.settings)
         self._group_by_name[name] = group
         if self._document is not None:
-            group.set_configuration(self._document)
+            group.limits.set_configuration(self._document)
         group.set_instances(self._instance_by_id)
-        self.start(group.open())
+        self.start(Takeover(group).open())
         if not self._watching_list:
             self._watching_list = True
             self.start(self._watch_list())
@@ -239,12 +240,12 @@
     def _configure(self, document: ConfigurationDocument) -> None:
         self._document = document
         for group in self._group_by_name.values():
-            group.set_configuration(document)
+            group.limits.set_configuration(document)
 
     def _set_allotments(self, epoch: int, parts_by_team: dict[str, int]) -> None:
         for group in self._group_by_name.values():
             if group.epoch == epoch:
-                group.set_allotments(parts_by_team)
+                group.limits.set_allotments(parts_by_team)
 
     def _tick(self) -> None:
         now = self.now.mono
@@ -257,7 +258,7 @@
         if now >= self._next_policy_at:
             self._next_policy_at = now + POLICY_INTERVAL_S
             for group in self._group_by_name.values():
-                group.refresh()
+                group.limits.refresh()
                 self.wants_decisions(group)
 
     def _answer_slow_submissions(self, now: float) -> None:
--- a/tests/support/mutants.py
+++ b/tests/support/mutants.py
@@ -48,7 +48,7 @@
 
 
 def _silence_means_end(monkeypatch: Any) -> None:
-    monkeypatch.setattr(Group, "_surely_ended_at", lambda self, link: 0.0)
+    monkeypatch.setattr(Group, "surely_ended_at", lambda self, link: 0.0)
 
 
 def _any_key_opens(monkeypatch: Any) -> None:
