Split share keeping out of the core, and test roles one by one

Cause: core.py had grown to 766 lines; membership, ownership and routing were covered by whole histories only, which tell that something broke but not what.

--- a/src/lagoonpulley/placement/core.py
+++ b/src/lagoonpulley/placement/core.py
@@ -30,13 +30,9 @@
 from .policies import BestFit, Spread, WorkerPolicy
 from .preemption import choose_over_capacity, choose_over_limit, choose_victims
 from .quarantine import Quarantine
-from .reservation import (
-    ExpectedEnd,
-    Reservation,
-    ReservationBook,
-    plan_reservation,
-)
-from .teams import SMALLEST_WEIGHT, PendingJob, Team
+from .reservation import ReservationBook
+from .shares import ShareKeeper, rank
+from .teams import PendingJob, Team
 from .workers import WorkerTable
 
 if TYPE_CHECKING:
@@ -47,7 +43,6 @@
 
 MAX_DECISIONS_PER_ROUND = 64
 FORGET_SHAPES_ABOVE = 10_000
-SHARE_PREEMPTION_PAUSE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,10 +97,8 @@
         self._blocked_version_by_request: dict[Resources, int] = {}
         self._reservations = ReservationBook(self.table)
         self._copies = CopyCounter(self.table)
-        self._waiting_teams: dict[str, None] = {}
-        self._share_level = 0.0
-        self._next_share_preemption_at = float("-inf")
-        self._next_plan_at = float("-inf")
+        self._keeper = ShareKeeper(self, self._reservations)
+        self.waiting_teams: dict[str, None] = {}
         self._limits_to_check = False
         self._shrunk_worker_ids: set[str] = set()
         self._policy_by_kind: dict[JobKind, WorkerPolicy] = {
@@ -151,7 +144,7 @@
         self._preempt_over_capacity(decisions)
         self._preempt_over_limit(decisions)
         self._place_urgent(now, decisions, most)
-        self._keep_reservations(now)
+        self._keeper.keep(now)
         self._place_fairly(now, decisions, most)
         if len(self._blocked_version_by_request) > FORGET_SHAPES_ABOVE:
             self._blocked_version_by_request.clear()
@@ -201,7 +194,7 @@
         known = self.pending_by_job_id.get(job.id)
         if known is not None and not known.cancelled:
             known.indexes.extend(event.indexes)
-            self._team(job.team).blocked_version = 0
+            self.team(job.team).blocked_version = 0
             return
         pending = PendingJob(job, deque(event.indexes), event.submitted_at)
         self._enqueue(pending, at_head=False)
@@ -209,8 +202,8 @@
     def _enqueue(self, pending: PendingJob, at_head: bool) -> None:
         self.pending_by_job_id[pending.job.id] = pending
         if pending.job.kind is not JobKind.URGENT:
-            self._team(pending.job.team).add(pending, at_head)
-            self._waiting_teams[pending.job.team] = None
+            self.team(pending.job.team).add(pending, at_head)
+            self.waiting_teams[pending.job.team] = None
             return
         self._urgent_order += 1
         entry = (self._latest_start(pending), self._urgent_order, pending)
@@ -234,7 +227,7 @@
         self._forget_task_of_job(placed)
         self._judge_worker(placed, event, now)
         self.table.release(placed.worker, placed.task_id, placed.job.request)
-        team = self._team(placed.job.team)
+        team = self.team(placed.job.team)
         self._change_use(team, team.used.minus(placed.job.request), now)
         team.blocked_version = 0
         if event.requeue:
@@ -252,7 +245,7 @@
         known = self.pending_by_job_id.get(placed.job.id)
         if known is not None and not known.is_done:
             known.indexes.appendleft(placed.index)
-            self._team(placed.job.team).blocked_version = 0
+            self.team(placed.job.team).blocked_version = 0
             return
         pending = PendingJob(placed.job, deque((placed.index,)), placed.submitted_at)
         self._enqueue(pending, at_head=True)
@@ -297,7 +290,7 @@
 
     def _change_teams(self, policy_by_team: dict[str, TeamPolicy]) -> None:
         for name, policy in policy_by_team.items():
-            self._team(name).policy = policy
+            self.team(name).policy = policy
         for name, team in self.team_by_name.items():
             if name not in policy_by_team:
                 team.policy = TeamPolicy(0.0, withdrawn=True)
@@ -330,142 +323,20 @@
         self, pending: PendingJob, now: float, decisions: list[Decision]
     ) -> None:
         job = pending.job
-        team = self._team(job.team)
+        team = self.team(job.team)
         if not team.may_add(job.request):
             return
         if self._latest_start(pending) - now > self.settings.preempt_slack_s:
             return
         if now - pending.preempted_at < self.settings.preempt_again_after_s:
             return
-        rank = _rank(team)
+        own_rank = rank(team)
         above = {
-            name for name, other in self.team_by_name.items() if _rank(other) >= rank
+            name for name, other in self.team_by_name.items() if rank(other) >= own_rank
         }
         victims = choose_victims(self.table, self.placed_by_task_id, above, job.request)
         pending.preempted_at = now
-        self._preempt(victims, PreemptReason.URGENT, decisions)
-
-    # Reservations.
-
-    def _keep_reservations(self, now: float) -> None:
-        """Drop reservations that ended, and plan anew for one blocked gang."""
-        if now < self._next_plan_at:
-            return
-        self._next_plan_at = now + self.settings.replan_after_s
-        self._reservations.drop_ended(now, self._is_due)
-        gang = self._blocked_gang(now)
-        if gang is None:
-            return
-        count = len(gang.indexes)
-        workers = list(self.table.accepting())
-        planned = plan_reservation(gang, count, workers, self._expected_ends(), now)
-        if planned is not None:
-            self._reservations.add(planned)
-
-    def _is_due(self, pending: PendingJob) -> bool:
-        team = self._team(pending.job.team)
-        return team.may_add(self._whole_request(pending))
-
-    def _blocked_gang(self, now: float) -> PendingJob | None:
-        """Return the blocked gang of the team that is next in the fair order.
-
-        Gangs get a reservation one at a time, so that none waits for workers that
-        another one keeps.
-        """
-        due = None
-        due_key = float("inf")
-        for name in self._waiting_teams:
-            team = self.team_by_name[name]
-            pending = self._first_blocked_gang(team, now)
-            if pending is None or not self._is_due(pending):
-                continue
-            key = self._order_key(team, now)
-            if key < due_key:
-                due, due_key = pending, key
-        return due
-
-    def _first_blocked_gang(self, team: Team, now: float) -> PendingJob | None:
-        for pending in team.waiting(self.settings.backfill_depth):
-            if pending.job.kind is not JobKind.GANG or pending.blocked_at is None:
-                continue
-            if now - pending.blocked_at >= self.settings.reserve_after_s:
-                return pending
-        return None
-
-    def _reserve_for(self, team: Team, now: float) -> None:
-        """Keep a worker for the blocked job of a team that is below its share."""
-        if self._reservations.is_full() or not self._is_below_share(team):
-            return
-        for pending in team.waiting(self.settings.backfill_depth):
-            if pending.job.kind is JobKind.GANG or pending.blocked_at is None:
-                continue
-            if self._reservations.has(pending) or not self._is_due(pending):
-                continue
-            worker = self._reservations.nearest_worker(pending.job.request)
-            if worker is None or self._reservations.is_full():
-                return
-            self._reservations.add(self._plan_on(worker, pending, now))
-
-    def _preempt_for_share(
-        self, team: Team, now: float, decisions: list[Decision]
-    ) -> None:
-        """Checkpoint batch work above its share for a team below its own."""
-        after_s = self.settings.share_preempt_after_s
-        if after_s is None or now < self._next_share_preemption_at:
-            return
-        if not self._is_below_share(team):
-            return
-        level = self._share_level * (1.0 + self.settings.share_slack)
-        for pending in team.waiting(self.settings.backfill_depth):
-            job = pending.job
-            if pending.blocked_at is None or now - pending.blocked_at < after_s:
-                continue
-            if job.kind is JobKind.GANG or not self._is_due(pending):
-                continue
-            if now - pending.preempted_at < self.settings.preempt_again_after_s:
-                continue
-            above = {
-                name
-                for name, other in self.team_by_name.items()
-                if _rank(other) > level
-            }
-            victims = choose_victims(
-                self.table, self.placed_by_task_id, above, job.request
-            )
-            pending.preempted_at = now
-            self._next_share_preemption_at = now + SHARE_PREEMPTION_PAUSE_S
-            self._preempt(victims, PreemptReason.SHARE, decisions)
-            return
-
-    def _plan_on(self, worker: Worker, pending: PendingJob, now: float) -> Reservation:
-        placed = [self.placed_by_task_id[task_id] for task_id in worker.task_ids]
-        ends = [ExpectedEnd(task.expected_end, task.job.request) for task in placed]
-        ends_by_worker_id = {worker.id: ends}
-        planned = plan_reservation(pending, 1, [worker], ends_by_worker_id, now)
-        if planned is not None:
-            return planned
-        return Reservation(pending, frozenset((worker.id,)), now, now)
-
-    def _is_below_share(self, team: Team) -> bool:
-        """Return whether a team uses less than an even level of share by weight."""
-        return _rank(team) < self._share_level
-
-    def _measure_share_level(self) -> None:
-        share = 0.0
-        weight = 0.0
-        for team in self.team_by_name.values():
-            if not team.share and team.name not in self._waiting_teams:
-                continue
-            share += team.share
-            weight += team.policy.weight
-        self._share_level = share / weight if weight else 0.0
-
-    def _expected_ends(self) -> dict[str, list[ExpectedEnd]]:
-        ends: dict[str, list[ExpectedEnd]] = {}
-        for placed in self.placed_by_task_id.values():
-            expected = ExpectedEnd(placed.expected_end, placed.job.request)
-            ends.setdefault(placed.worker.id, []).append(expected)
-        return ends
+        self.preempt(victims, PreemptReason.URGENT, decisions)
 
     # Fair order.
 
@@ -473,30 +344,30 @@
         heap = self._teams_in_order(now)
         if not heap:
             return
-        self._measure_share_level()
+        self._keeper.measure_share_level()
         while heap and len(decisions) < most:
             _, name = heapq.heappop(heap)
             team = self.team_by_name[name]
             version = self.table.version
             if self._place_for_team(team, now, decisions, most):
-                heapq.heappush(heap, (self._order_key(team, now), name))
+                heapq.heappush(heap, (self.order_key(team, now), name))
             else:
                 team.blocked_version = version
-                self._reserve_for(team, now)
-                self._preempt_for_share(team, now, decisions)
+                self._keeper.reserve_for(team, now)
+                self._keeper.preempt_for_share(team, now, decisions)
 
     def _teams_in_order(self, now: float) -> list[tuple[float, str]]:
         """Return a heap of the teams that may get a task now."""
         heap = []
         idle = []
-        for name in self._waiting_teams:
+        for name in self.waiting_teams:
             team = self.team_by_name[name]
             if not team.has_waiting():
                 idle.append(name)
             elif self._may_progress(team):
-                heap.append((self._order_key(team, now), name))
+                heap.append((self.order_key(team, now), name))
         for name in idle:
-            del self._waiting_teams[name]
+            del self.waiting_teams[name]
         heapq.heapify(heap)
         return heap
 
@@ -507,7 +378,8 @@
             return True
         return any(True for _ in self.table.freed_since(team.blocked_version))
 
-    def _order_key(self, team: Team, now: float) -> float:
+    def order_key(self, team: Team, now: float) -> float:
+        """Return the rank of a team under this deployment's weights."""
         return team.order_key(
             now, self.settings.history_weight, self.settings.waiting_weight
         )
@@ -532,7 +404,7 @@
 
         A job that only its team's limit keeps from running holds nobody up.
         """
-        if not self._is_due(pending):
+        if not self._keeper.is_due(pending):
             pending.blocked_at = None
             return False
         if pending.blocked_at is None:
@@ -560,8 +432,8 @@
     def _place_gang(
         self, pending: PendingJob, now: float, decisions: list[Decision]
     ) -> None:
-        team = self._team(pending.job.team)
-        if not team.may_add(self._whole_request(pending)):
+        team = self.team(pending.job.team)
+        if not team.may_add(self.whole_request(pending)):
             return
         if not self._has_room_for_all(pending):
             return
@@ -589,7 +461,7 @@
             self._forget_task_of_job(placed)
             request = placed.job.request
             self.table.release(placed.worker, placed.task_id, request, is_new=False)
-            team = self._team(placed.job.team)
+            team = self.team(placed.job.team)
             self._change_use(team, team.used.minus(request), now)
 
     # One placement.
@@ -603,7 +475,7 @@
             appears; not so while a gang holds room that it may give back.
         """
         job = pending.job
-        team = self._team(job.team)
+        team = self.team(job.team)
         if not team.may_add(job.request):
             return None
         recent = self._recent_workers(job.request)
@@ -690,7 +562,7 @@
         )
         self._task_ids_by_job_id.setdefault(job.id, {})[task_id] = None
         self.table.commit(worker, task_id, job.request)
-        team = self._team(job.team)
+        team = self.team(job.team)
         self._change_use(team, team.used.plus(job.request), now)
 
     # Preemption.
@@ -703,7 +575,7 @@
             if not team.is_over_limit():
                 continue
             victims = choose_over_limit(team, self.placed_by_task_id.values())
-            self._preempt(victims, PreemptReason.OVER_LIMIT, decisions)
+            self.preempt(victims, PreemptReason.OVER_LIMIT, decisions)
 
     def _preempt_over_capacity(self, decisions: list[Decision]) -> None:
         while self._shrunk_worker_ids:
@@ -712,12 +584,13 @@
                 continue
             placed = [self.placed_by_task_id[task_id] for task_id in worker.task_ids]
             victims = choose_over_capacity(worker, placed)
-            self._preempt(victims, PreemptReason.OVER_CAPACITY, decisions)
+            self.preempt(victims, PreemptReason.OVER_CAPACITY, decisions)
 
     @staticmethod
-    def _preempt(
+    def preempt(
         victims: list[PlacedTask], reason: PreemptReason, decisions: list[Decision]
     ) -> None:
+        """Have tasks give up their room, unless that is under way."""
         for placed in victims:
             if placed.preempting:
                 continue
@@ -726,7 +599,8 @@
 
     # Small helpers.
 
-    def _team(self, name: str) -> Team:
+    def team(self, name: str) -> Team:
+        """Return a team, known from now on if it was not."""
         team = self.team_by_name.get(name)
         if team is None:
             team = self.team_by_name[name] = Team(name)
@@ -747,17 +621,13 @@
             del self.pending_by_job_id[pending.job.id]
 
     @staticmethod
-    def _whole_request(pending: PendingJob) -> Any:
+    def whole_request(pending: PendingJob) -> Any:
+        """Return what a job needs at once: a gang all of its tasks."""
         if pending.job.kind is not JobKind.GANG:
             return pending.job.request
         return pending.job.request.times(len(pending.indexes))
 
 
-def _rank(team: Team) -> float:
-    """Return a team's dominant share by its weight."""
-    return team.share / max(team.policy.weight, SMALLEST_WEIGHT)
-
-
 def _lacking(request: Resources, capacity: Resources) -> list[str]:
     return [
         name
--- /dev/null
+++ b/src/lagoonpulley/placement/shares.py
@@ -0,0 +1,160 @@
+"""What keeps teams near their shares: reservations and checkpoints for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model.job import JobKind
+from .events import PreemptReason
+from .preemption import choose_victims
+from .reservation import ExpectedEnd, Reservation, plan_reservation
+from .teams import SMALLEST_WEIGHT
+
+if TYPE_CHECKING:
+    from .core import PlacementCore
+    from .events import Decision
+    from .reservation import ReservationBook
+    from .teams import PendingJob, Team
+    from .workers import Worker
+
+__all__ = ["ShareKeeper", "rank"]
+
+SHARE_PREEMPTION_PAUSE_S = 0.05
+
+
+def rank(team: Team) -> float:
+    """Return a team's dominant share by its weight."""
+    return team.share / max(team.policy.weight, SMALLEST_WEIGHT)
+
+
+class ShareKeeper:
+    """Reserves room, and asks for checkpoints, for teams below their share."""
+
+    def __init__(self, core: PlacementCore, book: ReservationBook) -> None:
+        self._core = core
+        self._book = book
+        self._next_plan_at = float("-inf")
+        self._next_share_preemption_at = float("-inf")
+        self._share_level = 0.0
+
+    def keep(self, now: float) -> None:
+        """Drop reservations that ended, and plan anew for one blocked gang."""
+        if now < self._next_plan_at:
+            return
+        self._next_plan_at = now + self._core.settings.replan_after_s
+        self._book.drop_ended(now, self.is_due)
+        gang = self._blocked_gang(now)
+        if gang is None:
+            return
+        count = len(gang.indexes)
+        workers = list(self._core.table.accepting())
+        planned = plan_reservation(gang, count, workers, self._expected_ends(), now)
+        if planned is not None:
+            self._book.add(planned)
+
+    def is_due(self, pending: PendingJob) -> bool:
+        """Return whether only room keeps a job from running, not a limit."""
+        team = self._core.team(pending.job.team)
+        return team.may_add(self._core.whole_request(pending))
+
+    def _blocked_gang(self, now: float) -> PendingJob | None:
+        """Return the blocked gang of the team that is next in the fair order.
+
+        Gangs get a reservation one at a time, so that none waits for workers that
+        another one keeps.
+        """
+        due = None
+        due_key = float("inf")
+        for name in self._core.waiting_teams:
+            team = self._core.team_by_name[name]
+            pending = self._first_blocked_gang(team, now)
+            if pending is None or not self.is_due(pending):
+                continue
+            key = self._core.order_key(team, now)
+            if key < due_key:
+                due, due_key = pending, key
+        return due
+
+    def _first_blocked_gang(self, team: Team, now: float) -> PendingJob | None:
+        for pending in team.waiting(self._core.settings.backfill_depth):
+            if pending.job.kind is not JobKind.GANG or pending.blocked_at is None:
+                continue
+            if now - pending.blocked_at >= self._core.settings.reserve_after_s:
+                return pending
+        return None
+
+    def reserve_for(self, team: Team, now: float) -> None:
+        """Keep a worker for the blocked job of a team that is below its share."""
+        if self._book.is_full() or not self._is_below_share(team):
+            return
+        for pending in team.waiting(self._core.settings.backfill_depth):
+            if pending.job.kind is JobKind.GANG or pending.blocked_at is None:
+                continue
+            if self._book.has(pending) or not self.is_due(pending):
+                continue
+            worker = self._book.nearest_worker(pending.job.request)
+            if worker is None or self._book.is_full():
+                return
+            self._book.add(self._plan_on(worker, pending, now))
+
+    def preempt_for_share(
+        self, team: Team, now: float, decisions: list[Decision]
+    ) -> None:
+        """Checkpoint batch work above its share for a team below its own."""
+        after_s = self._core.settings.share_preempt_after_s
+        if after_s is None or now < self._next_share_preemption_at:
+            return
+        if not self._is_below_share(team):
+            return
+        level = self._share_level * (1.0 + self._core.settings.share_slack)
+        for pending in team.waiting(self._core.settings.backfill_depth):
+            job = pending.job
+            if pending.blocked_at is None or now - pending.blocked_at < after_s:
+                continue
+            if job.kind is JobKind.GANG or not self.is_due(pending):
+                continue
+            if now - pending.preempted_at < self._core.settings.preempt_again_after_s:
+                continue
+            above = {
+                name
+                for name, other in self._core.team_by_name.items()
+                if rank(other) > level
+            }
+            victims = choose_victims(
+                self._core.table, self._core.placed_by_task_id, above, job.request
+            )
+            pending.preempted_at = now
+            self._next_share_preemption_at = now + SHARE_PREEMPTION_PAUSE_S
+            self._core.preempt(victims, PreemptReason.SHARE, decisions)
+            return
+
+    def _plan_on(self, worker: Worker, pending: PendingJob, now: float) -> Reservation:
+        placed = [self._core.placed_by_task_id[task_id] for task_id in worker.task_ids]
+        ends = [ExpectedEnd(task.expected_end, task.job.request) for task in placed]
+        ends_by_worker_id = {worker.id: ends}
+        planned = plan_reservation(pending, 1, [worker], ends_by_worker_id, now)
+        if planned is not None:
+            return planned
+        return Reservation(pending, frozenset((worker.id,)), now, now)
+
+    def _is_below_share(self, team: Team) -> bool:
+        """Return whether a team uses less than an even level of share by weight."""
+        return rank(team) < self._share_level
+
+    def measure_share_level(self) -> None:
+        """Work out the even level of share by weight of all active teams."""
+        share = 0.0
+        weight = 0.0
+        for team in self._core.team_by_name.values():
+            if not team.share and team.name not in self._core.waiting_teams:
+                continue
+            share += team.share
+            weight += team.policy.weight
+        self._share_level = share / weight if weight else 0.0
+
+    def _expected_ends(self) -> dict[str, list[ExpectedEnd]]:
+        ends: dict[str, list[ExpectedEnd]] = {}
+        for placed in self._core.placed_by_task_id.values():
+            expected = ExpectedEnd(placed.expected_end, placed.job.request)
+            ends.setdefault(placed.worker.id, []).append(expected)
+        return ends
--- /dev/null
+++ b/tests/membership/test_role.py
@@ -0,0 +1,111 @@
+"""Tests of heartbeats, suspicion and what is learnt from peers."""
+
+from __future__ import annotations
+
+import pytest
+from tests.support.one_role import OneRole, make_settings
+
+from lagoonpulley.membership.messages import OwnedGroups, PeersView
+from lagoonpulley.membership.role import MembershipRole
+from lagoonpulley.model.verdict import Ran
+from lagoonpulley.peers.messages import (
+    GroupOwner,
+    Heartbeat,
+    HeartbeatAnswer,
+    PeerInfo,
+)
+from lagoonpulley.runtime.role import CallFailed, Request
+
+ME = PeerInfo("timisoara-1", 1, "timisoara", "10.0.0.1:1")
+PEER = PeerInfo("timisoara-2", 1, "timisoara", "10.0.0.2:1")
+
+
+@pytest.fixture
+def member():
+    settings = make_settings(seeds=["10.0.0.2:1"])
+    return OneRole(MembershipRole.from_settings(ME, settings, seed=1))
+
+
+def beat_from(member, info, **fields):
+    heartbeat = Heartbeat(info, **fields)
+    member.send(Request("in", "peers", heartbeat, 1.0))
+
+
+def view_of(member):
+    return member.sent_of(PeersView)[-1]
+
+
+def test_seed_is_beaten_to_and_learnt(member):
+    member.tick()
+    request = member.take(Heartbeat)
+    assert request.operation.address == "10.0.0.2:1"
+    member.reply(request, HeartbeatAnswer(PEER))
+    assert PEER in view_of(member).local
+
+
+def test_silent_peer_is_suspected_before_it_is_dead(member):
+    beat_from(member, PEER)
+    member.tick(2.0)
+    assert not view_of(member).suspect_ids
+    member.tick(1.0)
+    assert view_of(member).suspect_ids == {"timisoara-2"}
+    assert PEER in view_of(member).local
+    member.tick(4.0)
+    assert PEER not in view_of(member).local
+
+
+def test_vouching_clears_suspicion(member):
+    other = PeerInfo("timisoara-3", 1, "timisoara", "10.0.0.3:1")
+    beat_from(member, PEER)
+    member.tick(3.0)
+    beat_from(member, other)
+    member.tick(1.0)
+    while True:
+        request = member.take(Heartbeat)
+        if request.operation.address == other.address:
+            break
+    assert request.operation.message.suspects == ("timisoara-2",)
+    member.reply(request, HeartbeatAnswer(other, vouched=("timisoara-2",)))
+    assert not view_of(member).suspect_ids
+
+
+def test_earlier_incarnation_is_ignored(member):
+    newer = PeerInfo("timisoara-2", 5, "timisoara", "10.0.0.9:1")
+    beat_from(member, newer)
+    beat_from(member, PEER)
+    assert newer in view_of(member).local
+    assert PEER not in view_of(member).local
+
+
+def test_owner_of_highest_epoch_wins(member):
+    old = GroupOwner("arad/0", 1, "arad-1", "10.0.1.1:1")
+    new = GroupOwner("arad/0", 2, "arad-2", "10.0.1.2:1")
+    beat_from(member, PEER, owners=(new,))
+    beat_from(member, PEER, owners=(old,))
+    assert view_of(member).owner_by_group["arad/0"] == new
+
+
+def test_given_up_group_is_not_claimed_any_more(member):
+    member.send(OwnedGroups({"timisoara/0": 3}))
+    assert view_of(member).owner_by_group["timisoara/0"].entry_id == "timisoara-1"
+    member.send(OwnedGroups({}))
+    assert view_of(member).owner_by_group["timisoara/0"].entry_id == ""
+
+
+def test_unreachable_address_is_forgotten_unless_a_seed(member):
+    stranger = PeerInfo("arad-9", 1, "arad", "10.0.1.9:1")
+    beat_from(member, PEER, members=(stranger,))
+    for _ in range(40):
+        member.tick(1.0)
+        for _, request in list(member.open):
+            if isinstance(getattr(request.operation, "message", None), Heartbeat):
+                member.open.remove((_, request))
+                member.reply(request, CallFailed(Ran.NO, "refused"))
+    member.tick(1.0)
+    addresses = {
+        request.operation.address
+        for _, request in member.open
+        if isinstance(getattr(request.operation, "message", None), Heartbeat)
+    }
+    assert "10.0.1.9:1" not in addresses
+    assert "10.0.0.2:1" in addresses
--- /dev/null
+++ b/tests/ownership/test_role.py
@@ -0,0 +1,184 @@
+"""Tests of the session lease and of claims, one store answer at a time."""
+
+from __future__ import annotations
+
+import pytest
+from tests.support.one_role import OneRole, make_settings
+
+from lagoonpulley.membership.messages import PeersView
+from lagoonpulley.model.verdict import Ran
+from lagoonpulley.ownership.messages import GroupAcquired, GroupLost, LeaseExtended
+from lagoonpulley.ownership.record import owner_key, rank_candidates, session_key
+from lagoonpulley.ownership.role import OwnershipRole
+from lagoonpulley.peers.messages import GroupOwner, PeerInfo
+from lagoonpulley.runtime.role import CallFailed, Reply
+from lagoonpulley.standin.store import StoreState
+from lagoonpulley.store.messages import Get, RenewLease
+
+GROUP = "timisoara/0"
+LOST = CallFailed(Ran.MAYBE, "lost")
+
+
+class Claimant(OneRole):
+    """An ownership role over a store that answers at once, or loses answers."""
+
+    def __init__(self, store, name="timisoara-1", **settings):
+        me = PeerInfo(name, 1, "timisoara", f"{name}:1")
+        role = OwnershipRole.from_settings(
+            name, 1, me.address, make_settings(**settings)
+        )
+        super().__init__(role)
+        self.store = store
+        self.me = me
+        self.answers = lambda operation, result: result
+
+    def send(self, message):
+        super().send(message)
+        while self.open:
+            _, request = self.open.pop(0)
+            result = self.store.apply(request.operation, self.time)
+            result = self.answers(request.operation, result)
+            super().send(Reply(request.request_id, result))
+
+    def see(self, *others, owner=None):
+        owners = {GROUP: owner} if owner else {}
+        local = (self.me, *others)
+        self.send(PeersView(self.me, local, frozenset(), others, owners))
+
+    def run(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.tick(0.1)
+
+    def acquired(self):
+        return [message.epoch for message in self.sent_of(GroupAcquired)]
+
+
+@pytest.fixture
+def store():
+    return StoreState()
+
+
+def test_unowned_group_is_claimed_under_the_next_epoch(store):
+    claimant = Claimant(store)
+    claimant.see()
+    claimant.run(2.0)
+    assert claimant.acquired() == [1]
+
+
+def test_of_two_claimants_one_acquires(store):
+    claimants = [Claimant(store, f"timisoara-{number}") for number in (1, 2)]
+    for claimant in claimants:
+        claimant.see(*[other.me for other in claimants if other is not claimant])
+    for _ in range(30):
+        for claimant in claimants:
+            claimant.tick(0.1)
+    assert sorted(len(claimant.acquired()) for claimant in claimants) == [0, 1]
+
+
+def test_group_of_a_live_session_is_not_taken(store):
+    owner = Claimant(store, "timisoara-2")
+    owner.see()
+    owner.run(2.0)
+    claimant = Claimant(store)
+    claimant.time = owner.time
+    claimant.see()
+    for _ in range(30):
+        owner.tick(0.1)
+        claimant.tick(0.1)
+    assert claimant.acquired() == []
+
+
+def test_group_of_a_dead_session_is_taken_after_its_lease(store):
+    owner = Claimant(store, "timisoara-2")
+    owner.see()
+    owner.run(2.0)
+    claimant = Claimant(store)
+    claimant.time = owner.time
+    claimant.see()
+    claimant.run(2.0)
+    assert claimant.acquired() == []
+    claimant.run(3.0)
+    assert claimant.acquired() == [2]
+
+
+def test_lease_is_counted_from_before_it_was_sent(store):
+    claimant = Claimant(store, workers_fence=False)
+    claimant.see()
+    claimant.run(2.0)
+    (*_, last) = claimant.sent_of(LeaseExtended)
+    assert last.valid_until <= claimant.time + 3.0 - 0.5
+
+
+def test_owner_whose_lease_lapsed_keeps_its_epoch(store):
+    owner = Claimant(store)
+    owner.see()
+    owner.run(2.0)
+    record = store.entry_by_key[owner_key(GROUP)]
+    owner.time += 10.0
+    owner.run(2.0)
+    assert owner.sent_of(GroupLost) == []
+    renewed = store.entry_by_key[owner_key(GROUP)]
+    assert renewed.revision > record.revision
+    assert '"epoch":1' in renewed.value
+
+
+def test_claim_with_a_lost_answer_is_recognised(store):
+    claimant = Claimant(store)
+    key = owner_key(GROUP)
+
+    def lose_claim(operation, result):
+        is_claim = getattr(operation, "key", "") == key
+        return LOST if is_claim and not isinstance(operation, Get) else result
+
+    claimant.answers = lose_claim
+    claimant.see()
+    claimant.run(2.0)
+    assert claimant.acquired() == [1]
+
+
+def test_taker_waits_a_lease_after_it_regained_the_store(store):
+    owner = Claimant(store, "timisoara-2")
+    owner.see()
+    owner.run(2.0)
+    claimant = Claimant(store)
+    claimant.time = owner.time
+    claimant.see()
+    claimant.run(1.0)
+    claimant.answers = lambda operation, result: LOST
+    claimant.run(9.0)
+    assert session_key("timisoara-2.1.1") not in store.entry_by_key
+    claimant.answers = lambda operation, result: result
+    claimant.run(2.5)
+    assert claimant.acquired() == []
+    claimant.run(4.0)
+    assert claimant.acquired() == [2]
+
+
+def test_owner_that_hears_of_a_higher_epoch_gives_up(store):
+    owner = Claimant(store)
+    owner.see()
+    owner.run(2.0)
+    owner.see(owner=GroupOwner(GROUP, 7, "timisoara-2", "10.0.0.2:1"))
+    assert [lost.epoch for lost in owner.sent_of(GroupLost)] == [1]
+
+
+def test_one_renewal_a_second_covers_all(store):
+    owner = Claimant(store)
+    owner.see()
+    owner.run(2.0)
+    renewals = []
+    owner.answers = lambda operation, result: (
+        (renewals.append(operation) if isinstance(operation, RenewLease) else None)
+        or result
+    )
+    owner.run(10.0)
+    assert 9 <= len(renewals) <= 11
+
+
+def test_ranking_moves_little_when_an_entry_joins():
+    groups = [f"group-{number}" for number in range(200)]
+    before = {group: rank_candidates(group, "abcd")[0] for group in groups}
+    after = {group: rank_candidates(group, "abcde")[0] for group in groups}
+    moved = [group for group in groups if before[group] != after[group]]
+    assert {after[group] for group in moved} == {"e"}
+    assert len(moved) < 80
