Reserve for two gangs of different teams at a time

Cause: with one reservation for all gangs, packets of teams below their share waited 27 s in the median while other teams took what became free. Ruled out: checkpoints for gangs; in the Faena shape too little of what runs may be checkpointed. Change: two gangs, of different teams in fair order, on workers reserved for nobody else. RALAT has no gangs and is unchanged.

--- a/src/lagoonpulley/placement/reservation.py
+++ b/src/lagoonpulley/placement/reservation.py
@@ -71,6 +71,10 @@
                 found.append(worker)
         return found
 
+    def unreserved_workers(self) -> list[Worker]:
+        """Return the accepting workers that are kept for no job."""
+        return [worker for worker in self._table.accepting() if not worker.reserved]
+
     def workers_of(self, pending: PendingJob) -> list[Worker]:
         """Return the accepting workers that are kept for a job."""
         reservation = self._by_job_id.get(pending.job.id)
--- a/src/lagoonpulley/placement/shares.py
+++ b/src/lagoonpulley/placement/shares.py
@@ -20,6 +20,7 @@
 __all__ = ["ShareKeeper", "rank"]
 
 SHARE_PREEMPTION_PAUSE_S = 0.05
+MOST_GANG_RESERVATIONS = 2
 
 
 def rank(team: Team) -> float:
@@ -38,42 +39,41 @@
         self._share_level = 0.0
 
     def keep(self, now: float) -> None:
-        """Drop reservations that ended, and plan anew for one blocked gang."""
+        """Drop reservations that ended, and plan for blocked gangs."""
         if now < self._next_plan_at:
             return
         self._next_plan_at = now + self._core.settings.replan_after_s
         self._book.drop_ended(now, self.is_due)
-        gang = self._blocked_gang(now)
-        if gang is None:
+        gangs = self._blocked_gangs(now)
+        if not gangs:
             return
-        count = len(gang.indexes)
-        workers = list(self._core.table.accepting())
-        planned = plan_reservation(gang, count, workers, self._expected_ends(), now)
-        if planned is not None:
-            self._book.add(planned)
+        ends = self._expected_ends()
+        for gang in gangs[:MOST_GANG_RESERVATIONS]:
+            self._book.drop(gang)
+            workers = self._book.unreserved_workers()
+            planned = plan_reservation(gang, len(gang.indexes), workers, ends, now)
+            if planned is not None:
+                self._book.add(planned)
 
     def is_due(self, pending: PendingJob) -> bool:
         """Return whether only room keeps a job from running, not a limit."""
         team = self._core.team(pending.job.team)
         return team.may_add(self._core.whole_request(pending))
 
-    def _blocked_gang(self, now: float) -> PendingJob | None:
-        """Return the blocked gang of the team that is next in the fair order.
+    def _blocked_gangs(self, now: float) -> list[PendingJob]:
+        """Return each team's first blocked gang, in the fair order of teams.
 
-        Gangs get a reservation one at a time, so that none waits for workers that
-        another one keeps.
+        Their reservations are of different workers and hold nothing that runs, so
+        no gang ever waits for what another one keeps for good.
         """
-        due = None
-        due_key = float("inf")
+        due = []
         for name in self._core.waiting_teams:
             team = self._core.team_by_name[name]
             pending = self._first_blocked_gang(team, now)
-            if pending is None or not self.is_due(pending):
-                continue
-            key = self._core.order_key(team, now)
-            if key < due_key:
-                due, due_key = pending, key
-        return due
+            if pending is not None and self.is_due(pending):
+                due.append((self._core.order_key(team, now), name, pending))
+        due.sort(key=lambda item: item[:2])
+        return [pending for _, _, pending in due]
 
     def _first_blocked_gang(self, team: Team, now: float) -> PendingJob | None:
         for pending in team.waiting(self._core.settings.backfill_depth):
