Refuse a relayed configuration that arrived cut short

Cause: the decompressor takes a stream without its end and checksum for whole if what came parses; a test that cuts eight characters found it. Before: accepted. After: refused. Conclusion: the checksum counts now.

--- a/src/lagoonpulley/configuration/role.py
+++ b/src/lagoonpulley/configuration/role.py
@@ -215,5 +215,7 @@
         return Error(f"cannot be unpacked: {error}")
     if decompressor.unconsumed_tail:
         return Error("document is too large")
+    if not decompressor.eof:
+        return Error("document is cut short")
     parsed = parse_document(raw.decode(errors="replace"))
     return Ok(parsed.ok) if parsed.is_ok() else Error(parsed.error)
