--- a/src/lagoonpulley/routing/role.py
+++ b/src/lagoonpulley/routing/role.py
@@ -50,6 +50,7 @@
     """What the attempts of one request have come to so far."""
 
     deadline_at: float
+    began_at: float
     ran: Ran = Ran.NO
     count: int = 0
     refusal: Refusal | None = None
@@ -121,7 +122,7 @@
         """Submit jobs of one group until each has a verdict that is not transient."""
         settled: dict[str, JobVerdict] = {}
         waiting = jobs
-        attempts = _Attempts(deadline_at)
+        attempts = _Attempts(deadline_at, self.now.mono)
         while waiting:
             call = SubmitJobs(group, waiting, CALL_TIMEOUT_S, self._entry_id)
             answer = yield from self._call_owner(group, call, attempts)
@@ -171,7 +172,7 @@
         self.answer(request, Routed(tuple(verdicts), answer.status))
 
     def _cancel_at(self, group: str, job_id: str) -> Flow:
-        attempts = _Attempts(self.now.mono + CALL_TIMEOUT_S)
+        attempts = _Attempts(self.now.mono + CALL_TIMEOUT_S, self.now.mono)
         call = CancelJob(group, job_id)
         yield from self._call_owner(group, call, attempts)
 
@@ -190,7 +191,9 @@
         while True:
             remaining_s = until - self.now.mono
             wait_s = max(0.0, min(remaining_s, FETCH_CALL_WAIT_S))
-            attempts = _Attempts(max(until, self.now.mono + LOOKUP_TIMEOUT_S))
+            attempts = _Attempts(
+                max(until, self.now.mono + LOOKUP_TIMEOUT_S), self.now.mono
+            )
             call = FetchJob(group, job_id, wait_s, team)
             answer = yield from self._call_owner(group, call, attempts)
             if not isinstance(answer, JobAnswer):
@@ -205,7 +208,7 @@
         if group is None:
             self.answer(request, _unknown_job())
             return
-        attempts = _Attempts(self.now.mono + LOOKUP_TIMEOUT_S)
+        attempts = _Attempts(self.now.mono + LOOKUP_TIMEOUT_S, self.now.mono)
         call = CancelJob(group, cancel.job_id, cancel.team)
         answer = yield from self._call_owner(group, call, attempts)
         if not isinstance(answer, JobAnswer):
@@ -280,6 +283,7 @@
             attempts=attempts.count,
             ran=attempts.ran,
             reason=detail,
+            took_s=round(self.now.mono - attempts.began_at, 3),
         )
         return Refusal("no_owner", attempts.ran, detail, RETRY_AFTER_S)
 
@@ -296,6 +300,9 @@
                 epoch=owner.epoch,
                 attempt=attempts.count,
                 via=self._entry_id,
+                reason="owner of the job's home",
+                candidates=len(self._view.known) + 1 if self._view else 0,
+                took_s=round(self.now.mono - attempts.began_at, 3),
             )
 
 
--- a/src/lagoonpulley/scheduler/link.py
+++ b/src/lagoonpulley/scheduler/link.py
@@ -35,6 +35,8 @@
 STOP_TIMEOUT_S = 1.0
 SYNC_SLACK_S = 2.0
 RETRY_PAUSE_S = 0.5
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 1.0
 STARTS_PER_CALL = 16
 
 
@@ -75,6 +77,8 @@
         self._acknowledged: dict[tuple[str, int], None] = {}
         self._starting = False
         self._closed = False
+        self._reported: frozenset[tuple[str, int]] = frozenset()
+        self._pause_s = FIRST_PAUSE_S
 
     @property
     def accepting(self) -> bool:
@@ -176,6 +180,22 @@
         for report in result.reports:
             self._group.take_report(self, report)
         self._take_running(result, confirmed)
+        yield from self._pause_if_nothing_new(result)
+
+    def _pause_if_nothing_new(self, result: SyncResult) -> Flow:
+        """Wait while reports can be neither forgotten nor added to.
+
+        A worker answers at once as long as a report is not acknowledged, which may
+        take as long as the store is down.
+        """
+        reported = frozenset((item.task_id, item.attempt) for item in result.reports)
+        is_new = not reported or not reported <= self._reported
+        self._reported = reported
+        if is_new:
+            self._pause_s = FIRST_PAUSE_S
+            return
+        yield Sleep(self._pause_s)
+        self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
 
     def _take_running(self, result: SyncResult, confirmed: set[tuple[str, int]]):
         listed = {(report.task_id, report.attempt) for report in result.reports}
