Say maybe where synchronous work may have run under an earlier owner

Change: an owner of a later epoch begins such a job with the verdict maybe, and the router adds maybe to a refusal of a repeated submission. Ruled out: journalling synchronous work, which is what it is meant to avoid. Before: breaks a_refusal_that_says_not_run_is_true. After: it passes and is kept. Conclusion: only an owner that saw a request first can say that it never ran.

--- a/src/lagoonpulley/routing/role.py
+++ b/src/lagoonpulley/routing/role.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 from ..membership.messages import PeersView
@@ -154,12 +154,16 @@
         job = submit.jobs[0]
         group = group_of_job(job.id, self._settings.data_centres) or ""
         wait_until = self.now.mono + submit.wait_s
+        earlier = Ran.NO
         while True:
             accept_by = max(deadline_at, min(wait_until, self.now.mono))
             verdicts = yield from self._submit_group(group, submit.jobs, accept_by)
-            if verdicts[0].refusal is not None:
-                self.answer(request, Routed(tuple(verdicts)))
+            refusal = verdicts[0].refusal
+            if refusal is not None:
+                refusal = replace(refusal, ran=refusal.ran.combine(earlier))
+                self.answer(request, Routed((JobVerdict(job.id, refusal),)))
                 return
+            earlier = Ran.MAYBE
             answer = yield from self._fetch_until(group, job.id, "", wait_until)
             if answer.status is not None or job.durable:
                 break
--- a/src/lagoonpulley/scheduler/admission.py
+++ b/src/lagoonpulley/scheduler/admission.py
@@ -49,7 +49,7 @@
         refusal = check_job(role, group, job)
         known = group.record_by_id.get(job.id)
         if refusal is None and known is None:
-            record = JobRecord.from_job(job, group.now.wall)
+            record = _new_record(group, job)
             role.accepting_by_id[job.id] = record
             fresh.append(record)
         verdicts.append(JobVerdict(job.id, refusal))
@@ -67,6 +67,18 @@
     _finish(role, group, pending, fresh, result)
 
 
+def _new_record(group: Group, job: Job) -> JobRecord:
+    """Return the record of a job that this owner does not know.
+
+    A job that is not durable may have run under an earlier owner.
+    """
+    record = JobRecord.from_job(job, group.now.wall)
+    if not job.durable and group.epoch > 1:
+        for task in record.tasks:
+            task.ran_before = Ran.MAYBE
+    return record
+
+
 def _finish(
     role: SchedulerRole,
     group: Group,
