--- a/src/lagoonpulley/routing/role.py
+++ b/src/lagoonpulley/routing/role.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from ..membership.messages import PeersView
@@ -56,7 +56,6 @@
     pauses: int = 0
     refusal: Refusal | None = None
     reason: str = "no owner of the data centre's group is known"
-    tried: list[str] = field(default_factory=list)
 
 
 class RoutingRole(FlowRole):
@@ -234,7 +233,6 @@
             if owner is not None:
                 result = yield self._call_to(owner, call, attempts)
                 attempts.count += 1
-                attempts.tried.append(owner.entry_id)
                 if isinstance(result, CallFailed):
                     attempts.ran = attempts.ran.combine(result.ran)
                     attempts.reason = result.reason
--- a/src/lagoonpulley/scheduler/group.py
+++ b/src/lagoonpulley/scheduler/group.py
@@ -37,6 +37,8 @@
 from .link import Assignment, WorkerLink
 from .messages import GroupStatus
 from .records import (
+    JOURNAL,
+    JOURNAL_TIMEOUT_S,
     JobRecord,
     TaskRecord,
     job_key,
@@ -53,13 +55,7 @@
 
 __all__ = ["Group", "Phase"]
 
-JOURNAL = "journal"
-JOURNAL_TIMEOUT_S = 60.0
-OPEN_RETRY_PAUSE_S = 0.5
 LEASE_END_MARGIN_S = 3.0
-START_IN_FLIGHT_S = 1.5
-PAUSE_FOR_OTHERS_S = 5.0
-UNKNOWN_WORKER_PAUSE_S = 1.0
 UNKNOWN_CAPACITY = Resources(10**12, 10**12, 10**12, 10**12, 10**12)
 
 
@@ -68,7 +64,6 @@
 
     OPENING = "opening"
     ACTIVE = "active"
-    RELEASING = "releasing"
     CLOSED = "closed"
 
 
@@ -190,7 +185,6 @@
         """Hand the group over: place nothing more, then let it go."""
         if self.phase is Phase.CLOSED:
             return
-        self.phase = Phase.RELEASING
         self.close()
         self._role.emit("ownership", GroupReleased(self.name, self.epoch))
 
--- a/src/lagoonpulley/scheduler/records.py
+++ b/src/lagoonpulley/scheduler/records.py
@@ -12,6 +12,8 @@
 from ..peers.messages import JobStatus, TaskStatusView
 
 __all__ = [
+    "JOURNAL",
+    "JOURNAL_TIMEOUT_S",
     "JobRecord",
     "TaskRecord",
     "decode_documents",
@@ -22,6 +24,8 @@
     "task_key",
 ]
 
+JOURNAL = "journal"
+JOURNAL_TIMEOUT_S = 60.0
 DOCUMENT_VERSION = 1
 JOB_PREFIX = "job:"
 TASK_PREFIX = "task:"
--- a/src/lagoonpulley/scheduler/takeover.py
+++ b/src/lagoonpulley/scheduler/takeover.py
@@ -9,15 +9,13 @@
 from ..observability.events import log_event
 from ..placement.events import WorkerGone
 from ..runtime.flows import Call, Flow, Sleep
-from .records import decode_documents
+from .records import JOURNAL, JOURNAL_TIMEOUT_S, decode_documents
 
 if TYPE_CHECKING:
     from .group import Group
 
 __all__ = ["Takeover"]
 
-JOURNAL = "journal"
-JOURNAL_TIMEOUT_S = 60.0
 OPEN_RETRY_PAUSE_S = 0.5
 START_IN_FLIGHT_S = 1.5
 UNKNOWN_WORKER_PAUSE_S = 1.0
