--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,10 @@
+# Puts the libraries and the program under target/deps, which is on Python's path.
+set -eu
+deps=target/deps
+if [ ! "$deps/.ready" -nt pyproject.toml ]; then
+    rm -rf "$deps"
+    python3 -m pip install -q --disable-pip-version-check --target "$deps" .
+    touch "$deps/.ready"
+fi
+rm -rf "$deps/lagoonpulley"
+cp -R src/lagoonpulley "$deps/lagoonpulley"
--- a/src/lagoonpulley/cli/main.py
+++ b/src/lagoonpulley/cli/main.py
@@ -15,6 +15,7 @@
     explain,
     job,
     key,
+    platform,
     serve,
     sheet,
     standin,
@@ -29,6 +30,7 @@
 
 _COMMANDS = (
     serve,
+    platform,
     check,
     sheet,
     key,
--- /dev/null
+++ b/src/lagoonpulley/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: admission, acceptance, cancellation and state."""
--- a/src/lagoonpulley/observability/logs.py
+++ b/src/lagoonpulley/observability/logs.py
@@ -14,7 +14,13 @@
 if TYPE_CHECKING:
     from ..settings.schema import LogSettings
 
-__all__ = ["DecisionBuffer", "concerns", "configure_logging", "keep_decisions"]
+__all__ = [
+    "DecisionBuffer",
+    "concerns",
+    "configure_logging",
+    "configure_stdout_logging",
+    "keep_decisions",
+]
 
 ROOT_LOGGER = "lagoonpulley"
 KEPT_EVENTS = 20_000
@@ -59,6 +65,15 @@
         handler = logging.FileHandler(settings.file, encoding="utf-8")
     else:
         handler = logging.StreamHandler(sys.stderr)
+    _attach(handler, settings.level, entry_id)
+
+
+def configure_stdout_logging(entry_id: str) -> None:
+    """Send the program's log lines to standard output."""
+    _attach(logging.StreamHandler(sys.stdout), "info", entry_id)
+
+
+def _attach(handler: logging.Handler, level: str, entry_id: str) -> None:
     formatter = JsonFormatter(
         "%(message)s %(levelname)s %(name)s",
         rename_fields={"levelname": "level", "name": "logger"},
@@ -67,7 +82,7 @@
     )
     handler.setFormatter(formatter)
     root = logging.getLogger(ROOT_LOGGER)
-    root.setLevel(settings.level.upper())
+    root.setLevel(level.upper())
     root.addHandler(handler)
     root.propagate = False
 
--- /dev/null
+++ b/src/lagoonpulley/owner/advisor_role.py
@@ -0,0 +1,35 @@
+"""Asks the advisor on behalf of the owner."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..peers.messages import AdviceAnswer
+from ..runtime.flows import Call, Flow, FlowRole
+from ..runtime.role import UPSTREAM, Request
+from ..upstream.tasks import Advice, AskAdvice
+
+__all__ = ["AdvisorRole"]
+
+ADVISOR_TIMEOUT_S = 8.0
+
+
+class AdvisorRole(FlowRole):
+    """Passes questions on and answers with what the advisor said."""
+
+    name = "advisor"
+
+    def __init__(self) -> None:
+        super().__init__("advisor")
+
+    def receive(self, message: Any) -> None:
+        """Start a question for each request."""
+        if isinstance(message, Request) and isinstance(message.operation, AskAdvice):
+            self.start(self._ask(message))
+
+    def _ask(self, request: Request) -> Flow:
+        result = yield Call(UPSTREAM, request.operation, ADVISOR_TIMEOUT_S)
+        if isinstance(result, Advice):
+            self.answer(request, AdviceAnswer(result))
+        else:
+            self.answer(request, AdviceAnswer(reason=str(result.reason)))
--- /dev/null
+++ b/src/lagoonpulley/owner/advisors.py
@@ -0,0 +1,96 @@
+"""Spreads questions to queues' advisors over the entries.
+
+An advisor answers one question at a time for each entry that asks.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import ValidationError
+
+from ..model.verdict import Ran
+from ..observability.events import log_event
+from ..peers.messages import AdviceAnswer, PeerCall
+from ..runtime.flows import Call, Flow, Sleep
+from ..runtime.role import PEERS, STORE, UPSTREAM, CallFailed
+from ..store.messages import ReadRange
+from ..upstream.tasks import AskAdvice
+from .session import ENTRIES_PREFIX, EntryDocument
+
+if TYPE_CHECKING:
+    from ..planning.planner import Question
+    from ..runtime.flows import FlowRole
+    from .settings import OwnerSettings
+    from .tenure import Tenure
+
+__all__ = ["Advisors"]
+
+ENTRIES_EVERY_S = 1.0
+READ_TIMEOUT_S = 1.0
+# Added to the time that the advisor itself takes.
+ANSWER_SLACK_S = 1.0
+SHUN_S = 3.0
+
+
+class Advisors:
+    """Knows the entries and how long each has questions to wait for."""
+
+    def __init__(self, role: FlowRole, settings: OwnerSettings) -> None:
+        self._role = role
+        self._own_name = settings.entry_id
+        self._address_by_name: dict[str, str] = {settings.entry_id: ""}
+        self._busy_until_by_name: dict[str, float] = {}
+
+    def follow_entries(self, tenure: Tenure) -> Flow:
+        """Read the list of entries now and then."""
+        while not tenure.over:
+            call = Call(STORE, ReadRange(ENTRIES_PREFIX), READ_TIMEOUT_S)
+            result = yield call
+            if isinstance(result, CallFailed):
+                yield Sleep(ENTRIES_EVERY_S)
+                continue
+            found = {self._own_name: ""}
+            for entry in result.entries:
+                try:
+                    document = EntryDocument.model_validate_json(entry.value)
+                except ValidationError:
+                    log_event("entry_refused", key=entry.key)
+                    continue
+                if document.name != self._own_name:
+                    found[document.name] = document.peer_address
+            self._address_by_name = found
+            yield Sleep(ENTRIES_EVERY_S)
+
+    def ask(self, question: Question) -> Flow:
+        """Ask by the entry that is free first; return the advice or a failure."""
+        now = self._role.now.mono
+        name = min(
+            self._address_by_name,
+            key=lambda name: max(now, self._busy_until_by_name.get(name, 0.0)),
+        )
+        cost_s = question.queue.advice.cost_s(len(question.worker_ids))
+        free_at = max(now, self._busy_until_by_name.get(name, 0.0)) + cost_s
+        self._busy_until_by_name[name] = free_at
+        operation = AskAdvice(
+            question.record.spec.id, *question.key, question.worker_ids
+        )
+        timeout_s = free_at - now + ANSWER_SLACK_S
+        address = self._address_by_name[name]
+        if address:
+            message = PeerCall(address, operation)
+            result = yield Call(PEERS, message, timeout_s)
+            if isinstance(result, AdviceAnswer):
+                result = result.advice or CallFailed(Ran.NO, result.reason)
+        else:
+            result = yield Call(UPSTREAM, operation, timeout_s)
+        if isinstance(result, CallFailed):
+            log_event(
+                "advice_failed",
+                job=question.record.spec.id,
+                entry=name,
+                reason=result.reason,
+            )
+            shunned_until = self._role.now.mono + SHUN_S
+            self._busy_until_by_name[name] = shunned_until
+        return result
--- /dev/null
+++ b/src/lagoonpulley/owner/messages.py
@@ -0,0 +1,31 @@
+"""Messages about who is the owner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Deposed", "Elected", "Resign"]
+
+
+@dataclass(frozen=True, slots=True)
+class Elected:
+    """This entry is the owner from now on.
+
+    ``token`` is its fencing token, higher than that of every earlier owner;
+    ``head_revision`` the revision of the journal's head.
+    """
+
+    token: int
+    head_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deposed:
+    """This entry is no longer the owner."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Resign:
+    """Give ownership up: the process is about to stop."""
--- /dev/null
+++ b/src/lagoonpulley/owner/settings.py
@@ -0,0 +1,22 @@
+"""Settings of the owner's role."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["OwnerSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSettings:
+    """What a deployment fixes; times are in seconds.
+
+    ``longest_worker_lease_s`` is the longest lease that a worker grants,
+    ``early_s`` how long before its time an occurrence may start, ``retention_s`` how
+    long a final state is kept.
+    """
+
+    entry_id: str
+    longest_worker_lease_s: float
+    early_s: float = 0.0
+    retention_s: float = 120.0
--- a/src/lagoonpulley/peers/messages.py
+++ b/src/lagoonpulley/peers/messages.py
@@ -7,8 +7,10 @@
 
 from ..model.job import Job
 from ..model.verdict import Ran
+from ..upstream.tasks import Advice
 
 __all__ = [
+    "AdviceAnswer",
     "AllotmentAnswer",
     "AskAllotment",
     "CancelJob",
@@ -212,6 +214,14 @@
     parts: int
 
 
+@dataclass(frozen=True, slots=True)
+class AdviceAnswer:
+    """What an advisor said to an entry, or why it said nothing."""
+
+    advice: Advice | None = None
+    reason: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerCall:
     """A message on its way to the entry at ``address`` (``IP:PORT``)."""
--- a/src/lagoonpulley/peers/service.py
+++ b/src/lagoonpulley/peers/service.py
@@ -4,7 +4,9 @@
 
 from dataclasses import dataclass
 
+from ..upstream.tasks import AskAdvice
 from .messages import (
+    AdviceAnswer,
     AllotmentAnswer,
     AskAllotment,
     CancelJob,
@@ -48,6 +50,7 @@
     _method(
         "FetchConfiguration", FetchConfiguration, ConfigurationAnswer, "configuration"
     ),
+    _method("AskAdvice", AskAdvice, AdviceAnswer, "advisor"),
 )
 
 METHOD_BY_REQUEST = {method.request_type: method for method in _METHODS}
--- /dev/null
+++ b/src/lagoonpulley/planning/planner.py
@@ -0,0 +1,220 @@
+"""Which tasks to start where, in order of urgency."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..upstream.tasks import TaskRef
+from ..workload.spec import StepKey, TaskKey
+from .cell import Claim
+from .packing import Spread, eligible_rooms, pack_gang, pack_tasks
+
+if TYPE_CHECKING:
+    from ..model.resources import Resources
+    from ..policy.values import Queue, TeamLimits
+    from ..workload.record import JobRecord
+    from .cell import Cell, WorkerRoom
+    from .permits import PermitBook, StepPermits
+
+__all__ = ["Demand", "Plan", "Planner", "Question", "Start"]
+
+# Workers named in one question at most; the advisor takes no more.
+MOST_NAMED = 100
+
+
+@dataclass(slots=True, eq=False)
+class Demand:
+    """An open step of a job with tasks that wait.
+
+    ``due_at`` is when the job should be complete, in seconds of the wall clock.
+    """
+
+    record: JobRecord
+    key: StepKey
+    queue: Queue
+    due_at: float
+
+    @property
+    def order(self) -> tuple[int, float, str]:
+        """Rank among all demands; the lowest is served first."""
+        return (self.queue.priority, self.due_at, self.record.spec.id)
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Start tasks of one step, each on its worker, under one run number."""
+
+    record: JobRecord
+    run: int
+    places: tuple[tuple[TaskKey, str], ...]
+    checkpoint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """Ask a queue's advisor about workers for a step."""
+
+    record: JobRecord
+    key: StepKey
+    queue: Queue
+    worker_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The decisions of one round."""
+
+    starts: tuple[Start, ...]
+    questions: tuple[Question, ...]
+
+
+class Planner:
+    """Goes through the demands in order and places what fits.
+
+    :param now: monotonic time in seconds of the round.
+    """
+
+    def __init__(
+        self,
+        cell: Cell,
+        permits: PermitBook,
+        limits_by_team: dict[str, TeamLimits],
+        now: float,
+    ) -> None:
+        self._cell = cell
+        self._permits = permits
+        self._limits_by_team = limits_by_team
+        self._now = now
+        self._starts: list[Start] = []
+        self._questions: list[Question] = []
+
+    def plan(self, demands: list[Demand], most_starts: int) -> Plan:
+        """Return what to do now; the room of starts is claimed in the cell.
+
+        :param most_starts: bound on the tasks started in this round.
+        """
+        started = 0
+        for demand in sorted(demands, key=lambda demand: demand.order):
+            if started >= most_starts:
+                break
+            started += self._serve(demand)
+        return Plan(tuple(self._starts), tuple(self._questions))
+
+    def _serve(self, demand: Demand) -> int:
+        """Start what fits of a demand; return the number of tasks."""
+        step = demand.record.step_of(demand.key)
+        waiting = [
+            key for key, task in demand.record.tasks_of(demand.key) if task.is_waiting
+        ]
+        if not waiting or (step.gang and len(waiting) < step.count):
+            return 0
+        permits = None
+        worker_ids = None
+        if demand.queue.advice is not None:
+            permits = self._permits.of(demand.record.spec.id, demand.key)
+            self._ask_about_new_workers(demand, permits)
+            worker_ids = permits.allowed_ids
+            if not worker_ids:
+                return 0
+        service = demand.queue.service
+        rooms = eligible_rooms(self._cell, service, step, self._now, worker_ids)
+        chosen = self._choose(demand, rooms, len(waiting))
+        if permits is not None and chosen:
+            chosen = self._with_permit(demand, permits, chosen, rooms, len(waiting))
+        if not chosen:
+            return 0
+        self._start(demand, waiting, chosen)
+        return len(chosen)
+
+    def _choose(
+        self, demand: Demand, rooms: list[WorkerRoom], count: int
+    ) -> list[WorkerRoom]:
+        """Return workers for the waiting tasks within the team's limit."""
+        record, key = demand.record, demand.key
+        step = record.step_of(key)
+        allowed = self._allowed_by_limit(record.spec.team, step.request, count)
+        spread = Spread.from_rooms(rooms, step, record.spec.id, key)
+        if not step.gang:
+            return pack_tasks(step, rooms, allowed, spread)
+        if allowed < step.count:
+            return []
+        return pack_gang(step, rooms, spread)
+
+    def _allowed_by_limit(self, team: str, request: Resources, count: int) -> int:
+        """Return how many of some tasks a team may start."""
+        limits = self._limits_by_team.get(team)
+        if limits is None:
+            return count
+        used = self._cell.used_by(team)
+        for allowed in range(count):
+            used = used.plus(request)
+            if not limits.allows(used):
+                return allowed
+        return count
+
+    def _ask_about_new_workers(self, demand: Demand, permits: StepPermits) -> None:
+        if permits.asking or permits.ask_after > self._now:
+            return
+        step = demand.record.step_of(demand.key)
+        service = demand.queue.service
+        rooms = eligible_rooms(self._cell, service, step, self._now, None)
+        unknown = [
+            room
+            for room in rooms
+            if room.info.id not in permits.known_ids
+            and step.counted.fits_in(room.info.capacity)
+        ]
+        if not unknown or (permits.allowed_ids and len(unknown) < len(rooms)):
+            return
+        unknown.sort(key=lambda room: -room.free.processors_milli)
+        self._ask(demand, permits, [room.info.id for room in unknown])
+
+    def _with_permit(
+        self,
+        demand: Demand,
+        permits: StepPermits,
+        chosen: list[WorkerRoom],
+        rooms: list[WorkerRoom],
+        count: int,
+    ) -> list[WorkerRoom]:
+        """Return workers with a valid permit, and ask again where it lapsed."""
+        valid = permits.valid_ids(self._now)
+        if all(room.info.id in valid for room in chosen):
+            return chosen
+        if not permits.asking and permits.ask_after <= self._now:
+            names = dict.fromkeys(room.info.id for room in chosen)
+            self._ask(demand, permits, list(names))
+        usable = [room for room in rooms if room.info.id in valid]
+        return self._choose(demand, usable, count)
+
+    def _ask(self, demand: Demand, permits: StepPermits, worker_ids: list[str]) -> None:
+        permits.asking = True
+        named = tuple(worker_ids[:MOST_NAMED])
+        question = Question(demand.record, demand.key, demand.queue, named)
+        self._questions.append(question)
+
+    def _start(
+        self, demand: Demand, waiting: list[TaskKey], chosen: list[WorkerRoom]
+    ) -> None:
+        record = demand.record
+        step = record.step_of(demand.key)
+        places = list(zip(waiting, chosen))
+        groups = [places] if step.gang else [[place] for place in places]
+        for group in groups:
+            keys = [key for key, _ in group]
+            run = record.next_run_number(keys)
+            checkpoint = record.checkpoint_for(keys)
+            for key, room in group:
+                self._claim(record, key, run, room)
+            named = tuple((key, room.info.id) for key, room in group)
+            self._starts.append(Start(record, run, named, checkpoint))
+
+    def _claim(
+        self, record: JobRecord, key: TaskKey, run: int, room: WorkerRoom
+    ) -> None:
+        record.begin_run(key, run, room.info.id, room.info.born)
+        step = record.step_of(key)
+        ref = TaskRef(record.spec.id, key, run)
+        claim = Claim(ref, record.spec.team, step.request, step.counted)
+        self._cell.claim(room.info.id, claim)
--- /dev/null
+++ b/src/lagoonpulley/platform/bodies.py
@@ -0,0 +1,110 @@
+"""Bodies of the platform's callers."""
+
+from __future__ import annotations
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, Field, ValidationError, model_validator
+
+from ..model.resources import Resources
+from ..workload.spec import JobSpec, StepSpec
+
+__all__ = ["decode_submission_body"]
+
+MS_PER_S = 1000
+MOST_SPEC_BYTES = 4000
+MOST_TASKS = 5000
+
+
+class _Step(BaseModel):
+    """A step; ``cpu`` is in thousandths of a core, ``memMb`` in megabytes."""
+
+    count: int = Field(1, ge=1, le=MOST_TASKS)
+    cpu: int = Field(0, ge=0)
+    mem_mb: int = Field(0, ge=0, alias="memMb")
+    gpu: int = Field(0, ge=0)
+    estimate_ms: float = Field(0.0, ge=0, alias="estimateMs")
+    after: list[int] = Field(default_factory=list)
+    gang: bool = False
+    same_rack: bool = Field(False, alias="sameRack")
+    requires: str = ""
+    data_rack: str = Field("", alias="dataRack")
+    max_per_server: int = Field(0, ge=0, alias="maxPerServer")
+    saves_progress: bool = Field(False, alias="savesProgress")
+    speculative: bool = False
+    long_running: bool = Field(False, alias="longRunning")
+    may_miss: int | None = Field(None, ge=0, alias="mayMiss")
+    image: str = ""
+    target_ms: float = Field(0.0, ge=0, alias="targetMs")
+    fills: bool = False
+
+    def to_spec(self) -> StepSpec:
+        """Return the step."""
+        return StepSpec(
+            count=self.count,
+            request=Resources(self.cpu, self.mem_mb, self.gpu),
+            estimate_s=self.estimate_ms / MS_PER_S,
+            after=tuple(self.after),
+            gang=self.gang,
+            same_rack=self.same_rack,
+            required_label=self.requires,
+            data_rack=self.data_rack,
+            most_per_worker=self.max_per_server,
+            saves_progress=self.saves_progress,
+            speculative=self.speculative,
+            long_running=self.long_running,
+            may_miss=self.may_miss,
+            image=self.image,
+            tail_target_s=self.target_ms / MS_PER_S,
+            backfill=self.fills,
+        )
+
+
+class _Submission(BaseModel):
+    """A job; ``startAtMs`` is when its first occurrence is due, since 1970."""
+
+    spec: str = ""
+    steps: list[_Step] = Field(min_length=1)
+    start_at_ms: float = Field(0.0, ge=0, alias="startAtMs")
+    interval_ms: float = Field(0.0, ge=0, alias="intervalMs")
+    repeat_count: int = Field(0, ge=0, le=MOST_TASKS, alias="repeatCount")
+
+    @model_validator(mode="after")
+    def _check(self) -> _Submission:
+        if len(self.spec.encode()) > MOST_SPEC_BYTES:
+            raise ValueError(f"spec is larger than {MOST_SPEC_BYTES} bytes")
+        for number, step in enumerate(self.steps):
+            if any(not 0 <= earlier < number for earlier in step.after):
+                raise ValueError(
+                    f"step {number} comes after a step that is not earlier"
+                )
+        return self
+
+
+def decode_submission_body(
+    body: bytes, job_id: str, queue: str, team: str, now: float
+) -> Result[JobSpec, str]:
+    """Return the job in the body of a request, or what is wrong with it.
+
+    :param now: present wall time in seconds.
+    """
+    try:
+        submission = _Submission.model_validate_json(body)
+    except ValidationError as error:
+        faults = "; ".join(
+            f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
+            for fault in error.errors()
+        )
+        return Error(faults)
+    return Ok(
+        JobSpec(
+            id=job_id,
+            queue=queue,
+            team=team,
+            payload=submission.spec,
+            steps=tuple(step.to_spec() for step in submission.steps),
+            submitted_at=now,
+            first_at=submission.start_at_ms / MS_PER_S,
+            interval_s=submission.interval_ms / MS_PER_S,
+            repeats=submission.repeat_count,
+        )
+    )
--- /dev/null
+++ b/src/lagoonpulley/platform/documents.py
@@ -0,0 +1,194 @@
+"""The operators' document and the workers' entries in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Literal
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, Field, ValidationError
+
+from ..model.resources import Resources
+from ..policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
+from ..upstream.directory import WorkerInfo
+
+if TYPE_CHECKING:
+    from ..store.messages import KeyValue
+
+__all__ = ["PlatformDirectory", "PlatformPolicy"]
+
+MS_PER_S = 1000
+
+
+class _Amounts(BaseModel):
+    cpu: int = 0
+    mem_mb: int = Field(0, alias="memMb")
+    gpu: int = 0
+
+    def to_resources(self) -> Resources:
+        """Return the amounts; ``cpu`` is in thousandths of a core."""
+        return Resources(self.cpu, self.mem_mb, self.gpu)
+
+
+class _Advice(BaseModel):
+    decide_ms: float = Field(0.0, alias="decideMs")
+    each_ms: float = Field(0.0, alias="eachMs")
+    valid_ms: float = Field(0.0, alias="validMs")
+
+    def to_policy(self) -> AdvicePolicy:
+        """Return the policy with its times in seconds."""
+        return AdvicePolicy(
+            self.decide_ms / MS_PER_S,
+            self.each_ms / MS_PER_S,
+            self.valid_ms / MS_PER_S,
+        )
+
+
+class _Route(BaseModel):
+    """A queue.
+
+    ``targetDurationMs`` is what a job may take beyond its own work, ``slackFactor``
+    the factor on that work.
+    """
+
+    name: str
+    host: str = ""
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = Field(1, alias="maxAttempts")
+    slack_factor: float = Field(1.0, alias="slackFactor")
+    target_ms: float = Field(0.0, alias="targetDurationMs")
+    timeout_ms: float = Field(0.0, alias="timeoutMs")
+    public: bool = False
+    advice: _Advice | None = None
+
+    def to_queue(self) -> Queue:
+        """Return the queue."""
+        return Queue(
+            self.name,
+            self.host,
+            self.prefix,
+            self.service,
+            self.priority,
+            max(1, self.max_attempts),
+            self.slack_factor,
+            self.target_ms / MS_PER_S,
+            self.timeout_ms / MS_PER_S,
+            self.public,
+            self.advice.to_policy() if self.advice else None,
+        )
+
+
+class _Service(BaseModel):
+    name: str
+    enforces_capacity: bool = Field(False, alias="enforcesCapacity")
+
+
+class _Tenant(BaseModel):
+    """A team; ``cap`` bounds what it may have running on all workers."""
+
+    name: str
+    api_keys: list[str] = Field(default_factory=list, alias="apiKeys")
+    weight: float = 1.0
+    cap: _Amounts | None = None
+
+
+class _Limits(BaseModel):
+    most_body_bytes: int = Field(0, alias="maxBodyBytes")
+
+
+class _Config(BaseModel):
+    version: int
+    routes: list[_Route] = Field(default_factory=list)
+    services: list[_Service] = Field(default_factory=list)
+    tenants: list[_Tenant] = Field(default_factory=list)
+    limits: _Limits = Field(default_factory=_Limits)
+
+
+class PlatformPolicy:
+    """Decodes the operators' document."""
+
+    key = "op/config"
+
+    def decode(self, entry: KeyValue) -> Result[Policy, str]:
+        """See :class:`~..policy.role.PolicyDecoder`."""
+        try:
+            config = _Config.model_validate_json(entry.value)
+        except ValidationError as error:
+            return Error(f"document has {error.error_count()} faults")
+        team_by_key = {
+            key: tenant.name for tenant in config.tenants for key in tenant.api_keys
+        }
+        teams = [
+            TeamLimits(
+                tenant.name,
+                tenant.weight,
+                tenant.cap.to_resources() if tenant.cap else Resources(),
+            )
+            for tenant in config.tenants
+        ]
+        return Ok(
+            Policy(
+                version=config.version,
+                key=entry.key,
+                revision=entry.revision,
+                queue_by_name={r.name: r.to_queue() for r in config.routes},
+                service_by_name={
+                    s.name: Service(s.name, s.enforces_capacity)
+                    for s in config.services
+                },
+                team_by_name={team.name: team for team in teams},
+                team_by_key=team_by_key,
+                most_body_bytes=config.limits.most_body_bytes,
+            )
+        )
+
+
+class _Server(BaseModel):
+    """A worker's entry; ``labels`` are its kind and its rack.
+
+    Fields that are read by nobody are checked too: an entry that lacks one was not
+    written by a worker.
+    """
+
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: Literal["ready", "draining"]
+    seq: int
+    capacity: _Amounts
+    labels: list[str]
+    born: int = 0
+    drain_remaining_ms: float = Field(0.0, alias="drainRemainingMs")
+
+
+class PlatformDirectory:
+    """Decodes the workers' entries."""
+
+    prefix = "servers/"
+
+    def decode(self, entry: KeyValue) -> Result[WorkerInfo, str]:
+        """See :class:`~..upstream.directory.DirectoryDecoder`."""
+        try:
+            server = _Server.model_validate_json(entry.value, strict=True)
+        except ValidationError as error:
+            return Error(f"entry has {error.error_count()} faults")
+        worker_id = entry.key.removeprefix(self.prefix)
+        if not worker_id or ":" not in server.address:
+            return Error("entry has no identifier or address")
+        return Ok(
+            WorkerInfo(
+                id=worker_id,
+                service=server.service,
+                address=server.address,
+                data_centre=server.zone,
+                capacity=server.capacity.to_resources(),
+                labels=tuple(server.labels),
+                rack=server.labels[1] if len(server.labels) > 1 else "",
+                born=server.born,
+                draining=server.state == "draining",
+                leaves_in_s=server.drain_remaining_ms / MS_PER_S,
+            )
+        )
--- /dev/null
+++ b/src/lagoonpulley/platform/entry.py
@@ -0,0 +1,139 @@
+"""Assembly of one entry on the platform."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+from ..gateway.http_server import GatewayServer
+from ..intake.role import IntakeRole
+from ..intake.standing import Standing
+from ..owner.advisor_role import AdvisorRole
+from ..owner.messages import Resign
+from ..owner.role import OwnerRole
+from ..owner.session import EntryDocument, SessionRole
+from ..owner.settings import OwnerSettings
+from ..peers.port import PeersPort
+from ..policy.role import PolicyRole
+from ..runtime.actors import Runtime, read_clocks
+from ..runtime.role import PEERS, STORE, UPSTREAM
+from ..settings.schema import ListenSettings
+from .documents import PlatformDirectory, PlatformPolicy
+from .gateway import PlatformGateway, ReadinessApp
+from .ports import HttpPort, StoreHttpPort
+from .store import PlatformStoreCodec
+from .workers import PlatformWorkerCodec
+
+if TYPE_CHECKING:
+    import threading
+
+    from .settings import PlatformSettings
+
+__all__ = ["PlatformEntry"]
+
+STANDING = "standing"
+CALLER_THREADS = 16
+READINESS_THREADS = 1
+RESIGN_S = 0.3
+
+
+class PlatformEntry:
+    """All roles and ports of one entry in this process."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._runtime = Runtime()
+        self._standing = Standing(read_clocks)
+        self._peers = PeersPort(settings.ip, settings.peer_port, self._runtime.deliver)
+        gateway = PlatformGateway(self._runtime, self._standing, read_clocks)
+        self._callers = GatewayServer(
+            _listen(settings.callers_address, CALLER_THREADS), gateway
+        )
+        self._readiness = GatewayServer(
+            _listen(settings.ready_address, READINESS_THREADS),
+            ReadinessApp(self._standing),
+        )
+        self._add_ports()
+        self._add_roles()
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> PlatformEntry:
+        """Create an entry; its sockets are open but nothing runs yet.
+
+        :raises OSError: when an address cannot be bound.
+        """
+        return cls(settings)
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._runtime.start()
+        self._callers.start()
+        self._readiness.start()
+
+    def drain(self, deadline_s: float, at_once: threading.Event) -> None:
+        """Turn away new callers, give up ownership and let requests finish.
+
+        :param deadline_s: longest time to spend, in seconds.
+        :param at_once: ends the wait when set.
+        """
+        self._standing.stop()
+        self._runtime.deliver("session", Resign())
+        at_once.wait(min(RESIGN_S, deadline_s))
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._callers.close()
+        self._readiness.close()
+        self._runtime.stop()
+
+    def _add_ports(self) -> None:
+        settings, runtime = self._settings, self._runtime
+        store = StoreHttpPort(
+            PlatformStoreCodec(settings.store_address),
+            runtime.deliver,
+            STANDING,
+            read_clocks,
+        )
+        workers = HttpPort(
+            "upstream-port",
+            PlatformWorkerCodec(settings.advisor_address),
+            runtime.deliver,
+        )
+        runtime.add_port(STORE, store)
+        runtime.add_port(UPSTREAM, workers)
+        runtime.add_port(PEERS, self._peers)
+        runtime.add_port(STANDING, self._standing)
+
+    def _add_roles(self) -> None:
+        settings = self._settings
+        document = EntryDocument(
+            name=settings.entry_id,
+            life=uuid.uuid4().hex,
+            peer_address=self._peers.address,
+            data_centre=settings.data_centre,
+        )
+        owner = OwnerRole(
+            OwnerSettings(
+                entry_id=settings.entry_id,
+                longest_worker_lease_s=settings.longest_worker_lease_s,
+                early_s=settings.early_s,
+                retention_s=settings.retention_s,
+            ),
+            PlatformDirectory(),
+        )
+        chance = random.Random(f"{settings.entry_id}:{time.time_ns()}")
+        for role in (
+            PolicyRole(PlatformPolicy(), (STANDING, OwnerRole.name)),
+            SessionRole(document, OwnerRole.name, chance),
+            IntakeRole(),
+            AdvisorRole(),
+            owner,
+        ):
+            self._runtime.add_role(role)
+
+
+def _listen(address: str, threads: int) -> ListenSettings:
+    host, _, port = address.rpartition(":")
+    return ListenSettings(host=host, http_port=int(port), http_threads=threads)
--- /dev/null
+++ b/src/lagoonpulley/platform/gateway.py
@@ -0,0 +1,179 @@
+"""The platform's callers: their requests as operations, and outcomes as answers."""
+
+from __future__ import annotations
+
+import itertools
+import re
+import time
+from typing import TYPE_CHECKING, Any, Protocol
+
+from werkzeug.exceptions import RequestEntityTooLarge
+from werkzeug.wrappers import Request, Response
+
+from ..intake.messages import (
+    CancelJob,
+    Outcome,
+    OutcomeKind,
+    ReadPending,
+    ReadState,
+    SubmitJob,
+)
+from .bodies import decode_submission_body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ..intake.standing import Standing
+    from ..policy.values import Policy, Queue
+    from ..runtime.role import Now
+
+__all__ = ["PlatformGateway", "ReadinessApp"]
+
+MS_PER_S = 1000
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+MOST_BODY_BYTES = 262_144
+DEFAULT_TIMEOUT_S = 3.0
+LONGEST_TIMEOUT_S = 10.0
+RETRY_AFTER_S = "1"
+POLICY_ATTEMPTS = 12
+POLICY_PAUSE_S = 0.04
+
+_STATUS_BY_KIND = {
+    OutcomeKind.DONE: 200,
+    OutcomeKind.REFUSED: 503,
+    OutcomeKind.UNKNOWN: 504,
+    OutcomeKind.MISSING: 410,
+    OutcomeKind.OTHER_TEAM: 403,
+    OutcomeKind.POLICY_CHANGED: 503,
+}
+
+
+class _Runtime(Protocol):
+    def call(
+        self, to: str, operation: Any, timeout_s: float, request_id: str
+    ) -> Outcome:
+        """Send a request to a role and wait for its result."""
+        ...
+
+
+class PlatformGateway:
+    """WSGI application for callers."""
+
+    def __init__(
+        self, runtime: _Runtime, standing: Standing, clocks: Callable[[], Now]
+    ) -> None:
+        self._runtime = runtime
+        self._standing = standing
+        self._clocks = clocks
+        self._request_numbers = itertools.count()
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request."""
+        request = Request(environ)
+        request.max_content_length = MOST_BODY_BYTES
+        try:
+            response = self._answer(request)
+        except RequestEntityTooLarge:
+            response = Response(status=413)
+        return response(environ, start_response)
+
+    def _answer(self, request: Request) -> Response:
+        for _ in range(POLICY_ATTEMPTS):
+            policy = self._standing.policy
+            if policy is None or not self._standing.has_store():
+                return _not_run("no contact with the store")
+            outcome = self._perform(request, policy)
+            if isinstance(outcome, Response):
+                return outcome
+            if outcome.kind is not OutcomeKind.POLICY_CHANGED:
+                return _to_response(outcome, request)
+            time.sleep(POLICY_PAUSE_S)
+        return _not_run("the policy changes too often")
+
+    def _perform(self, request: Request, policy: Policy) -> Outcome | Response:
+        queue = policy.find_queue(request.host.partition(":")[0], request.path)
+        if queue is None:
+            return Response(status=404)
+        key = request.headers.get("X-Api-Key", "")
+        team = policy.team_by_key.get(key)
+        if team is None and not queue.is_public:
+            return Response(status=401)
+        tail = request.path[len(queue.prefix) :]
+        if request.method == "GET" and not tail:
+            return self._call(ReadPending(queue.name), request)
+        if JOB_ID.fullmatch(tail) is None:
+            return Response(status=404)
+        return self._perform_on_job(request, policy, queue, team or "", tail)
+
+    def _perform_on_job(
+        self, request: Request, policy: Policy, queue: Queue, team: str, job_id: str
+    ) -> Outcome | Response:
+        match request.method:
+            case "GET":
+                return self._call(ReadState(job_id, team), request)
+            case "DELETE":
+                return self._call(CancelJob(job_id, team), request)
+            case "POST":
+                return self._submit(request, policy, queue, team, job_id)
+        return Response(status=405)
+
+    def _submit(
+        self, request: Request, policy: Policy, queue: Queue, team: str, job_id: str
+    ) -> Outcome | Response:
+        wall = self._clocks().wall
+        body = request.get_data()
+        decoded = decode_submission_body(body, job_id, queue.name, team, wall)
+        if decoded.is_error():
+            return Response(decoded.error, status=400)
+        return self._call(SubmitJob(decoded.ok, policy.key, policy.revision), request)
+
+    def _call(self, operation: Any, request: Request) -> Outcome:
+        timeout_s = _timeout_s(request)
+        request_id = f"caller:{next(self._request_numbers)}"
+        try:
+            return self._runtime.call("intake", operation, timeout_s, request_id)
+        except TimeoutError:
+            return Outcome(OutcomeKind.UNKNOWN, "no outcome in time")
+
+
+class ReadinessApp:
+    """WSGI application for the balancer's readiness question."""
+
+    def __init__(self, standing: Standing) -> None:
+        self._standing = standing
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer whether callers should be sent here."""
+        request = Request(environ)
+        if request.path != "/api/readyz":
+            return Response(status=404)(environ, start_response)
+        status = 200 if self._standing.is_ready() else 503
+        return Response(status=status)(environ, start_response)
+
+
+def _timeout_s(request: Request) -> float:
+    """Return how long the caller waits, as its header says."""
+    try:
+        timeout_s = float(request.headers.get("Deadline-Ms", "")) / MS_PER_S
+    except ValueError:
+        return DEFAULT_TIMEOUT_S
+    return min(max(timeout_s, 0.0), LONGEST_TIMEOUT_S)
+
+
+def _to_response(outcome: Outcome, request: Request) -> Response:
+    if outcome.kind is OutcomeKind.REFUSED:
+        return _not_run(outcome.reason)
+    status = _STATUS_BY_KIND[outcome.kind]
+    if outcome.kind is not OutcomeKind.DONE:
+        return Response(status=status)
+    body = "{}"
+    if request.method == "GET" and outcome.state is not None:
+        body = f'{{"state":"{outcome.state.value}"}}'
+    elif request.method == "GET":
+        body = f'{{"pending":{outcome.pending}}}'
+    return Response(body, status=status, content_type="application/json")
+
+
+def _not_run(reason: str) -> Response:
+    """Return an answer that says that the request has not run and never will."""
+    return Response(reason, status=503, headers={"Retry-After": RETRY_AFTER_S})
--- /dev/null
+++ b/src/lagoonpulley/platform/ports.py
@@ -0,0 +1,79 @@
+"""Ports to the platform's store, workers and advisor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+from ..intake.standing import StoreSeen
+from ..runtime.curl import CurlLoop
+from ..runtime.role import CallFailed, Reply, Request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..runtime.curl import HttpAnswer, HttpCall, HttpFailure
+    from ..runtime.role import Now
+
+__all__ = ["Codec", "HttpPort", "StoreHttpPort"]
+
+
+class Codec(Protocol):
+    """Form of some operations as HTTP calls."""
+
+    def encode(self, operation: Any, timeout_s: float) -> HttpCall:
+        """Return the HTTP call of an operation."""
+        ...
+
+    def decode(self, operation: Any, outcome: HttpAnswer | HttpFailure) -> Any:
+        """Return the result that an outcome stands for."""
+        ...
+
+
+class HttpPort:
+    """Performs operations over HTTP and replies to the role that asked."""
+
+    def __init__(
+        self, name: str, codec: Codec, deliver: Callable[[str, Any], None]
+    ) -> None:
+        self._codec = codec
+        self._deliver = deliver
+        self._loop = CurlLoop(name)
+
+    def submit(self, message: Request) -> None:
+        """Start one operation."""
+        operation = message.operation
+        call = self._codec.encode(operation, message.timeout_s)
+
+        def complete(outcome: HttpAnswer | HttpFailure) -> None:
+            result = self._codec.decode(operation, outcome)
+            self.note(result)
+            self._deliver(message.reply_to, Reply(message.request_id, result))
+
+        self._loop.submit(call, complete)
+
+    def note(self, result: Any) -> None:
+        """See each result before it is delivered."""
+
+    def close(self) -> None:
+        """Stop the port's thread."""
+        self._loop.close()
+
+
+class StoreHttpPort(HttpPort):
+    """Tells a listener whenever the store has answered."""
+
+    def __init__(
+        self,
+        codec: Codec,
+        deliver: Callable[[str, Any], None],
+        listener: str,
+        clocks: Callable[[], Now],
+    ) -> None:
+        super().__init__("store-port", codec, deliver)
+        self._listener = listener
+        self._clocks = clocks
+
+    def note(self, result: Any) -> None:
+        """Pass on that the store has answered."""
+        if not isinstance(result, CallFailed):
+            self._deliver(self._listener, StoreSeen(self._clocks().mono))
--- /dev/null
+++ b/src/lagoonpulley/platform/settings.py
@@ -0,0 +1,124 @@
+"""The settings file that the platform lays for each process."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+import yaml
+from expression import Error, Ok, Result
+from pydantic import BaseModel, Field, ValidationError
+
+__all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
+
+SETTINGS_VARIABLE = "LAGOONPULLEY_SETTINGS"
+MS_PER_S = 1000
+
+
+class _Listen(BaseModel):
+    """Addresses to serve: ``front`` to callers, ``ready`` to the balancer."""
+
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Bounds(BaseModel):
+    hold_max_ms: int = Field(6000, alias="holdMaxMs")
+    stop_ms: int = Field(200, alias="stopMs")
+    gang_ms: int = Field(3000, alias="gangMs")
+    early_ms: int = 250
+    status_s: int = 120
+    grace_s: float = Field(6.0, alias="graceS")
+
+
+class _Platform(BaseModel):
+    address: str
+    ttl_min_ms: int = Field(1000, alias="ttlMinMs")
+
+
+class _Cloud(BaseModel):
+    address: str = ""
+
+
+class _File(BaseModel):
+    node: str
+    zone: str
+    ip: str
+    listen: _Listen
+    port_range: tuple[int, int] = Field(alias="portRange")
+    platform: _Platform
+    bounds: _Bounds = Field(default_factory=_Bounds)
+    advice: str = ""
+    cloud: _Cloud | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Settings of one entry on the platform.
+
+    Addresses are ``IP:PORT``, times are in seconds. ``longest_worker_lease_s`` is
+    the longest time that a worker keeps what runs without being told to.
+    """
+
+    entry_id: str
+    data_centre: str
+    ip: str
+    callers_address: str
+    ready_address: str
+    peer_port: int
+    store_address: str
+    advisor_address: str
+    longest_worker_lease_s: float
+    stop_s: float
+    gang_wait_s: float
+    early_s: float
+    retention_s: float
+    stop_deadline_s: float
+    shortest_session_s: float
+
+
+def read_settings(path: str | None = None) -> Result[PlatformSettings, str]:
+    """Read and check the settings file.
+
+    :param path: the file, or ``None`` for the one that the environment names.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        return Error(f"{SETTINGS_VARIABLE} names no settings file")
+    try:
+        content = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+        file = _File.model_validate(content)
+    except OSError as error:
+        return Error(f"{path}: {error.strerror}")
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        return Error(f"{path}: not YAML: {error}")
+    except ValidationError as error:
+        faults = "; ".join(
+            f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
+            for fault in error.errors()
+        )
+        return Error(f"{path}: {faults}")
+    return Ok(_to_settings(file))
+
+
+def _to_settings(file: _File) -> PlatformSettings:
+    bounds = file.bounds
+    return PlatformSettings(
+        entry_id=file.node,
+        data_centre=file.zone,
+        ip=file.ip,
+        callers_address=file.listen.front,
+        ready_address=file.listen.ready,
+        peer_port=file.port_range[0],
+        store_address=file.platform.address,
+        advisor_address=file.advice,
+        longest_worker_lease_s=bounds.hold_max_ms / MS_PER_S,
+        stop_s=bounds.stop_ms / MS_PER_S,
+        gang_wait_s=bounds.gang_ms / MS_PER_S,
+        early_s=bounds.early_ms / MS_PER_S,
+        retention_s=float(bounds.status_s),
+        stop_deadline_s=bounds.grace_s,
+        shortest_session_s=file.platform.ttl_min_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/src/lagoonpulley/platform/workers.py
@@ -0,0 +1,196 @@
+"""The platform's workers and its advisor over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from pydantic import BaseModel, Field, ValidationError
+
+from ..model.verdict import Ran
+from ..runtime.curl import HttpAnswer, HttpCall, HttpFailure
+from ..runtime.role import CallFailed
+from ..upstream.tasks import (
+    Advice,
+    AskAdvice,
+    CommandAccepted,
+    CommandRefused,
+    Ended,
+    Refusal,
+    Running,
+    StartTask,
+    StopTask,
+    SyncWorker,
+    TaskRef,
+    ThrottleTask,
+    WorkerReport,
+)
+from ..workload.record import EndKind
+from ..workload.spec import TaskKey
+
+__all__ = ["PlatformWorkerCodec", "WorkerOperation"]
+
+MS_PER_S = 1000
+
+WorkerOperation = StartTask | StopTask | ThrottleTask | SyncWorker | AskAdvice
+
+OK = 200
+WRONG_LIFE = 421
+NOTHING_DONE = frozenset((429, 503))
+
+_REFUSAL_BY_STATUS = {
+    400: Refusal.INVALID,
+    WRONG_LIFE: Refusal.OTHER_LIFE,
+    429: Refusal.UNHEALTHY,
+    503: Refusal.UNHEALTHY,
+}
+_REFUSAL_BY_WORD = {
+    "fence": Refusal.FENCED,
+    "old": Refusal.OLD,
+    "late": Refusal.LATE,
+    "room": Refusal.NO_ROOM,
+    "ticket": Refusal.PERMIT,
+}
+
+
+class _Body(BaseModel):
+    """Union of the fields of the workers' and the advisor's answers.
+
+    ``running`` holds rows of task, run, checkpoint, percent and load, ``finished``
+    rows of number, task, run, kind and checkpoint.
+    """
+
+    clock_ms: int | None = Field(None, alias="clockMs")
+    born: int = 0
+    reason: str = ""
+    running: list[list[Any]] = Field(default_factory=list)
+    finished: list[tuple[int, str, int, str, str]] = Field(default_factory=list)
+    good: list[tuple[str, str]] = Field(default_factory=list)
+    valid_ms: float = Field(0, alias="validMs")
+
+
+class PlatformWorkerCodec:
+    """Encodes commands as HTTP calls and decodes the answers."""
+
+    def __init__(self, advisor_address: str) -> None:
+        self._advisor_url = f"http://{advisor_address}/api/advise"
+
+    def encode(self, operation: WorkerOperation, timeout_s: float) -> HttpCall:
+        """Return the HTTP call of a command."""
+        if isinstance(operation, AskAdvice):
+            step = f"{operation.job_id}.{operation.occurrence}.{operation.step}"
+            body = {"step": step, "workers": list(operation.worker_ids)}
+            return HttpCall("POST", self._advisor_url, _dump(body), timeout_s)
+        path, body = _path_and_body(operation)
+        headers = (
+            "Content-Type: application/json",
+            f"Expected-Instance: {operation.to.worker_id}",
+        )
+        url = f"http://{operation.to.address}{path}"
+        return HttpCall("POST", url, _dump(body), timeout_s, headers)
+
+    def decode(
+        self, operation: WorkerOperation, outcome: HttpAnswer | HttpFailure
+    ) -> Advice | WorkerReport | CommandAccepted | CommandRefused | CallFailed:
+        """Return the result that an HTTP answer stands for."""
+        if isinstance(outcome, HttpFailure):
+            return CallFailed(outcome.ran, outcome.reason)
+        try:
+            body = _Body.model_validate_json(outcome.body or b"{}")
+        except ValidationError as error:
+            if outcome.status == OK:
+                count = error.error_count()
+                return CallFailed(Ran.MAYBE, f"worker answer has {count} faults")
+            body = _Body()
+        if outcome.status != OK:
+            return _refusal(operation, outcome.status, body)
+        if isinstance(operation, AskAdvice):
+            return Advice(dict(body.good), body.valid_ms / MS_PER_S)
+        if body.clock_ms is None:
+            return CallFailed(Ran.MAYBE, "worker answer has no clock")
+        if isinstance(operation, SyncWorker):
+            return _report(body)
+        return CommandAccepted(body.clock_ms)
+
+
+def _refusal(
+    operation: WorkerOperation, status: int, body: _Body
+) -> CommandRefused | CallFailed:
+    if isinstance(operation, AskAdvice):
+        return CallFailed(Ran.NO, f"advisor answered {status}")
+    reason = _REFUSAL_BY_WORD.get(body.reason) or _REFUSAL_BY_STATUS.get(status)
+    if reason is None:
+        return CallFailed(Ran.MAYBE, f"worker answered {status} {body.reason}")
+    return CommandRefused(reason, body.clock_ms)
+
+
+def _path_and_body(operation: Any) -> tuple[str, dict[str, Any]]:
+    match operation:
+        case StartTask():
+            body = _run_of(operation.ref) | {
+                "spec": operation.payload,
+                "deadlineMs": operation.not_after_ms,
+                "fencingToken": operation.token,
+            }
+            if operation.checkpoint:
+                body["checkpoint"] = operation.checkpoint
+            if operation.permit:
+                body["ticket"] = operation.permit
+            return "/api/run-start", body
+        case StopTask():
+            body = _run_of(operation.ref) | {"fencingToken": operation.token}
+            return "/api/run-stop", body
+        case ThrottleTask():
+            body = _run_of(operation.ref) | {
+                "percent": operation.percent,
+                "fencingToken": operation.token,
+            }
+            return "/api/pace", body
+        case SyncWorker():
+            body = {
+                "fencingToken": operation.token,
+                "ackedSeq": operation.acknowledged,
+            }
+            if operation.lease_until_ms is not None:
+                body["deadlineMs"] = operation.lease_until_ms
+            if operation.wait_s > 0:
+                body["waitMs"] = int(operation.wait_s * MS_PER_S)
+            return "/api/hold", body
+    raise TypeError(f"unknown command {type(operation).__name__}")
+
+
+def _run_of(ref: TaskRef) -> dict[str, Any]:
+    name = f"{ref.job_id}.{ref.key.occurrence}.{ref.key.step}.{ref.key.index}"
+    return {"task": name, "run": ref.run}
+
+
+def _parse_ref(name: str, run: int) -> TaskRef | None:
+    job_id, *parts = name.split(".")
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+        return None
+    return TaskRef(job_id, TaskKey(*map(int, parts)), run)
+
+
+def _report(body: _Body) -> WorkerReport | CallFailed:
+    running = []
+    for row in body.running:
+        if len(row) < 4:
+            return CallFailed(Ran.MAYBE, "worker lists a run with too few fields")
+        ref = _parse_ref(str(row[0]), int(row[1]))
+        if ref is None:
+            continue
+        load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+        running.append(Running(ref, str(row[2] or ""), int(row[3]), load))
+    ended = []
+    for number, name, run, how, saved in body.finished:
+        ref = _parse_ref(name, run)
+        if ref is None:
+            continue
+        ended.append(Ended(number, ref, EndKind(how), saved))
+    return WorkerReport(
+        int(body.clock_ms or 0), body.born, tuple(running), tuple(ended)
+    )
+
+
+def _dump(body: dict[str, Any]) -> bytes:
+    return json.dumps(body, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/lagoonpulley/policy/__init__.py
@@ -0,0 +1,1 @@
+"""What operators set: queues, services, teams, keys and limits."""
--- /dev/null
+++ b/src/lagoonpulley/policy/role.py
@@ -0,0 +1,103 @@
+"""Follows the operators' document in the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+from ..observability.events import log_event
+from ..runtime.flows import Call, Flow, FlowRole, Sleep
+from ..runtime.role import STORE, CallFailed
+from ..store.messages import Get, StoreStatus, WatchPrefix
+from .messages import PolicyChanged
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from ..store.messages import KeyValue, StoreResult
+    from .values import Policy
+
+__all__ = ["PolicyDecoder", "PolicyRole"]
+
+# A watch that stays silent longer than its wait is taken for broken.
+WATCH_WAIT_S = 0.8
+WATCH_TIMEOUT_S = 1.2
+READ_TIMEOUT_S = 0.8
+RETRY_PAUSE_S = 0.1
+
+
+class PolicyDecoder(Protocol):
+    """Reads the stored form of a policy."""
+
+    key: str
+
+    def decode(self, entry: KeyValue) -> Result[Policy, str]:
+        """Return the policy, or what is wrong with it."""
+        ...
+
+
+class PolicyRole(FlowRole):
+    """Reads the document, watches it, and announces each higher version.
+
+    :param listeners: roles and ports that are told of each version.
+    """
+
+    name = "policy"
+
+    def __init__(self, decoder: PolicyDecoder, listeners: tuple[str, ...]) -> None:
+        super().__init__("policy")
+        self._decoder = decoder
+        self._listeners = listeners
+        self._version = 0
+        self._running = False
+
+    def receive(self, message: Any) -> None:
+        """Begin to follow the document at the first tick."""
+        if not self._running:
+            self._running = True
+            self.start(self._follow())
+
+    def _follow(self) -> Flow:
+        revision = 0
+        while True:
+            if not revision:
+                revision = yield from self._read()
+                continue
+            watch = WatchPrefix(self._decoder.key, revision, WATCH_WAIT_S)
+            result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
+            if isinstance(result, CallFailed):
+                log_event("policy_watch_failed", reason=result.reason)
+                revision = 0
+                continue
+            if result.status is not StoreStatus.OK:
+                revision = 0
+                continue
+            revision = max(revision, result.revision)
+            for entry in result.entries:
+                self._take(entry)
+
+    def _read(self) -> Flow:
+        """Read the document; return the store's revision, or 0 after a failure."""
+        result: StoreResult | CallFailed
+        result = yield Call(STORE, Get(self._decoder.key), READ_TIMEOUT_S)
+        if isinstance(result, CallFailed):
+            log_event("policy_read_failed", reason=result.reason)
+            yield Sleep(RETRY_PAUSE_S)
+            return 0
+        if result.entry is not None:
+            self._take(result.entry)
+        return result.revision
+
+    def _take(self, entry: KeyValue) -> None:
+        if entry.key != self._decoder.key:
+            return
+        decoded = self._decoder.decode(entry)
+        if decoded.is_error():
+            log_event("policy_refused", revision=entry.revision, reason=decoded.error)
+            return
+        policy = decoded.ok
+        if policy.version <= self._version:
+            return
+        self._version = policy.version
+        log_event("policy_in_force", version=policy.version, revision=policy.revision)
+        for listener in self._listeners:
+            self.emit(listener, PolicyChanged(policy))
--- a/src/lagoonpulley/store/messages.py
+++ b/src/lagoonpulley/store/messages.py
@@ -15,12 +15,16 @@
     "ListInstances",
     "ListKeys",
     "Put",
+    "ReadRange",
     "RenewLease",
     "RevokeLease",
     "StoreOperation",
     "StoreResult",
     "StoreStatus",
+    "Transaction",
     "Watch",
+    "WatchPrefix",
+    "Write",
 ]
 
 ABSENT = 0
@@ -106,6 +110,53 @@
     wait_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Write:
+    """One key of a transaction and its new value; it vanishes with ``lease_id``."""
+
+    key: str
+    value: str
+    lease_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Transaction:
+    """Change several keys at once, if each of ``expected`` has its revision.
+
+    A revision of :data:`ABSENT` means that the key does not exist. A conflict
+    returns the present state of the expected keys that exist.
+    """
+
+    expected: tuple[tuple[str, int], ...] = ()
+    puts: tuple[Write, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRange:
+    """Read one page of the keys that begin with ``prefix``.
+
+    The page begins behind the key ``after``. A ``stale`` read is cheaper, and what
+    it returns may be seconds old.
+    """
+
+    prefix: str
+    after: str = ""
+    stale: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WatchPrefix:
+    """Wait up to ``wait_s`` seconds for changes after a revision.
+
+    :attr:`StoreStatus.NOT_FOUND` means that the store no longer has the history.
+    """
+
+    prefix: str
+    after: int
+    wait_s: float
+
+
 StoreOperation = (
     Get
     | Put
@@ -116,6 +167,9 @@
     | RevokeLease
     | Watch
     | ListInstances
+    | Transaction
+    | ReadRange
+    | WatchPrefix
 )
 
 
@@ -129,12 +183,17 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyValue:
-    """One key with its value and the revision of its last write."""
+    """One key with its value and the revision of its last write.
+
+    ``created`` is the revision of its creation. A ``deleted`` key has no value.
+    """
 
     key: str
     value: str
     revision: int
     write_id: str = ""
+    created: int = 0
+    deleted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,7 +220,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreResult:
-    """What the store answered; fields depend on the operation."""
+    """What the store answered; fields depend on the operation.
+
+    ``revision`` is the store's, ``truncated`` says that more keys follow a page.
+    """
 
     status: StoreStatus
     entry: KeyValue | None = None
@@ -169,6 +231,8 @@
     lease_id: str = ""
     instances: tuple[Instance, ...] = ()
     revision: int = 0
+    truncated: bool = False
+    ttl_s: float = 0.0
 
     @property
     def ok(self) -> bool:
--- /dev/null
+++ b/src/lagoonpulley/workload/documents.py
@@ -0,0 +1,179 @@
+"""Documents of jobs in the store: submission, progress and final state."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+
+from .record import GangFailures, JobRecord, JobState, Run
+from .spec import JobSpec, StepKey, TaskKey
+
+__all__ = [
+    "CancelDocument",
+    "FinalDocument",
+    "JobKeys",
+    "ProgressDocument",
+    "decode_final",
+    "decode_progress",
+    "decode_submission",
+    "encode_submission",
+]
+
+FORMAT = 1
+JOBS_PREFIX = "lagoonpulley/jobs/"
+PROGRESS_PREFIX = "lagoonpulley/progress/"
+SUBMISSION = "submission"
+FINAL = "final"
+CANCEL = "cancel"
+
+
+@dataclass(frozen=True, slots=True)
+class JobKeys:
+    """Store keys of one job.
+
+    Submission, cancellation and final state stand under one prefix, so that one
+    read tells what a caller may see; progress, which changes often, stands apart.
+    """
+
+    job_id: str
+
+    @property
+    def prefix(self) -> str:
+        """Prefix of all that a caller's request changes or reads."""
+        return f"{JOBS_PREFIX}{self.job_id}/"
+
+    @property
+    def submission(self) -> str:
+        """Key of the job as submitted; gone once the job is final."""
+        return self.prefix + SUBMISSION
+
+    @property
+    def cancel(self) -> str:
+        """Key of a caller's wish to cancel."""
+        return self.prefix + CANCEL
+
+    @property
+    def final(self) -> str:
+        """Key of the final state."""
+        return self.prefix + FINAL
+
+    @property
+    def progress(self) -> str:
+        """Key of the owner's record."""
+        return PROGRESS_PREFIX + self.job_id
+
+    @staticmethod
+    def parse(key: str) -> tuple[str, str] | None:
+        """Return the job and the kind of document of a key under the prefix."""
+        job_id, _, kind = key.removeprefix(JOBS_PREFIX).partition("/")
+        if not key.startswith(JOBS_PREFIX) or not kind:
+            return None
+        return job_id, kind
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    format: Literal[1] = FORMAT
+
+
+class CancelDocument(_Document):
+    """A caller's wish to cancel a job; ``wanted_at`` is wall time in seconds."""
+
+    wanted_at: float
+
+
+class FinalDocument(_Document):
+    """Final state of a job; ``ended_at`` is wall time in seconds."""
+
+    state: JobState
+    team: str
+    ended_at: float
+    reason: str = ""
+
+
+# Task in a progress document: occurrence, step, index, last run, worker of the
+# present run (empty if none), lifetime of that worker, done, failures, checkpoint.
+TaskRow = tuple[
+    int, int, int, int, str, int, bool, int, Annotated[str, Field(max_length=4096)]
+]
+
+
+class ProgressDocument(_Document):
+    """The owner's record of a job; tasks that never started are left out."""
+
+    state: JobState
+    tasks: list[TaskRow]
+    gang_failures: list[tuple[int, int, int, int]] = []
+
+    @classmethod
+    def from_record(cls, record: JobRecord) -> ProgressDocument:
+        """Create the document of a record."""
+        rows: list[TaskRow] = []
+        for key, task in record.task_by_key.items():
+            if not task.last_run and not task.done:
+                continue
+            worker_id = task.run.worker_id if task.run else ""
+            born = task.run.born if task.run else 0
+            tail = (task.done, task.failures, task.checkpoint)
+            rows.append((*key, task.last_run, worker_id, born, *tail))
+        failures = [
+            (*key, failures.count, failures.last_run)
+            for key, failures in record.gang_failures_by_step.items()
+        ]
+        return cls(state=record.state, tasks=rows, gang_failures=failures)
+
+    def apply_to(self, record: JobRecord) -> None:
+        """Set a fresh record to what the document says."""
+        record.state = self.state
+        for *key_parts, last_run, worker_id, born, done, failures, saved in self.tasks:
+            key = TaskKey(*key_parts)
+            task = record.task_by_key.get(key)
+            if task is None:
+                continue
+            task.last_run = last_run
+            task.run = Run(last_run, worker_id, born) if worker_id else None
+            task.failures = failures
+            task.checkpoint = saved
+            if done:
+                task.done = True
+                count = record.done_count_by_step.get(key.step_key, 0)
+                record.done_count_by_step[key.step_key] = count + 1
+        for occurrence, step, count, last_run in self.gang_failures:
+            failures = GangFailures(count, last_run)
+            record.gang_failures_by_step[StepKey(occurrence, step)] = failures
+
+
+_SUBMISSION = TypeAdapter(JobSpec)
+
+
+def encode_submission(spec: JobSpec) -> str:
+    """Return the stored form of a submitted job."""
+    return _SUBMISSION.dump_json(spec, exclude_defaults=True).decode()
+
+
+def decode_submission(value: str) -> Result[JobSpec, str]:
+    """Return the job that a stored submission holds, or what is wrong with it."""
+    try:
+        return Ok(_SUBMISSION.validate_json(value))
+    except ValidationError as error:
+        return Error(f"submission not understood: {error.error_count()} faults")
+
+
+def decode_progress(value: str) -> Result[ProgressDocument, str]:
+    """Return a stored progress document, or what is wrong with it."""
+    try:
+        return Ok(ProgressDocument.model_validate_json(value))
+    except ValidationError as error:
+        return Error(f"progress not understood: {error.error_count()} faults")
+
+
+def decode_final(value: str) -> Result[FinalDocument, str]:
+    """Return a stored final state, or what is wrong with it."""
+    try:
+        return Ok(FinalDocument.model_validate_json(value))
+    except ValidationError as error:
+        return Error(f"final state not understood: {error.error_count()} faults")
