Keep final states over a takeover, and survive SIGHUP

SIGHUP, which says that the settings changed, ended the process (exits of its own). Change: a final state is taken from its own document only; SIGHUP and a check each second read the settings file again, and new addresses apply at once.

--- a/src/lagoonpulley/cli/platform.py
+++ b/src/lagoonpulley/cli/platform.py
@@ -9,6 +9,7 @@
 from ..observability.events import log_event
 from ..observability.logs import configure_stdout_logging
 from ..platform.entry import PlatformEntry
+from ..platform.reload import CHECK_EVERY_S, SettingsFollower
 from ..platform.settings import read_settings
 from .errors import EXIT_DONE, EXIT_REFUSED, EXIT_USAGE, CommandError
 
@@ -17,8 +18,6 @@
 
 __all__ = ["register"]
 
-SIGNAL_CHECK_S = 0.5
-
 
 def register(subparsers: Any) -> None:
     """Add the subcommand."""
@@ -56,11 +55,13 @@
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     entry = PlatformEntry.from_settings(settings.ok)
+    follower = SettingsFollower(options.file, settings.ok, entry.apply_settings)
+    signal.signal(signal.SIGHUP, lambda _number, _frame: follower.ask())
     entry.start()
     log_event("started", entry_id=settings.ok.entry_id)
     # A bounded wait, so that a signal that comes just before it is not missed.
-    while not stop.wait(SIGNAL_CHECK_S):
-        continue
+    while not stop.wait(CHECK_EVERY_S):
+        follower.check()
     log_event("stopping")
     entry.drain(settings.ok.stop_deadline_s, stop_at_once)
     if stop_at_once.is_set():
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -44,6 +44,8 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
+        self._store_codec = PlatformStoreCodec(settings.store_address)
+        self._worker_codec = PlatformWorkerCodec(settings.advisor_address)
         self._runtime = Runtime()
         self._standing = Standing(read_clocks)
         self._peers = PeersPort(settings.ip, settings.peer_port, self._runtime.deliver)
@@ -72,6 +74,15 @@
         self._callers.start()
         self._readiness.start()
 
+    def apply_settings(self, settings: PlatformSettings) -> None:
+        """Use new addresses of the store and the advisor from now on.
+
+        What else changed takes effect at the next start.
+        """
+        self._settings = settings
+        self._store_codec.set_address(settings.store_address)
+        self._worker_codec.set_advisor(settings.advisor_address)
+
     def drain(self, deadline_s: float, at_once: threading.Event) -> None:
         """Turn away new callers, give up ownership and let requests finish.
 
@@ -89,18 +100,9 @@
         self._runtime.stop()
 
     def _add_ports(self) -> None:
-        settings, runtime = self._settings, self._runtime
-        store = StoreHttpPort(
-            PlatformStoreCodec(settings.store_address),
-            runtime.deliver,
-            STANDING,
-            read_clocks,
-        )
-        workers = HttpPort(
-            "upstream-port",
-            PlatformWorkerCodec(settings.advisor_address),
-            runtime.deliver,
-        )
+        runtime = self._runtime
+        store = StoreHttpPort(self._store_codec, runtime.deliver, STANDING, read_clocks)
+        workers = HttpPort("upstream-port", self._worker_codec, runtime.deliver)
         runtime.add_port(STORE, store)
         runtime.add_port(UPSTREAM, workers)
         runtime.add_port(PEERS, self._peers)
--- a/src/lagoonpulley/platform/store.py
+++ b/src/lagoonpulley/platform/store.py
@@ -91,6 +91,10 @@
     """Encodes operations as HTTP calls and decodes the answers."""
 
     def __init__(self, address: str) -> None:
+        self.set_address(address)
+
+    def set_address(self, address: str) -> None:
+        """Send calls to another address (``IP:PORT``) from now on."""
         self._url = f"http://{address}"
 
     def encode(self, operation: StoreOperation, timeout_s: float) -> HttpCall:
--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -73,7 +73,11 @@
     """Encodes commands as HTTP calls and decodes the answers."""
 
     def __init__(self, advisor_address: str) -> None:
-        self._advisor_url = f"http://{advisor_address}/api/advise"
+        self.set_advisor(advisor_address)
+
+    def set_advisor(self, address: str) -> None:
+        """Ask the advisor at another address (``IP:PORT``) from now on."""
+        self._advisor_url = f"http://{address}/api/advise"
 
     def encode(self, operation: WorkerOperation, timeout_s: float) -> HttpCall:
         """Return the HTTP call of a command."""
--- a/src/lagoonpulley/standin/store.py
+++ b/src/lagoonpulley/standin/store.py
@@ -14,17 +14,22 @@
     ListInstances,
     ListKeys,
     Put,
+    ReadRange,
     RenewLease,
     RevokeLease,
     StoreOperation,
     StoreResult,
     StoreStatus,
+    Transaction,
     Watch,
+    WatchPrefix,
 )
 
 __all__ = ["StoreState"]
 
 MAX_VALUE_BYTES = 1_000_000
+MOST_KEYS_PER_PAGE = 500
+MOST_TRANSACTION_ROWS = 32
 
 _OK = StoreResult(StoreStatus.OK)
 _NOT_FOUND = StoreResult(StoreStatus.NOT_FOUND)
@@ -50,6 +55,8 @@
         self.instance_by_id: dict[str, tuple[Instance, int]] = {}
         self._lease_by_id: dict[str, _Lease] = {}
         self._lease_count = 0
+        self._history: list[KeyValue] = []
+        self._history_from = 0
 
     def apply(self, operation: StoreOperation, now: float) -> StoreResult:
         """Perform one operation.
@@ -83,6 +90,13 @@
                 return self._changed(key, after)
             case ListInstances(data_centre, after, _):
                 return self._instances(data_centre, after)
+            case Transaction():
+                self.writes += 1
+                return self._transact(operation)
+            case ReadRange(prefix, after, _):
+                return self._read_range(prefix, after)
+            case WatchPrefix(prefix, after, _):
+                return self._changes(prefix, after)
         raise TypeError(f"unknown store operation {operation!r}")
 
     def set_instance(self, instance: Instance) -> None:
@@ -96,11 +110,77 @@
             if lease.ends_at <= now:
                 self._revoke(lease_id)
 
+    def forget_history(self) -> None:
+        """Drop what watches could still be told about the past."""
+        self._history = []
+        self._history_from = self.revision
+
     def _get(self, key: str) -> StoreResult:
         entry = self.entry_by_key.get(key)
-        if entry is None:
-            return _NOT_FOUND
-        return StoreResult(StoreStatus.OK, entry=entry)
+        status = StoreStatus.NOT_FOUND if entry is None else StoreStatus.OK
+        return StoreResult(status, entry=entry, revision=self.revision)
+
+    def _transact(self, change: Transaction) -> StoreResult:
+        rows = len(change.expected) + len(change.puts) + len(change.deletes)
+        if rows > MOST_TRANSACTION_ROWS:
+            raise ValueError(f"a transaction of {rows} rows")
+        for key, revision in change.expected:
+            current = self.entry_by_key.get(key)
+            if (current.revision if current else ABSENT) != revision:
+                return self._conflict(change)
+        for write in change.puts:
+            if write.lease_id and write.lease_id not in self._lease_by_id:
+                return _NOT_FOUND
+        self.revision += 1
+        for write in change.puts:
+            self._write(write.key, write.value, write.lease_id)
+        for key in change.deletes:
+            self._remove(key)
+        return StoreResult(StoreStatus.OK, revision=self.revision)
+
+    def _conflict(self, change: Transaction) -> StoreResult:
+        present = [self.entry_by_key.get(key) for key, _ in change.expected]
+        entries = tuple(entry for entry in present if entry is not None)
+        return StoreResult(StoreStatus.CONFLICT, entries=entries)
+
+    def _write(self, key: str, value: str, lease_id: str = "") -> None:
+        """Set a key at the present revision."""
+        known = self.entry_by_key.get(key)
+        created = known.created if known else self.revision
+        entry = KeyValue(key, value, self.revision, created=created)
+        self.entry_by_key[key] = entry
+        self._history.append(entry)
+        for lease in self._lease_by_id.values():
+            lease.keys.discard(key)
+        if lease_id:
+            self._lease_by_id[lease_id].keys.add(key)
+
+    def _remove(self, key: str) -> None:
+        """Remove a key at the present revision."""
+        if self.entry_by_key.pop(key, None) is not None:
+            self._history.append(KeyValue(key, "", self.revision, deleted=True))
+
+    def _read_range(self, prefix: str, after: str) -> StoreResult:
+        keys = sorted(
+            key for key in self.entry_by_key if key.startswith(prefix) and key > after
+        )
+        page = keys[:MOST_KEYS_PER_PAGE]
+        return StoreResult(
+            StoreStatus.OK,
+            entries=tuple(self.entry_by_key[key] for key in page),
+            revision=self.revision,
+            truncated=len(keys) > len(page),
+        )
+
+    def _changes(self, prefix: str, after: int) -> StoreResult:
+        if after < self._history_from:
+            return StoreResult(StoreStatus.NOT_FOUND, revision=self.revision)
+        entries = tuple(
+            entry
+            for entry in self._history
+            if entry.revision > after and entry.key.startswith(prefix)
+        )
+        return StoreResult(StoreStatus.OK, entries=entries, revision=self.revision)
 
     def _put(self, put: Put) -> StoreResult:
         if len(put.value.encode()) > MAX_VALUE_BYTES:
@@ -153,8 +233,9 @@
         if lease is None:
             return _NOT_FOUND
         for key in lease.keys:
-            if self.entry_by_key.pop(key, None) is not None:
+            if key in self.entry_by_key:
                 self.revision += 1
+                self._remove(key)
         return _OK
 
     def _changed(self, key: str, after: int) -> StoreResult:
--- /dev/null
+++ b/src/lagoonpulley/standin/task_worker.py
@@ -0,0 +1,153 @@
+"""In-memory stand-in for a worker that runs tasks of steps."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..upstream.tasks import (
+    CommandAccepted,
+    CommandRefused,
+    Ended,
+    Refusal,
+    Running,
+    StartTask,
+    StopTask,
+    SyncWorker,
+    TaskRef,
+    ThrottleTask,
+    WorkerReport,
+)
+from ..workload.record import EndKind
+
+__all__ = ["Execution", "TaskWorkerState"]
+
+MS_PER_S = 1000
+GANG_WAIT_S = 3.0
+DEFAULT_RUN_TIME_S = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class Execution:
+    """One run, for whoever checks what happened; times are in seconds."""
+
+    ref: TaskRef
+    started_at: float
+    ends_at: float
+    ended_at: float | None = None
+    kind: EndKind | None = None
+
+
+class TaskWorkerState:
+    """Runs, ends, fencing and lease of one worker.
+
+    Its clock starts at zero with each life. Payloads of the form ``seconds=2.5`` set
+    the run time of each task, ``fail`` makes every task fail.
+    """
+
+    def __init__(self, worker_id: str, longest_lease_s: float, now: float) -> None:
+        self.id = worker_id
+        self.longest_lease_s = longest_lease_s
+        self.executions: list[Execution] = []
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Begin a new life that knows nothing of the one before."""
+        for execution in self.executions:
+            if execution.ended_at is None:
+                execution.ended_at = now
+        self.born = int(now * MS_PER_S) + 1
+        self._began_at = now
+        self._token = 0
+        self._lease_until_ms = 0
+        self._run_by_task: dict[tuple, int] = {}
+        self._running_by_ref: dict[TaskRef, Execution] = {}
+        self._ends: list[Ended] = []
+        self._end_count = 0
+
+    def clock_ms(self, now: float) -> int:
+        """Return the worker's clock."""
+        return int((now - self._began_at) * MS_PER_S)
+
+    def apply(
+        self, command: object, now: float
+    ) -> CommandAccepted | CommandRefused | WorkerReport:
+        """Carry out one command."""
+        self.advance(now)
+        if command.to.worker_id != self.id:
+            return CommandRefused(Refusal.OTHER_LIFE)
+        if command.token < self._token:
+            return CommandRefused(Refusal.FENCED, self.clock_ms(now))
+        self._token = command.token
+        match command:
+            case StartTask():
+                return self._start(command, now)
+            case StopTask(ref=ref):
+                return self._stop(ref, now)
+            case SyncWorker():
+                return self._sync(command, now)
+            case ThrottleTask():
+                return CommandAccepted(self.clock_ms(now))
+        raise TypeError(f"unknown command {command!r}")
+
+    def has_ends(self) -> bool:
+        """Return whether any end is not acknowledged."""
+        return bool(self._ends)
+
+    def advance(self, now: float) -> None:
+        """End what is done, and everything if the lease has passed."""
+        for ref, execution in list(self._running_by_ref.items()):
+            if execution.ends_at <= now and execution.kind is not None:
+                self._end(ref, execution.kind, execution.ends_at)
+        if self._running_by_ref and self.clock_ms(now) > self._lease_until_ms:
+            for ref in list(self._running_by_ref):
+                self._end(ref, EndKind.LAPSED, now)
+
+    def _extend(self, until_ms: int, now: float) -> None:
+        longest = self.clock_ms(now) + int(self.longest_lease_s * MS_PER_S)
+        self._lease_until_ms = max(self._lease_until_ms, min(until_ms, longest))
+
+    def _start(
+        self, command: StartTask, now: float
+    ) -> CommandAccepted | CommandRefused:
+        self._extend(command.not_after_ms, now)
+        clock_ms = self.clock_ms(now)
+        ref = command.ref
+        if ref in self._running_by_ref:
+            return CommandAccepted(clock_ms)
+        task = (ref.job_id, ref.key)
+        if ref.run <= self._run_by_task.get(task, 0):
+            return CommandRefused(Refusal.OLD, clock_ms)
+        if clock_ms > command.not_after_ms:
+            return CommandRefused(Refusal.LATE, clock_ms)
+        self._run_by_task[task] = ref.run
+        execution = Execution(ref, now, now + _run_time_s(command.payload))
+        execution.kind = EndKind.FAILED if "fail" in command.payload else EndKind.DONE
+        self._running_by_ref[ref] = execution
+        self.executions.append(execution)
+        return CommandAccepted(clock_ms)
+
+    def _stop(self, ref: TaskRef, now: float) -> CommandAccepted:
+        task = (ref.job_id, ref.key)
+        self._run_by_task[task] = max(ref.run, self._run_by_task.get(task, 0))
+        if ref in self._running_by_ref:
+            self._end(ref, EndKind.STOPPED, now)
+        return CommandAccepted(self.clock_ms(now))
+
+    def _sync(self, command: SyncWorker, now: float) -> WorkerReport:
+        if command.lease_until_ms is not None:
+            self._extend(command.lease_until_ms, now)
+        self._ends = [e for e in self._ends if e.number > command.acknowledged]
+        running = tuple(Running(ref, "", 100) for ref in self._running_by_ref)
+        return WorkerReport(self.clock_ms(now), self.born, running, tuple(self._ends))
+
+    def _end(self, ref: TaskRef, kind: EndKind, at: float) -> None:
+        execution = self._running_by_ref.pop(ref)
+        execution.ended_at = at
+        execution.kind = kind
+        self._end_count += 1
+        self._ends.append(Ended(self._end_count, ref, kind, ""))
+
+
+def _run_time_s(payload: str) -> float:
+    _, _, text = payload.partition("seconds=")
+    return float(text) if text else DEFAULT_RUN_TIME_S
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -127,8 +127,12 @@
         return cls(state=record.state, tasks=rows, gang_failures=failures)
 
     def apply_to(self, record: JobRecord) -> None:
-        """Set a fresh record to what the document says."""
-        record.state = self.state
+        """Set a fresh record to what the document says.
+
+        A final state is taken from its own document only, with its time.
+        """
+        if not self.state.is_final:
+            record.state = self.state
         for *key_parts, last_run, worker_id, born, done, failures, saved in self.tasks:
             key = TaskKey(*key_parts)
             task = record.task_by_key.get(key)
--- /dev/null
+++ b/tests/owner/test_takeover.py
@@ -0,0 +1,57 @@
+"""What a new owner makes of what the one before left."""
+
+from __future__ import annotations
+
+from tests.support.steps import StepWorld, step
+
+from lagoonpulley.owner.role import OwnerRole
+from lagoonpulley.workload.documents import JobKeys
+
+
+def test_job_runs_to_completion():
+    world = StepWorld()
+    world.run(1.0)
+    world.submit("a" * 16, step(count=3), step(after=(0,)))
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 5.0)
+    assert len(world.executions("a" * 16)) == 4
+    world.run(1.0)
+    assert JobKeys("a" * 16).submission not in world.store.entry_by_key
+    assert JobKeys("a" * 16).progress not in world.store.entry_by_key
+
+
+def test_takeover_adopts_what_runs():
+    world = StepWorld()
+    world.run(1.0)
+    world.submit("a" * 16, step(count=3), payload="seconds=6")
+    world.run(0.5)
+    world.kill(world.owner())
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 12.0)
+    assert len(world.executions("a" * 16)) == 3
+
+
+def test_takeover_keeps_final_state_of_job_whose_last_run_ends_later():
+    world = StepWorld(workers=2)
+    world.run(1.0)
+    # One member of a gang tells the end of all; the other worker is out of reach,
+    # so that the job is final while one of its runs is still held.
+    world.submit("b" * 16, step(count=4, processors=8000, gang=True))
+    world.run(0.5)
+    hidden = world.executions("b" * 16)[0]
+    worker_id = next(
+        w.id for w in world.worker_by_id.values() if hidden in w.executions
+    )
+    world.dead_workers.add(worker_id)
+    world.run_until(lambda: world.final_state("b" * 16) == "completed", 4.0)
+    world.kill(world.owner())
+    world.run_until(lambda: _is_loaded(world), 6.0)
+    world.dead_workers.clear()
+    world.run(20.0)
+    assert world.final_state("b" * 16) == "completed"
+
+
+def _is_loaded(world: StepWorld) -> bool:
+    for entry in world.entry_by_name.values():
+        owner: OwnerRole = entry.owner
+        if entry.alive and owner._tenure is not None and owner._tenure.loaded:
+            return True
+    return False
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,22 @@
+from __future__ import annotations
+
+import pytest
+
+SETTINGS = """
+node: "edge-1"
+zone: "a"
+ip: "127.0.0.1"
+listen: {front: "127.0.0.1:0", ready: "127.0.0.1:0"}
+portRange: [0, 15]
+platform: {address: "127.0.0.1:1", ttlMinMs: 1000}
+bounds: {holdMaxMs: 6000, early_ms: 250, status_s: 120, graceS: 6}
+advice: "127.0.0.1:2"
+somethingNew: {that: "nobody knows"}
+"""
+
+
+@pytest.fixture
+def settings_file(tmp_path):
+    path = tmp_path / "boot.yaml"
+    path.write_text(SETTINGS)
+    return path
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,20 @@
+from __future__ import annotations
+
+from lagoonpulley.platform.settings import read_settings
+
+
+def test_settings_ignore_unknown_fields(settings_file):
+    settings = read_settings(str(settings_file)).ok
+    assert settings.entry_id == "edge-1"
+    assert settings.longest_worker_lease_s == 6.0
+    assert settings.retention_s == 120.0
+
+
+def test_settings_name_the_field_that_is_wrong(settings_file):
+    text = settings_file.read_text().replace('node: "edge-1"', "node: [1]")
+    settings_file.write_text(text)
+    assert "node" in read_settings(str(settings_file)).error
+
+
+def test_settings_file_that_is_missing(tmp_path):
+    assert "No such file" in read_settings(str(tmp_path / "none")).error
--- /dev/null
+++ b/tests/support/steps.py
@@ -0,0 +1,341 @@
+"""A cell of step jobs in one thread: real roles of entries over fakes."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from expression import Ok
+
+from lagoonpulley.intake.messages import SubmitJob
+from lagoonpulley.intake.role import IntakeRole
+from lagoonpulley.model.resources import Resources
+from lagoonpulley.model.verdict import Ran
+from lagoonpulley.owner.advisor_role import AdvisorRole
+from lagoonpulley.owner.role import OwnerRole
+from lagoonpulley.owner.session import EntryDocument, SessionRole
+from lagoonpulley.owner.settings import OwnerSettings
+from lagoonpulley.peers.messages import PeerCall
+from lagoonpulley.policy.role import PolicyRole
+from lagoonpulley.policy.values import Policy, Queue, Service, TeamLimits
+from lagoonpulley.runtime.role import (
+    PEERS,
+    STORE,
+    UPSTREAM,
+    WAKE,
+    CallFailed,
+    Reply,
+    Request,
+    Tick,
+)
+from lagoonpulley.standin.store import StoreState
+from lagoonpulley.standin.task_worker import TaskWorkerState
+from lagoonpulley.store.messages import Transaction, WatchPrefix, Write
+from lagoonpulley.upstream.directory import WorkerInfo
+from lagoonpulley.upstream.tasks import Advice, AskAdvice, SyncWorker
+from lagoonpulley.workload.documents import JobKeys, decode_final
+from lagoonpulley.workload.spec import JobSpec, StepSpec
+
+from .network import Clock
+
+TICK_S = 0.2
+POLL_S = 0.02
+LEASE_S = 6.0
+CAPACITY = Resources(16000, 65536, 0)
+POLICY_KEY = "test/policy"
+WORKERS_PREFIX = "test/workers/"
+
+
+class JsonPolicy:
+    """Decodes the little policy document that the tests write."""
+
+    key = POLICY_KEY
+
+    def decode(self, entry):
+        values = json.loads(entry.value)
+        queues = {
+            name: Queue(name, "", f"/{name}/", "service", **fields)
+            for name, fields in values["queues"].items()
+        }
+        teams = {
+            name: TeamLimits(name, 1.0, Resources(*limit))
+            for name, limit in values["teams"].items()
+        }
+        return Ok(
+            Policy(
+                version=values["version"],
+                key=entry.key,
+                revision=entry.revision,
+                queue_by_name=queues,
+                service_by_name={"service": Service("service")},
+                team_by_name=teams,
+                team_by_key={name: name for name in teams},
+            )
+        )
+
+
+class JsonDirectory:
+    """Decodes the worker entries that the tests write."""
+
+    prefix = WORKERS_PREFIX
+
+    def decode(self, entry):
+        values = json.loads(entry.value)
+        values["capacity"] = Resources(*values["capacity"])
+        values["labels"] = tuple(values["labels"])
+        return Ok(WorkerInfo(**values))
+
+
+@dataclass(eq=False)
+class StepEntry:
+    """One entry: its roles, its mailbox and whether it runs."""
+
+    name: str
+    roles: dict[str, Any]
+    mailbox: deque = field(default_factory=deque)
+    alive: bool = True
+    has_store: bool = True
+    unreachable_workers: set[str] = field(default_factory=set)
+
+    @property
+    def owner(self) -> OwnerRole:
+        return self.roles["owner"]
+
+
+class StepWorld:
+    """Entries, workers and the store of a small cell."""
+
+    def __init__(self, entries: int = 2, workers: int = 3, seed: int = 1) -> None:
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.store = StoreState()
+        self.store_up = True
+        self.lose_answers = 0.0
+        self.life = 0
+        self.request_count = 0
+        self.outcome_by_request_id: dict[str, Any] = {}
+        self.worker_by_id: dict[str, TaskWorkerState] = {}
+        self.dead_workers: set[str] = set()
+        self.silent_starts: set[str] = set()
+        self.entry_by_name: dict[str, StepEntry] = {}
+        self.refuse_advice: set[str] = set()
+        self.set_policy(1)
+        for number in range(workers):
+            self.add_worker(f"w{number}")
+        for number in range(entries):
+            self.start_entry(f"e{number}")
+
+    # What tests do.
+
+    def set_policy(self, version, queues=None, teams=None) -> None:
+        document = {
+            "version": version,
+            "queues": queues or {"reviews": {"most_attempts": 2, "target_s": 1.0}},
+            "teams": teams or {"north": [0, 0, 0]},
+        }
+        self.put(POLICY_KEY, json.dumps(document))
+
+    def put(self, key: str, value: str) -> None:
+        change = Transaction(puts=(Write(key, value),))
+        self.store.apply(change, self.clock.mono)
+
+    def add_worker(self, worker_id: str, draining: bool = False) -> None:
+        worker = self.worker_by_id.get(worker_id)
+        if worker is None:
+            worker = TaskWorkerState(worker_id, LEASE_S, self.clock.mono)
+            self.worker_by_id[worker_id] = worker
+        entry = {
+            "id": worker_id,
+            "service": "service",
+            "address": worker_id,
+            "data_centre": "a",
+            "capacity": list(CAPACITY[:3]),
+            "labels": ["kind", "rack"],
+            "rack": "rack",
+            "born": worker.born,
+            "draining": draining,
+        }
+        self.put(WORKERS_PREFIX + worker_id, json.dumps(entry))
+
+    def start_entry(self, name: str) -> StepEntry:
+        self.life += 1
+        document = EntryDocument(
+            name=name, life=str(self.life), peer_address=name, data_centre="a"
+        )
+        roles = (
+            PolicyRole(JsonPolicy(), ("owner",)),
+            SessionRole(document, "owner", random.Random(self.life)),
+            IntakeRole(),
+            AdvisorRole(),
+            OwnerRole(OwnerSettings(name, LEASE_S), JsonDirectory()),
+        )
+        entry = StepEntry(name, {role.name: role for role in roles})
+        self.entry_by_name[name] = entry
+        self._tick(entry)
+        return entry
+
+    def kill(self, entry: StepEntry) -> None:
+        entry.alive = False
+
+    def owner(self) -> StepEntry:
+        for entry in self.entry_by_name.values():
+            if entry.alive and entry.owner._tenure is not None:
+                return entry
+        raise AssertionError("no entry is the owner")
+
+    def run(self, seconds: float) -> None:
+        self.clock.advance(seconds, self._deliver_all)
+
+    def run_until(self, condition, within_s: float) -> float:
+        began = self.clock.mono
+        while not condition():
+            assert self.clock.mono - began < within_s, "not within the time"
+            self.run(0.05)
+        return self.clock.mono - began
+
+    def submit(self, job_id: str, *steps: StepSpec, payload="seconds=1", **more):
+        spec = JobSpec(
+            id=job_id,
+            queue=more.pop("queue", "reviews"),
+            team=more.pop("team", "north"),
+            payload=payload,
+            steps=steps or (step(),),
+            submitted_at=self.clock.now.wall,
+            **more,
+        )
+        revision = self.store.entry_by_key[POLICY_KEY].revision
+        entry = next(e for e in self.entry_by_name.values() if e.alive and e.has_store)
+        return self.ask(entry, SubmitJob(spec, POLICY_KEY, revision))
+
+    def ask(self, entry: StepEntry, operation: Any, within_s: float = 5.0) -> Any:
+        self.request_count += 1
+        request_id = f"test:{self.request_count}"
+        request = Request(request_id, "test", operation, 3.0)
+        entry.mailbox.append(("intake", request))
+        self._deliver_all()
+        self.run_until(lambda: request_id in self.outcome_by_request_id, within_s)
+        return self.outcome_by_request_id.pop(request_id)
+
+    def final_state(self, job_id: str) -> str | None:
+        entry = self.store.entry_by_key.get(JobKeys(job_id).final)
+        return decode_final(entry.value).ok.state.value if entry else None
+
+    def executions(self, job_id: str) -> list:
+        return [
+            execution
+            for worker in self.worker_by_id.values()
+            for execution in worker.executions
+            if execution.ref.job_id == job_id
+        ]
+
+    # How messages travel.
+
+    def _tick(self, entry: StepEntry) -> None:
+        if not entry.alive:
+            return
+        for name in entry.roles:
+            entry.mailbox.append((name, Tick()))
+        self.clock.after(TICK_S, lambda: self._tick(entry))
+
+    def _deliver_all(self) -> None:
+        busy = True
+        while busy:
+            busy = False
+            for entry in list(self.entry_by_name.values()):
+                while entry.mailbox and entry.alive:
+                    busy = True
+                    self._deliver(entry, *entry.mailbox.popleft())
+
+    def _deliver(self, entry: StepEntry, to: str, message: Any) -> None:
+        for send in entry.roles[to].handle(message, self.clock.now):
+            self._route(entry, send.to, send.message)
+
+    def _route(self, entry: StepEntry, to: str, message: Any) -> None:
+        if to in entry.roles:
+            entry.mailbox.append((to, message))
+        elif to == STORE:
+            self._call_store(entry, message)
+        elif to == UPSTREAM:
+            self._call_worker(entry, message)
+        elif to == PEERS:
+            self._call_peer(entry, message)
+        elif to == WAKE:
+            role = message.role
+            self.clock.after(
+                message.delay_s, lambda: entry.mailbox.append((role, Tick()))
+            )
+        elif to == "test":
+            self.outcome_by_request_id[message.request_id] = message.result
+
+    def _reply(self, entry: StepEntry, request: Request, result: Any) -> None:
+        role = request.reply_to
+        entry.mailbox.append((role, Reply(request.request_id, result)))
+
+    def _call_store(self, entry: StepEntry, request: Request) -> None:
+        if not entry.has_store or not self.store_up:
+            failed = CallFailed(Ran.NO, "the store is away")
+            self.clock.after(0.005, lambda: self._reply(entry, request, failed))
+            return
+        until = self.clock.mono + getattr(request.operation, "wait_s", 0.0)
+        lost = self.random.random() < self.lose_answers
+
+        def perform() -> None:
+            result = self.store.apply(request.operation, self.clock.mono)
+            waits = isinstance(request.operation, WatchPrefix)
+            waits = waits and result.ok and not result.entries
+            if waits and self.clock.mono < until:
+                self.clock.after(POLL_S, perform)
+                return
+            if not lost:
+                self.clock.after(0.002, lambda: self._reply(entry, request, result))
+
+        if lost:
+            failed = CallFailed(Ran.MAYBE, "the answer was lost")
+            self.clock.after(
+                request.timeout_s, lambda: self._reply(entry, request, failed)
+            )
+        self.clock.after(0.003, perform)
+
+    def _call_worker(self, entry: StepEntry, request: Request) -> None:
+        command = request.operation
+        if isinstance(command, AskAdvice):
+            advice = Advice({w: f"permit-{w}" for w in command.worker_ids}, 2.0)
+            self.clock.after(0.02, lambda: self._reply(entry, request, advice))
+            return
+        worker_id = command.to.address
+        worker = self.worker_by_id[worker_id]
+        until = self.clock.mono + getattr(command, "wait_s", 0.0)
+        times_out_at = self.clock.mono + request.timeout_s
+
+        def perform() -> None:
+            if self._is_cut(entry, worker_id):
+                failed = CallFailed(Ran.MAYBE, "no answer")
+                self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
+                return
+            result = worker.apply(command, self.clock.mono)
+            waits = isinstance(command, SyncWorker) and self.clock.mono < until
+            if waits and not worker.has_ends():
+                self.clock.after(POLL_S, perform)
+                return
+            self.clock.after(0.001, lambda: self._reply(entry, request, result))
+
+        self.clock.after(0.001, perform)
+
+    def _is_cut(self, entry: StepEntry, worker_id: str) -> bool:
+        return worker_id in self.dead_workers or worker_id in entry.unreachable_workers
+
+    def _call_peer(self, entry: StepEntry, request: Request) -> None:
+        call: PeerCall = request.operation
+        operation = AskAdvice(*[getattr(call.message, f) for f in _ADVICE_FIELDS])
+        advice = Advice({w: f"permit-{w}" for w in operation.worker_ids}, 2.0)
+        self.clock.after(0.03, lambda: self._reply(entry, request, advice))
+
+
+_ADVICE_FIELDS = ("job_id", "occurrence", "step", "worker_ids")
+
+
+def step(count: int = 1, processors: int = 1000, **more: Any) -> StepSpec:
+    return StepSpec(count, Resources(processors, 512), 1.0, **more)
