Look only at steps for which something has changed, and bound questions to advisors

Change: a blocked step says why, and is looked at again only when room appeared that fits it, its team gave some back or its advisor answered; rounds are 20 ms apart at least; a question is asked only by an entry that can ask it soon, long ones leave a third of the entries free.

--- a/src/lagoonpulley/owner/advisors.py
+++ b/src/lagoonpulley/owner/advisors.py
@@ -31,6 +31,9 @@
 # Added to the time that the advisor itself takes.
 ANSWER_SLACK_S = 1.0
 SHUN_S = 3.0
+LONG_QUESTION_S = 0.25
+LONG_QUESTIONS_SHARE = 0.67
+LONGEST_BACKLOG_S = 0.3
 
 
 class Advisors:
@@ -62,21 +65,36 @@
             self._address_by_name = found
             yield Sleep(ENTRIES_EVERY_S)
 
+    def reserve(self, cost_s: float, now: float) -> str | None:
+        """Return the entry that is free first; see :class:`~.planner.AdviceBudget`.
+
+        Long questions leave some entries to the short ones.
+        """
+        name = min(self._address_by_name, key=lambda name: self._free_at(name, now))
+        free_at = self._free_at(name, now)
+        if cost_s > LONG_QUESTION_S:
+            busy = sum(at > now for at in self._busy_until_by_name.values())
+            most = max(1, int(len(self._address_by_name) * LONG_QUESTIONS_SHARE))
+            if busy >= most or free_at > now:
+                return None
+        if free_at - now > LONGEST_BACKLOG_S:
+            return None
+        self._busy_until_by_name[name] = free_at + cost_s
+        return name
+
+    def _free_at(self, name: str, now: float) -> float:
+        return max(now, self._busy_until_by_name.get(name, 0.0))
+
     def ask(self, question: Question) -> Flow:
-        """Ask by the entry that is free first; return the advice or a failure."""
+        """Ask by the entry that was reserved; return the advice or a failure."""
         now = self._role.now.mono
-        name = min(
-            self._address_by_name,
-            key=lambda name: max(now, self._busy_until_by_name.get(name, 0.0)),
-        )
-        cost_s = question.queue.advice.cost_s(len(question.worker_ids))
-        free_at = max(now, self._busy_until_by_name.get(name, 0.0)) + cost_s
-        self._busy_until_by_name[name] = free_at
+        name = question.entry
+        free_at = self._free_at(name, now)
         operation = AskAdvice(
             question.record.spec.id, *question.key, question.worker_ids
         )
         timeout_s = free_at - now + ANSWER_SLACK_S
-        address = self._address_by_name[name]
+        address = self._address_by_name.get(name, "")
         if address:
             message = PeerCall(address, operation)
             result = yield Call(PEERS, message, timeout_s)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -7,7 +7,7 @@
 from ..observability.events import log_event
 from ..policy.messages import PolicyChanged
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
-from ..runtime.role import STORE, UPSTREAM, CallFailed, Tick
+from ..runtime.role import STORE, UPSTREAM, WAKE, CallFailed, Tick, WakeAfter
 from ..store.messages import ReadRange, StoreStatus, Transaction, WatchPrefix
 from ..upstream.tasks import (
     Advice,
@@ -67,6 +67,9 @@
 SYNC_WAIT_S = 1.0
 SYNC_PAUSE_S = 0.25
 MOST_STARTS_PER_ROUND = 64
+# Ends that come close together are planned for together.
+ROUND_EVERY_S = 0.02
+CHECK_EVERY_S = 0.2
 AVOID_UNHEALTHY_S = 0.5
 RETENTION_SLACK_S = 10.0
 MOST_FORGOTTEN = 12
@@ -85,6 +88,9 @@
         self._tenure: Tenure | None = None
         self._pending = PendingBoard()
         self._advisors = Advisors(self, settings)
+        self._next_check_at = 0.0
+        self._next_round_at = 0.0
+        self._wake_asked = False
 
     def receive(self, message: Any) -> None:
         """Process an election, a policy or a tick."""
@@ -408,11 +414,11 @@
 
     def _tick(self) -> None:
         tenure = self._tenure
-        if tenure is None or not tenure.loaded:
+        if tenure is None or not tenure.loaded or self.now.mono < self._next_check_at:
             return
-        for record in list(tenure.record_by_id.values()):
-            if record.spec.repeats:
-                tenure.refresh_demands(record)
+        self._next_check_at = self.now.mono + CHECK_EVERY_S
+        for record in list(tenure.repeating_by_id.values()):
+            tenure.refresh_demands(record)
         for link in list(tenure.link_by_worker_id.values()):
             self._check_link(tenure, link)
         self._pending.refresh(tenure, self.now)
@@ -435,22 +441,35 @@
         if tenure is None or not tenure.loaded or tenure.policy is None:
             return
         if tenure.wants_round:
+            self._plan_when_due(tenure)
+        self._commit(tenure)
+
+    def _plan_when_due(self, tenure: Tenure) -> None:
+        """Plan now, or a moment after the last round."""
+        wait_s = self._next_round_at - self.now.mono
+        if wait_s <= 0:
             tenure.wants_round = False
+            self._wake_asked = False
             self._plan(tenure)
-        self._commit(tenure)
+            self._next_round_at = self.now.mono + ROUND_EVERY_S
+        elif not self._wake_asked:
+            self._wake_asked = True
+            self.emit(WAKE, WakeAfter(self.name, wait_s))
 
     def _plan(self, tenure: Tenure) -> None:
-        demands = [
-            demand
-            for demands in tenure.demands_by_job_id.values()
-            for demand in demands
-        ]
+        demands = tenure.backlog.in_order()
         if not demands:
             return
         planner = Planner(
-            tenure.cell, tenure.permits, tenure.policy.team_by_name, self.now.mono
+            tenure.cell,
+            tenure.permits,
+            tenure.policy.team_by_name,
+            self.now.mono,
+            self._advisors,
         )
         plan = planner.plan(demands, MOST_STARTS_PER_ROUND)
+        if len(plan.starts) >= MOST_STARTS_PER_ROUND:
+            tenure.wants_round = True
         for start in plan.starts:
             self._dispatch(tenure, start)
         for question in plan.questions:
@@ -528,8 +547,7 @@
             permits = tenure.permits.of(ref.job_id, ref.key.step_key)
             permits.forget_permit(link.info.id)
         if result.reason in (Refusal.UNHEALTHY, Refusal.NO_ROOM, Refusal.OTHER_LIFE):
-            room = tenure.cell.room_by_worker_id[link.info.id]
-            room.avoid_until = self.now.mono + AVOID_UNHEALTHY_S
+            tenure.cell.avoid(link.info.id, self.now.mono + AVOID_UNHEALTHY_S)
         self._not_started(tenure, link, ref, str(result.reason))
 
     @staticmethod
@@ -567,6 +585,7 @@
         permits.asking = False
         if tenure.over:
             return
+        tenure.backlog.unblock(job_id)
         if isinstance(result, Advice):
             permits.take(question.worker_ids, result, self.now.mono)
         else:
--- a/src/lagoonpulley/owner/tenure.py
+++ b/src/lagoonpulley/owner/tenure.py
@@ -7,6 +7,7 @@
 
 from ..model.resources import ZERO
 from ..observability.events import log_event
+from ..planning.backlog import Backlog
 from ..planning.cell import Cell, Claim
 from ..planning.permits import PermitBook
 from ..planning.planner import Demand
@@ -41,7 +42,8 @@
     permits: PermitBook = field(default_factory=PermitBook)
     record_by_id: dict[str, JobRecord] = field(default_factory=dict)
     link_by_worker_id: dict[str, WorkerLink] = field(default_factory=dict)
-    demands_by_job_id: dict[str, list[Demand]] = field(default_factory=dict)
+    backlog: Backlog = field(default_factory=Backlog)
+    repeating_by_id: dict[str, JobRecord] = field(default_factory=dict)
     queue_by_name: dict[str, Queue] = field(default_factory=dict)
     ended_at_by_job_id: dict[str, float] = field(default_factory=dict)
     policy: Policy | None = None
@@ -58,6 +60,8 @@
         if known is not None:
             return known
         record = self.record_by_id[spec.id] = JobRecord.from_spec(spec)
+        if spec.repeats:
+            self.repeating_by_id[spec.id] = record
         self.refresh_demands(record)
         return record
 
@@ -119,7 +123,8 @@
 
         def forget() -> None:
             self.record_by_id.pop(record.spec.id, None)
-            self.demands_by_job_id.pop(record.spec.id, None)
+            self.repeating_by_id.pop(record.spec.id, None)
+            self.permits.forget(record.spec.id)
             self.ended_at_by_job_id[record.spec.id] = record.ended_at
 
         self.journal.note(record, forget)
@@ -129,17 +134,14 @@
         self.wants_round = True
         queue = self.queue_of(record)
         if record.is_final or queue is None or self.now is None:
-            self.demands_by_job_id.pop(record.spec.id, None)
+            self.backlog.replace(record.spec.id, [])
             return
         demands = []
         for key in record.open_steps(self.now.wall, self.early_s):
-            if any(task.is_waiting for _, task in record.tasks_of(key)):
+            if record.waiting_by_step.get(key):
                 due_at = self._due_at(record, queue, key.occurrence)
                 demands.append(Demand(record, key, queue, due_at))
-        if demands:
-            self.demands_by_job_id[record.spec.id] = demands
-        else:
-            self.demands_by_job_id.pop(record.spec.id, None)
+        self.backlog.replace(record.spec.id, demands)
 
     def queue_of(self, record: JobRecord) -> Queue | None:
         """Return a job's queue as last known."""
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -12,7 +12,7 @@
     from ..upstream.tasks import TaskRef
     from ..workload.spec import StepKey
 
-__all__ = ["Cell", "Claim", "WorkerRoom"]
+__all__ = ["Cell", "Changes", "Claim", "WorkerRoom"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,24 +53,62 @@
         return count
 
 
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Workers on which room has appeared, and teams that run less than before."""
+
+    freed: tuple[WorkerRoom, ...]
+    relieved_teams: set[str]
+
+    def may_fit(self, request: Resources) -> bool:
+        """Return whether a task may fit now that did not before."""
+        return any(room.accepting and request.fits_in(room.free) for room in self.freed)
+
+
 class Cell:
     """All workers of one owner.
 
-    ``version`` rises whenever room may have appeared.
+    It remembers on which workers room has appeared, and which teams have given
+    some back, since it was last asked.
     """
 
     def __init__(self) -> None:
         self.room_by_worker_id: dict[str, WorkerRoom] = {}
         self.used_by_team: dict[str, Resources] = {}
-        self.version = 0
+        self._freed_by_id: dict[str, WorkerRoom] = {}
+        self._relieved_teams: set[str] = set()
+        self._avoided_by_id: dict[str, WorkerRoom] = {}
+
+    def take_changes(self, now: float) -> Changes:
+        """Return what has become possible since the last call.
+
+        :param now: monotonic time in seconds.
+        """
+        for worker_id, room in list(self._avoided_by_id.items()):
+            if room.avoid_until <= now:
+                del self._avoided_by_id[worker_id]
+                self._freed_by_id[worker_id] = room
+        changes = Changes(tuple(self._freed_by_id.values()), self._relieved_teams)
+        self._freed_by_id = {}
+        self._relieved_teams = set()
+        return changes
+
+    def avoid(self, worker_id: str, until: float) -> None:
+        """Place nothing on a worker until a monotonic time in seconds."""
+        room = self.room_by_worker_id.get(worker_id)
+        if room is not None:
+            room.avoid_until = until
+            self._avoided_by_id[worker_id] = room
 
     def put_worker(self, info: WorkerInfo) -> WorkerRoom:
         """Add a worker or change what is known of it."""
         room = self.room_by_worker_id.get(info.id)
         if room is None:
             room = self.room_by_worker_id[info.id] = WorkerRoom(info)
+        has_changed = room.info != info
         room.info = info
-        self.version += 1
+        if has_changed:
+            self._freed_by_id[info.id] = room
         return room
 
     def remove_worker(self, worker_id: str) -> None:
@@ -79,8 +117,9 @@
         if room is None:
             return
         for claim in list(room.claim_by_ref.values()):
-            self._use(claim.team, ZERO.minus(claim.request))
-        self.version += 1
+            self._give_back(claim)
+        self._freed_by_id.pop(worker_id, None)
+        self._avoided_by_id.pop(worker_id, None)
 
     def set_accepting(self, worker_id: str, accepting: bool) -> None:
         """Note whether tasks may be placed on a worker."""
@@ -88,7 +127,7 @@
         if room is None or room.accepting == accepting:
             return
         room.accepting = accepting
-        self.version += 1
+        self._freed_by_id[worker_id] = room
 
     def claim(self, worker_id: str, claim: Claim) -> None:
         """Take room for a run; claims of one run count once."""
@@ -106,8 +145,8 @@
         if room is None or claim is None:
             return
         room.used = room.used.minus(claim.counted)
-        self._use(claim.team, ZERO.minus(claim.request))
-        self.version += 1
+        self._freed_by_id[worker_id] = room
+        self._give_back(claim)
 
     def used_by(self, team: str) -> Resources:
         """Return what a team has claimed."""
@@ -121,5 +160,9 @@
                 total = total.plus(room.info.capacity)
         return total
 
+    def _give_back(self, claim: Claim) -> None:
+        self._use(claim.team, ZERO.minus(claim.request))
+        self._relieved_teams.add(claim.team)
+
     def _use(self, team: str, change: Resources) -> None:
         self.used_by_team[team] = self.used_by(team).plus(change)
--- a/src/lagoonpulley/planning/permits.py
+++ b/src/lagoonpulley/planning/permits.py
@@ -54,13 +54,15 @@
     """Permits by job and step."""
 
     def __init__(self) -> None:
-        self._by_step: dict[tuple[str, StepKey], StepPermits] = {}
+        self._by_step_by_job_id: dict[str, dict[StepKey, StepPermits]] = {}
 
     def of(self, job_id: str, key: StepKey) -> StepPermits:
         """Return what is known of a step."""
-        return self._by_step.setdefault((job_id, key), StepPermits())
+        by_step = self._by_step_by_job_id.setdefault(job_id, {})
+        if key not in by_step:
+            by_step[key] = StepPermits()
+        return by_step[key]
 
-    def forget(self, job_id: str, keys: list[StepKey]) -> None:
+    def forget(self, job_id: str) -> None:
         """Drop what is known of a job's steps."""
-        for key in keys:
-            self._by_step.pop((job_id, key), None)
+        self._by_step_by_job_id.pop(job_id, None)
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
 
 from ..upstream.tasks import TaskRef
 from ..workload.spec import StepKey, TaskKey
@@ -14,15 +15,32 @@
     from ..model.resources import Resources
     from ..policy.values import Queue, TeamLimits
     from ..workload.record import JobRecord
-    from .cell import Cell, WorkerRoom
+    from .cell import Cell, Changes, WorkerRoom
     from .permits import PermitBook, StepPermits
 
-__all__ = ["Demand", "Plan", "Planner", "Question", "Start"]
+__all__ = [
+    "AdviceBudget",
+    "Blocked",
+    "Demand",
+    "Plan",
+    "Planner",
+    "Question",
+    "Start",
+]
 
 # Workers named in one question at most; the advisor takes no more.
 MOST_NAMED = 100
 
 
+class Blocked(Enum):
+    """Why a demand was not served when it was last looked at."""
+
+    NOT = "not"
+    ROOM = "room"
+    LIMIT = "limit"
+    ADVICE = "advice"
+
+
 @dataclass(slots=True, eq=False)
 class Demand:
     """An open step of a job with tasks that wait.
@@ -34,11 +52,23 @@
     key: StepKey
     queue: Queue
     due_at: float
+    blocked: Blocked = Blocked.NOT
 
     @property
-    def order(self) -> tuple[int, float, str]:
+    def order(self) -> tuple[int, float, str, StepKey]:
         """Rank among all demands; the lowest is served first."""
-        return (self.queue.priority, self.due_at, self.record.spec.id)
+        return (self.queue.priority, self.due_at, self.record.spec.id, self.key)
+
+    def is_worth_a_look(self, changes: Changes) -> bool:
+        """Return whether anything that blocked the demand has changed."""
+        match self.blocked:
+            case Blocked.ROOM:
+                return changes.may_fit(self.record.step_of(self.key).counted)
+            case Blocked.LIMIT:
+                return self.record.spec.team in changes.relieved_teams
+            case Blocked.ADVICE:
+                return False
+        return True
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +89,7 @@
     key: StepKey
     queue: Queue
     worker_ids: tuple[str, ...]
+    entry: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,10 +100,23 @@
     questions: tuple[Question, ...]
 
 
+class AdviceBudget(Protocol):
+    """Keeps questions to advisors within what they can answer soon."""
+
+    def reserve(self, cost_s: float, now: float) -> str | None:
+        """Return the entry that may ask, or ``None`` when all are busy.
+
+        :param cost_s: how long the question keeps the advisor busy, in seconds.
+        :param now: monotonic time in seconds.
+        """
+        ...
+
+
 class Planner:
     """Goes through the demands in order and places what fits.
 
     :param now: monotonic time in seconds of the round.
+    :param advice: says which entry may ask an advisor now.
     """
 
     def __init__(
@@ -81,7 +125,9 @@
         permits: PermitBook,
         limits_by_team: dict[str, TeamLimits],
         now: float,
+        advice: AdviceBudget,
     ) -> None:
+        self._advice = advice
         self._cell = cell
         self._permits = permits
         self._limits_by_team = limits_by_team
@@ -92,21 +138,26 @@
     def plan(self, demands: list[Demand], most_starts: int) -> Plan:
         """Return what to do now; the room of starts is claimed in the cell.
 
+        :param demands: in order of urgency.
         :param most_starts: bound on the tasks started in this round.
         """
         started = 0
-        for demand in sorted(demands, key=lambda demand: demand.order):
+        changes = self._cell.take_changes(self._now)
+        for demand in demands:
+            if not demand.is_worth_a_look(changes):
+                continue
             if started >= most_starts:
-                break
+                # Left for the next round, with all that changed before this one.
+                demand.blocked = Blocked.NOT
+                continue
+            demand.blocked = Blocked.NOT
             started += self._serve(demand)
         return Plan(tuple(self._starts), tuple(self._questions))
 
     def _serve(self, demand: Demand) -> int:
         """Start what fits of a demand; return the number of tasks."""
         step = demand.record.step_of(demand.key)
-        waiting = [
-            key for key, task in demand.record.tasks_of(demand.key) if task.is_waiting
-        ]
+        waiting = demand.record.waiting_of(demand.key)
         if not waiting or (step.gang and len(waiting) < step.count):
             return 0
         permits = None
@@ -116,13 +167,20 @@
             self._ask_about_new_workers(demand, permits)
             worker_ids = permits.allowed_ids
             if not worker_ids:
+                if permits.asking:
+                    demand.blocked = Blocked.ADVICE
                 return 0
         service = demand.queue.service
         rooms = eligible_rooms(self._cell, service, step, self._now, worker_ids)
         chosen = self._choose(demand, rooms, len(waiting))
-        if permits is not None and chosen:
+        if not chosen:
+            self._block(demand)
+            return 0
+        if permits is not None:
             chosen = self._with_permit(demand, permits, chosen, rooms, len(waiting))
         if not chosen:
+            if permits.asking:
+                demand.blocked = Blocked.ADVICE
             return 0
         self._start(demand, waiting, chosen)
         return len(chosen)
@@ -141,6 +199,14 @@
             return []
         return pack_gang(step, rooms, spread)
 
+    def _block(self, demand: Demand) -> None:
+        """Note what keeps a demand waiting."""
+        step = demand.record.step_of(demand.key)
+        needed = step.count if step.gang else 1
+        team = demand.record.spec.team
+        allowed = self._allowed_by_limit(team, step.request, needed)
+        demand.blocked = Blocked.ROOM if allowed == needed else Blocked.LIMIT
+
     def _allowed_by_limit(self, team: str, request: Resources, count: int) -> int:
         """Return how many of some tasks a team may start."""
         limits = self._limits_by_team.get(team)
@@ -189,9 +255,13 @@
         return self._choose(demand, usable, count)
 
     def _ask(self, demand: Demand, permits: StepPermits, worker_ids: list[str]) -> None:
-        permits.asking = True
         named = tuple(worker_ids[:MOST_NAMED])
-        question = Question(demand.record, demand.key, demand.queue, named)
+        cost_s = demand.queue.advice.cost_s(len(named))
+        entry = self._advice.reserve(cost_s, self._now)
+        if entry is None:
+            return
+        permits.asking = True
+        question = Question(demand.record, demand.key, demand.queue, named, entry)
         self._questions.append(question)
 
     def _start(
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -88,6 +88,7 @@
     task_by_key: dict[TaskKey, TaskRecord] = field(default_factory=dict)
     done_count_by_step: dict[StepKey, int] = field(default_factory=dict)
     gang_failures_by_step: dict[StepKey, GangFailures] = field(default_factory=dict)
+    waiting_by_step: dict[StepKey, dict[TaskKey, None]] = field(default_factory=dict)
 
     @classmethod
     def from_spec(cls, spec: JobSpec) -> JobRecord:
@@ -98,8 +99,20 @@
                 for index in range(step.count):
                     key = TaskKey(occurrence, number, index)
                     record.task_by_key[key] = TaskRecord()
+        record.count_waiting()
         return record
 
+    def count_waiting(self) -> None:
+        """Work out anew which tasks have to be started."""
+        self.waiting_by_step = {}
+        for key, task in self.task_by_key.items():
+            if task.is_waiting:
+                self.waiting_by_step.setdefault(key.step_key, {})[key] = None
+
+    def waiting_of(self, key: StepKey) -> list[TaskKey]:
+        """Return the tasks of a step that have to be started."""
+        return list(self.waiting_by_step.get(key, ()))
+
     @property
     def is_final(self) -> bool:
         """Whether the job will never change again."""
@@ -160,6 +173,7 @@
         task = self.task_by_key[key]
         task.last_run = number
         task.run = Run(number, worker_id, born)
+        self.waiting_by_step.get(key.step_key, {}).pop(key, None)
         if not self.is_final:
             self.state = JobState.RUNNING
         return task.run
@@ -173,6 +187,8 @@
         task = self.task_by_key[key]
         run = task.run.number if task.run else task.last_run
         task.run = None
+        if not task.done:
+            self.waiting_by_step.setdefault(key.step_key, {})[key] = None
         if checkpoint:
             task.checkpoint = checkpoint
         step = self.step_of(key)
@@ -198,6 +214,7 @@
             if task.done:
                 continue
             task.done = True
+            self.waiting_by_step.get(key.step_key, {}).pop(each, None)
             count = self.done_count_by_step.get(key.step_key, 0)
             self.done_count_by_step[key.step_key] = count + 1
 
--- /dev/null
+++ b/tests/owner/test_planning.py
@@ -0,0 +1,64 @@
+"""What keeps steps waiting, and what ends the wait."""
+
+from __future__ import annotations
+
+import pytest
+from tests.support.steps import StepWorld, step
+
+
+@pytest.fixture
+def world():
+    made = StepWorld()
+    made.run(1.0)
+    return made
+
+
+def with_advice(world, version):
+    queue = {"most_attempts": 2, "target_s": 1.0, "advice": [0.5, 0.01, 2.0]}
+    world.set_policy(version, queues={"reviews": queue})
+
+
+def test_step_starts_when_the_policy_changes_while_its_advisor_is_asked(world):
+    with_advice(world, 2)
+    world.run(1.0)
+    world.submit("a" * 16)
+    with_advice(world, 3)
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 6.0)
+
+
+def test_step_waits_for_room_and_starts_when_it_appears(world):
+    world.submit("a" * 16, step(count=3, processors=16000))
+    world.run(0.5)
+    world.submit("b" * 16, step(count=3, processors=16000))
+    world.run(0.2)
+    assert not world.executions("b" * 16)
+    world.run_until(lambda: world.final_state("b" * 16) == "completed", 5.0)
+
+
+def test_gang_waits_until_all_fit(world):
+    world.submit("a" * 16, step(count=2, processors=16000), payload="seconds=2")
+    world.run(0.5)
+    world.submit("b" * 16, step(count=3, processors=16000, gang=True))
+    world.run(1.0)
+    assert not world.executions("b" * 16)
+    world.run_until(lambda: world.final_state("b" * 16) == "completed", 6.0)
+    starts = {execution.started_at for execution in world.executions("b" * 16)}
+    assert max(starts) - min(starts) < 0.1
+
+
+def test_team_stays_within_its_limit(world):
+    world.set_policy(2, teams={"north": [2000, 0, 0]})
+    world.run(1.0)
+    world.submit("a" * 16, step(count=6))
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 10.0)
+    executions = world.executions("a" * 16)
+    for execution in executions:
+        at = execution.started_at
+        beside = [e for e in executions if e.started_at <= at < e.ended_at]
+        assert len(beside) <= 2
+
+
+def test_job_fails_after_its_attempts(world):
+    world.submit("a" * 16, payload="fail seconds=0.2")
+    world.run_until(lambda: world.final_state("a" * 16) == "failed", 5.0)
+    assert len(world.executions("a" * 16)) == 2
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -18,9 +18,9 @@
 from lagoonpulley.owner.role import OwnerRole
 from lagoonpulley.owner.session import EntryDocument, SessionRole
 from lagoonpulley.owner.settings import OwnerSettings
-from lagoonpulley.peers.messages import PeerCall
+from lagoonpulley.peers.messages import AdviceAnswer, PeerCall
 from lagoonpulley.policy.role import PolicyRole
-from lagoonpulley.policy.values import Policy, Queue, Service, TeamLimits
+from lagoonpulley.policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from lagoonpulley.runtime.role import (
     PEERS,
     STORE,
@@ -56,10 +56,7 @@
 
     def decode(self, entry):
         values = json.loads(entry.value)
-        queues = {
-            name: Queue(name, "", f"/{name}/", "service", **fields)
-            for name, fields in values["queues"].items()
-        }
+        queues = {name: _queue(name, f) for name, f in values["queues"].items()}
         teams = {
             name: TeamLimits(name, 1.0, Resources(*limit))
             for name, limit in values["teams"].items()
@@ -77,6 +74,13 @@
         )
 
 
+def _queue(name: str, fields: dict) -> Queue:
+    fields = dict(fields)
+    if "advice" in fields:
+        fields["advice"] = AdvicePolicy(*fields["advice"])
+    return Queue(name, "", f"/{name}/", "service", **fields)
+
+
 class JsonDirectory:
     """Decodes the worker entries that the tests write."""
 
@@ -303,7 +307,7 @@
         command = request.operation
         if isinstance(command, AskAdvice):
             advice = Advice({w: f"permit-{w}" for w in command.worker_ids}, 2.0)
-            self.clock.after(0.02, lambda: self._reply(entry, request, advice))
+            self.clock.after(0.5, lambda: self._reply(entry, request, advice))
             return
         worker_id = command.to.address
         worker = self.worker_by_id[worker_id]
@@ -331,7 +335,8 @@
         call: PeerCall = request.operation
         operation = AskAdvice(*[getattr(call.message, f) for f in _ADVICE_FIELDS])
         advice = Advice({w: f"permit-{w}" for w in operation.worker_ids}, 2.0)
-        self.clock.after(0.03, lambda: self._reply(entry, request, advice))
+        answer = AdviceAnswer(advice)
+        self.clock.after(0.5, lambda: self._reply(entry, request, answer))
 
 
 _ADVICE_FIELDS = ("job_id", "occurrence", "step", "worker_ids")
