Let a silent worker's leases end, and ask about workers not asked about yet

Cause: every unanswered question to a worker carried a longer lease, so the time at which its runs are surely over never came, and they were never started elsewhere. Change: questions to a silent worker extend nothing; a step asks again when none of the workers that are there is allowed, or a third of them is unknown; a new owner waits up to 0.6 s for all workers before it plans; an answer that cannot be decoded fails its call, not the port's thread; a peer call always answers its role. Ruled out: lost watch events (all were seen), leaked claims. Conclusion: test_step_finds_other_workers_when_the_only_allowed_one_is_gone failed first for both causes.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -70,6 +70,8 @@
 # Ends that come close together are planned for together.
 ROUND_EVERY_S = 0.02
 CHECK_EVERY_S = 0.2
+WAIT_LOG_EVERY_S = 3.0
+MOST_WAITS = 4
 AVOID_UNHEALTHY_S = 0.5
 RETENTION_SLACK_S = 10.0
 MOST_FORGOTTEN = 12
@@ -91,6 +93,7 @@
         self._next_check_at = 0.0
         self._next_round_at = 0.0
         self._wake_asked = False
+        self._next_wait_log_at = 0.0
 
     def receive(self, message: Any) -> None:
         """Process an election, a policy or a tick."""
@@ -312,6 +315,8 @@
     def _take_directory(
         self, tenure: Tenure, entries: list[KeyValue], healthy_since: float
     ) -> None:
+        if tenure.listed_at is None:
+            tenure.listed_at = self.now.mono
         listed = set()
         for entry in entries:
             decoded = self._directory.decode(entry)
@@ -357,13 +362,19 @@
 
     def _sync_once(self, tenure: Tenure, link: WorkerLink) -> Flow:
         sent_at = self.now.mono
-        lease_s = self._settings.longest_worker_lease_s
-        wait_s = SYNC_WAIT_S if link.fenced and not link.waiting_commits else 0.0
+        # A silent worker may still hear: its leases are left to end, so that what
+        # runs there can be started elsewhere in bounded time.
+        lease_until_ms = None
+        if not link.failures:
+            lease_s = self._settings.longest_worker_lease_s
+            lease_until_ms = link.lease_until_ms(sent_at, lease_s)
+        waits = link.is_answering and not link.waiting_commits
+        wait_s = SYNC_WAIT_S if waits else 0.0
         command = SyncWorker(
             to=WorkerAddress(link.info.id, link.info.address),
             token=tenure.token,
             acknowledged=link.acknowledged,
-            lease_until_ms=link.lease_until_ms(sent_at, lease_s),
+            lease_until_ms=lease_until_ms,
             wait_s=wait_s,
         )
         timeout_s = wait_s + COMMAND_TIMEOUT_S
@@ -421,9 +432,33 @@
             tenure.refresh_demands(record)
         for link in list(tenure.link_by_worker_id.values()):
             self._check_link(tenure, link)
+        # What waits for a time to pass is told by nobody.
+        tenure.wants_round = True
+        self._log_waits(tenure)
         self._pending.refresh(tenure, self.now)
         self._forget_old(tenure)
 
+    def _log_waits(self, tenure: Tenure) -> None:
+        """Say of the steps that wait longest what keeps them."""
+        if self.now.mono < self._next_wait_log_at:
+            return
+        self._next_wait_log_at = self.now.mono + WAIT_LOG_EVERY_S
+        demands = tenure.backlog.in_order()
+        for demand in sorted(demands, key=lambda demand: demand.due_at)[:MOST_WAITS]:
+            spec = demand.record.spec
+            permits = tenure.permits.of(spec.id, demand.key)
+            log_event(
+                "step_waits",
+                job=spec.id,
+                step=list(demand.key),
+                team=spec.team,
+                blocked=demand.blocked,
+                asking=permits.asking,
+                allowed=len(permits.allowed_ids),
+                waited_s=round(self.now.wall - spec.submitted_at, 3),
+                waiting_steps=len(demands),
+            )
+
     def _check_link(self, tenure: Tenure, link: WorkerLink) -> None:
         is_dead = not link.is_answering and self.now.mono > link.dead_at
         if link.hold_by_ref and is_dead:
@@ -438,9 +473,9 @@
     def _act(self) -> None:
         """Plan if anything changed, then write what changed."""
         tenure = self._tenure
-        if tenure is None or not tenure.loaded or tenure.policy is None:
+        if tenure is None or not tenure.loaded:
             return
-        if tenure.wants_round:
+        if tenure.wants_round and tenure.may_plan():
             self._plan_when_due(tenure)
         self._commit(tenure)
 
--- a/src/lagoonpulley/owner/tenure.py
+++ b/src/lagoonpulley/owner/tenure.py
@@ -28,6 +28,7 @@
 
 # What a worker's clock must show past a start's time before the start is given up.
 START_SLACK_MS = 200
+SETTLE_S = 0.6
 
 
 @dataclass(slots=True, eq=False)
@@ -48,6 +49,7 @@
     ended_at_by_job_id: dict[str, float] = field(default_factory=dict)
     policy: Policy | None = None
     loaded: bool = False
+    listed_at: float | None = None
     over: bool = False
     wants_round: bool = True
     now: Now | None = None
@@ -190,10 +192,21 @@
         """Work out whether tasks may be placed on a worker."""
         is_listed = link.missing_since is None and bool(link.info.address)
         accepting = is_listed and link.is_answering and not link.info.draining
-        self.cell.set_accepting(link.info.id, accepting)
-        if accepting:
+        if self.cell.set_accepting(link.info.id, accepting):
             self.wants_round = True
 
+    def may_plan(self) -> bool:
+        """Return whether enough is known of the workers to place on them.
+
+        A new owner waits a moment for all workers, so that it does not crowd the
+        first ones that answer.
+        """
+        if not self.loaded or self.policy is None or self.listed_at is None:
+            return False
+        if self.now.mono - self.listed_at > SETTLE_S:
+            return True
+        return all(link.fenced for link in self.link_by_worker_id.values())
+
     def remove_worker(self, link: WorkerLink, reason: str) -> None:
         """Forget a worker that is gone for good."""
         self.lose_runs(link, reason)
--- a/src/lagoonpulley/peers/port.py
+++ b/src/lagoonpulley/peers/port.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 import threading
 from typing import TYPE_CHECKING, Any
@@ -26,6 +27,8 @@
 
 __all__ = ["PeersPort"]
 
+_log = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 1.0
 INCOMING_TIMEOUT_S = 30.0
 CHANNEL_LINGER_S = 20.0
@@ -88,7 +91,12 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _call(self, request: Request) -> None:
-        result = await self._outcome(request.operation, request.timeout_s)
+        try:
+            result = await self._outcome(request.operation, request.timeout_s)
+        except Exception as error:
+            # The role that asked waits for exactly one answer, whatever happens.
+            _log.exception("peer call failed")
+            result = CallFailed(Ran.MAYBE, f"{type(error).__name__}: {error}")
         self._deliver(request.reply_to, Reply(request.request_id, result))
 
     async def _outcome(self, call: PeerCall, timeout_s: float) -> Any:
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -121,13 +121,14 @@
         self._freed_by_id.pop(worker_id, None)
         self._avoided_by_id.pop(worker_id, None)
 
-    def set_accepting(self, worker_id: str, accepting: bool) -> None:
-        """Note whether tasks may be placed on a worker."""
+    def set_accepting(self, worker_id: str, accepting: bool) -> bool:
+        """Note whether tasks may be placed on a worker; return whether it is new."""
         room = self.room_by_worker_id.get(worker_id)
         if room is None or room.accepting == accepting:
-            return
+            return False
         room.accepting = accepting
         self._freed_by_id[worker_id] = room
+        return True
 
     def claim(self, worker_id: str, claim: Claim) -> None:
         """Take room for a run; claims of one run count once."""
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -30,6 +30,8 @@
 
 # Workers named in one question at most; the advisor takes no more.
 MOST_NAMED = 100
+# A step that may run somewhere is asked about again when this share is unknown.
+UNKNOWN_SHARE = 0.3
 
 
 class Blocked(Enum):
@@ -231,7 +233,8 @@
             if room.info.id not in permits.known_ids
             and step.counted.fits_in(room.info.capacity)
         ]
-        if not unknown or (permits.allowed_ids and len(unknown) < len(rooms)):
+        usable = any(room.info.id in permits.allowed_ids for room in rooms)
+        if not unknown or (usable and len(unknown) < len(rooms) * UNKNOWN_SHARE):
             return
         unknown.sort(key=lambda room: -room.free.processors_milli)
         self._ask(demand, permits, [room.info.id for room in unknown])
--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..intake.standing import StoreSeen
+from ..model.verdict import Ran
+from ..observability.events import log_event
 from ..runtime.curl import CurlLoop
 from ..runtime.role import CallFailed, Reply, Request
 
@@ -45,12 +47,20 @@
         call = self._codec.encode(operation, message.timeout_s)
 
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
-            result = self._codec.decode(operation, outcome)
+            result = self._decode(operation, outcome)
             self.note(result)
             self._deliver(message.reply_to, Reply(message.request_id, result))
 
         self._loop.submit(call, complete)
 
+    def _decode(self, operation: Any, outcome: HttpAnswer | HttpFailure) -> Any:
+        try:
+            return self._codec.decode(operation, outcome)
+        except (ValueError, TypeError) as error:
+            kind = type(operation).__name__
+            log_event("answer_not_understood", operation=kind, reason=str(error))
+            return CallFailed(Ran.MAYBE, f"answer not understood: {error}")
+
     def note(self, result: Any) -> None:
         """See each result before it is delivered."""
 
--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -62,3 +62,26 @@
     world.submit("a" * 16, payload="fail seconds=0.2")
     world.run_until(lambda: world.final_state("a" * 16) == "failed", 5.0)
     assert len(world.executions("a" * 16)) == 2
+
+
+def test_step_starts_after_its_advisor_was_busy_with_nothing_else_going_on():
+    world = StepWorld(entries=1)
+    with_advice(world, 2)
+    world.run(2.0)
+    world.advice_failures = 1
+    world.submit("a" * 16)
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 8.0)
+
+
+def test_step_finds_other_workers_when_the_only_allowed_one_is_gone():
+    world = StepWorld(entries=1, workers=2)
+    world.forbidden_workers.add("w1")
+    with_advice(world, 2)
+    world.run(2.0)
+    world.submit("a" * 16, payload="seconds=20")
+    world.run(2.0)
+    assert [e.ref.run for e in world.executions("a" * 16)] == [1]
+    for number in range(2, 5):
+        world.add_worker(f"w{number}")
+    world.dead_workers.add("w0")
+    world.run_until(lambda: len(world.executions("a" * 16)) == 2, 12.0)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -125,7 +125,8 @@
         self.dead_workers: set[str] = set()
         self.silent_starts: set[str] = set()
         self.entry_by_name: dict[str, StepEntry] = {}
-        self.refuse_advice: set[str] = set()
+        self.advice_failures = 0
+        self.forbidden_workers: set[str] = set()
         self.set_policy(1)
         for number in range(workers):
             self.add_worker(f"w{number}")
@@ -305,8 +306,13 @@
 
     def _call_worker(self, entry: StepEntry, request: Request) -> None:
         command = request.operation
+        if isinstance(command, AskAdvice) and self.advice_failures:
+            self.advice_failures -= 1
+            failed = CallFailed(Ran.NO, "the advisor is busy")
+            self.clock.after(0.1, lambda: self._reply(entry, request, failed))
+            return
         if isinstance(command, AskAdvice):
-            advice = Advice({w: f"permit-{w}" for w in command.worker_ids}, 2.0)
+            advice = self._advice(command)
             self.clock.after(0.5, lambda: self._reply(entry, request, advice))
             return
         worker_id = command.to.address
@@ -331,11 +337,14 @@
     def _is_cut(self, entry: StepEntry, worker_id: str) -> bool:
         return worker_id in self.dead_workers or worker_id in entry.unreachable_workers
 
+    def _advice(self, question: AskAdvice) -> Advice:
+        allowed = [w for w in question.worker_ids if w not in self.forbidden_workers]
+        return Advice({w: f"permit-{w}" for w in allowed}, 2.0)
+
     def _call_peer(self, entry: StepEntry, request: Request) -> None:
         call: PeerCall = request.operation
         operation = AskAdvice(*[getattr(call.message, f) for f in _ADVICE_FIELDS])
-        advice = Advice({w: f"permit-{w}" for w in operation.worker_ids}, 2.0)
-        answer = AdviceAnswer(advice)
+        answer = AdviceAnswer(self._advice(operation))
         self.clock.after(0.5, lambda: self._reply(entry, request, answer))
 
 
