Serve callers by another entry while the store turns one away

Change: such an entry passes the request on to up to two others that reach the store, and asks others for the operators' document; a request that may have run here is never called refused; without any store it is refused at once.

--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..model.verdict import Ran
 from ..observability.events import log_event
 from ..owner.pending import PENDING_KEY
+from ..peers.relays import Relays
 from ..runtime.flows import Call, Flow, FlowRole
-from ..runtime.role import STORE, CallFailed, Request
+from ..runtime.role import PEERS, STORE, CallFailed, Request
 from ..store.messages import (
     ABSENT,
     Get,
@@ -31,6 +32,7 @@
 from ..workload.record import JobState
 from .messages import (
     CancelJob,
+    IntakeOperation,
     Outcome,
     OutcomeKind,
     ReadPending,
@@ -38,12 +40,20 @@
     SubmitJob,
 )
 
+if TYPE_CHECKING:
+    import random
+
+    from ..store.health import StoreHealth
+
 __all__ = ["IntakeRole"]
 
 WRITE_TIMEOUT_S = 0.8
 READ_TIMEOUT_S = 0.8
 # A write without an answer is tried again; it cannot take effect twice.
 WRITE_ATTEMPTS = 2
+MOST_RELAYS = 2
+
+_WORTH_RELAYING = frozenset((OutcomeKind.REFUSED, OutcomeKind.UNKNOWN))
 
 
 class IntakeRole(FlowRole):
@@ -51,22 +61,74 @@
 
     name = "intake"
 
-    def __init__(self) -> None:
+    def __init__(
+        self, entry_name: str, health: StoreHealth, chance: random.Random
+    ) -> None:
         super().__init__("intake")
+        self._health = health
+        self._relays = Relays(entry_name, chance)
+        self._running = False
 
     def receive(self, message: Any) -> None:
         """Start an operation for each request."""
-        if not isinstance(message, Request):
-            return
-        match message.operation:
-            case SubmitJob():
-                self.start(self._submit(message, message.operation))
-            case CancelJob():
-                self.start(self._cancel(message, message.operation))
-            case ReadState():
-                self.start(self._read_state(message, message.operation))
-            case ReadPending():
-                self.start(self._read_pending(message, message.operation))
+        if isinstance(message, Request):
+            self.start(self._serve(message))
+        elif not self._running:
+            self._running = True
+            self.start(self._relays.follow())
+
+    def _serve(self, request: Request) -> Flow:
+        """Carry out a request here or, without the store, by another entry."""
+        operation = request.operation
+        began = self.now.mono
+        is_relayed = request.reply_to == PEERS
+        outcome = Outcome(OutcomeKind.REFUSED, "no contact with the store")
+        if not self._health.is_away():
+            outcome = yield from self._perform(request)
+        if not is_relayed and outcome.kind in _WORTH_RELAYING:
+            outcome = yield from self._relay(operation, outcome)
+        if not isinstance(operation, ReadState | ReadPending):
+            log_event(
+                "request_served",
+                kind=type(operation).__name__,
+                job=_job_of(operation),
+                outcome=outcome.kind,
+                reason=outcome.reason,
+                relayed=is_relayed,
+                took_s=round(self.now.mono - began, 3),
+            )
+        self.answer(request, outcome)
+
+    def _perform(self, request: Request) -> Flow:
+        match request.operation:
+            case SubmitJob() as operation:
+                return (yield from self._submit(request, operation))
+            case CancelJob() as operation:
+                return (yield from self._cancel(operation, request.timeout_s))
+            case ReadState() as operation:
+                return (yield from self._read_state(operation))
+            case ReadPending() as operation:
+                return (yield from self._read_pending(operation))
+        return Outcome(OutcomeKind.REFUSED, "no such operation")
+
+    def _relay(self, operation: IntakeOperation, outcome: Outcome) -> Flow:
+        """Have another entry carry out what this one could not.
+
+        A submission may be repeated, since the store accepts it once. What may have
+        run here is never called refused.
+        """
+        may_have_run = outcome.kind is OutcomeKind.UNKNOWN
+        for address in self._relays.choose(MOST_RELAYS):
+            result = yield from self._relays.ask(address, operation)
+            if isinstance(result, CallFailed):
+                may_have_run = may_have_run or result.ran is not Ran.NO
+                continue
+            if result.kind not in _WORTH_RELAYING:
+                return result
+            may_have_run = may_have_run or result.kind is OutcomeKind.UNKNOWN
+        if may_have_run:
+            return Outcome(OutcomeKind.UNKNOWN, outcome.reason)
+        return outcome
 
     # Submission.
 
@@ -83,17 +145,17 @@
         )
         result = yield from self._write(change, request.timeout_s)
         outcome = self._submit_outcome(operation, result)
+        if outcome.kind is not OutcomeKind.DONE:
+            return outcome
         log_event(
             "job_submitted",
             job=spec.id,
             queue=spec.queue,
             team=spec.team,
-            outcome=outcome.kind,
-            reason=outcome.reason,
             policy_revision=operation.policy_revision,
-            revision=result.revision if isinstance(result, StoreResult) else None,
+            revision=result.revision,
         )
-        self.answer(request, outcome)
+        return outcome
 
     def _submit_outcome(
         self, operation: SubmitJob, result: StoreResult | CallFailed
@@ -124,18 +186,7 @@
 
     # Cancellation.
 
-    def _cancel(self, request: Request, operation: CancelJob) -> Flow:
-        outcome = yield from self._cancel_durably(operation, request.timeout_s)
-        log_event(
-            "cancel_asked",
-            job=operation.job_id,
-            team=operation.team,
-            outcome=outcome.kind,
-            reason=outcome.reason,
-        )
-        self.answer(request, outcome)
-
-    def _cancel_durably(self, operation: CancelJob, timeout_s: float) -> Flow:
+    def _cancel(self, operation: CancelJob, timeout_s: float) -> Flow:
         keys = JobKeys(operation.job_id)
         for _ in range(WRITE_ATTEMPTS):
             found = yield Call(STORE, ReadRange(keys.prefix), READ_TIMEOUT_S)
@@ -161,41 +212,39 @@
 
     # State.
 
-    def _read_state(self, request: Request, operation: ReadState) -> Flow:
+    def _read_state(self, operation: ReadState) -> Flow:
         keys = JobKeys(operation.job_id)
         found = yield Call(STORE, ReadRange(keys.prefix), READ_TIMEOUT_S)
         if isinstance(found, CallFailed):
-            self.answer(request, _failed(found))
-            return
+            return _failed(found)
         by_key = {entry.key: entry for entry in found.entries}
         submission = by_key.get(keys.submission)
         final = by_key.get(keys.final)
         if final is not None or submission is None:
-            outcome = _outcome_of_final(keys, final, operation.team)
-            self.answer(request, outcome)
-            return
+            return _outcome_of_final(keys, final, operation.team)
         if _team_of(keys, submission) != operation.team:
-            self.answer(request, Outcome(OutcomeKind.OTHER_TEAM))
-            return
+            return Outcome(OutcomeKind.OTHER_TEAM)
         if keys.cancel in by_key:
-            outcome = Outcome(OutcomeKind.DONE, state=JobState.CANCELLED)
-            self.answer(request, outcome)
-            return
+            return Outcome(OutcomeKind.DONE, state=JobState.CANCELLED)
         progress = yield Call(STORE, Get(keys.progress), READ_TIMEOUT_S)
         if isinstance(progress, CallFailed):
-            self.answer(request, _failed(progress))
-            return
+            return _failed(progress)
         state = _state_of_progress(progress.entry)
-        self.answer(request, Outcome(OutcomeKind.DONE, state=state))
+        return Outcome(OutcomeKind.DONE, state=state)
 
-    def _read_pending(self, request: Request, operation: ReadPending) -> Flow:
+    def _read_pending(self, operation: ReadPending) -> Flow:
         result = yield Call(STORE, Get(PENDING_KEY), READ_TIMEOUT_S)
         if isinstance(result, CallFailed):
-            self.answer(request, _failed(result))
-            return
+            return _failed(result)
         counts = json.loads(result.entry.value) if result.entry else {}
         pending = int(counts.get(operation.queue, 0))
-        self.answer(request, Outcome(OutcomeKind.DONE, pending=pending))
+        return Outcome(OutcomeKind.DONE, pending=pending)
+
+
+def _job_of(operation: IntakeOperation) -> str:
+    if isinstance(operation, SubmitJob):
+        return operation.spec.id
+    return getattr(operation, "job_id", "")
 
 
 def _failed(result: CallFailed) -> Outcome:
--- a/src/lagoonpulley/intake/standing.py
+++ b/src/lagoonpulley/intake/standing.py
@@ -3,40 +3,29 @@
 from __future__ import annotations
 
 import threading
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from ..policy.messages import PolicyChanged
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..policy.values import Policy
-    from ..runtime.role import Now
-
-__all__ = ["Standing", "StoreSeen"]
-
-# Without an answer of the store for this long, an entry turns callers away.
-STORE_SILENCE_S = 2.0
+    from ..store.health import StoreContact
 
+__all__ = ["Standing"]
 
-@dataclass(frozen=True, slots=True)
-class StoreSeen:
-    """The store answered a call at ``at`` (monotonic seconds)."""
-
-    at: float
+# Without an answer of the store for this long, callers are better served elsewhere.
+STORE_SILENCE_S = 1.5
 
 
 class Standing:
-    """The policy in force and the last sign of life of the store.
+    """The policy in force and the contact with the store.
 
     A port that callers' threads read; the reference to the policy changes at once.
     """
 
-    def __init__(self, clocks: Callable[[], Now]) -> None:
-        self._clocks = clocks
+    def __init__(self, contact: StoreContact) -> None:
+        self._contact = contact
         self._policy: Policy | None = None
-        self._store_seen_at = float("-inf")
         self._stopping = threading.Event()
 
     @property
@@ -45,12 +34,9 @@
         return self._policy
 
     def submit(self, message: Any) -> None:
-        """Take a message of a role or port."""
-        match message:
-            case PolicyChanged(policy):
-                self._policy = policy
-            case StoreSeen(at):
-                self._store_seen_at = at
+        """Take a message of a role."""
+        if isinstance(message, PolicyChanged):
+            self._policy = message.policy
 
     def stop(self) -> None:
         """Ask for no more callers."""
@@ -59,12 +45,8 @@
     def close(self) -> None:
         """Nothing to release; part of the port interface."""
 
-    def has_store(self) -> bool:
-        """Return whether the store answered a short while ago."""
-        return self._clocks().mono - self._store_seen_at < STORE_SILENCE_S
-
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         if self._stopping.is_set() or self._policy is None:
             return False
-        return self.has_store()
+        return self._contact.silence_s() < STORE_SILENCE_S
--- a/src/lagoonpulley/owner/advisors.py
+++ b/src/lagoonpulley/owner/advisors.py
@@ -7,8 +7,6 @@
 
 from typing import TYPE_CHECKING
 
-from pydantic import ValidationError
-
 from ..model.verdict import Ran
 from ..observability.events import log_event
 from ..peers.messages import AdviceAnswer, PeerCall
@@ -16,7 +14,7 @@
 from ..runtime.role import PEERS, STORE, UPSTREAM, CallFailed
 from ..store.messages import ReadRange
 from ..upstream.tasks import AskAdvice
-from .session import ENTRIES_PREFIX, EntryDocument
+from .entries import ENTRIES_PREFIX, addresses_of
 
 if TYPE_CHECKING:
     from ..planning.planner import Question
@@ -53,16 +51,8 @@
             if isinstance(result, CallFailed):
                 yield Sleep(ENTRIES_EVERY_S)
                 continue
-            found = {self._own_name: ""}
-            for entry in result.entries:
-                try:
-                    document = EntryDocument.model_validate_json(entry.value)
-                except ValidationError:
-                    log_event("entry_refused", key=entry.key)
-                    continue
-                if document.name != self._own_name:
-                    found[document.name] = document.peer_address
-            self._address_by_name = found
+            others = addresses_of(result.entries, self._own_name)
+            self._address_by_name = {self._own_name: ""} | others
             yield Sleep(ENTRIES_EVERY_S)
 
     def reserve(self, cost_s: float, now: float) -> str | None:
--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pydantic import BaseModel, ValidationError
+from pydantic import ValidationError
 
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
@@ -24,13 +24,13 @@
     WatchPrefix,
     Write,
 )
+from .entries import ENTRIES_PREFIX, EntryDocument
 from .journal import HEAD_KEY
 from .messages import Deposed, Elected, Resign
 
-__all__ = ["ENTRIES_PREFIX", "OWNER_KEY", "EntryDocument", "SessionRole"]
+__all__ = ["OWNER_KEY", "SessionRole"]
 
 OWNER_KEY = "lagoonpulley/owner"
-ENTRIES_PREFIX = "lagoonpulley/entries/"
 
 SESSION_S = 2.0
 RENEW_EVERY_S = 0.6
@@ -42,15 +42,6 @@
 ELECTION_SPREAD_S = 0.1
 
 
-class EntryDocument(BaseModel):
-    """What an entry tells the others; ``life`` names the life of its process."""
-
-    name: str
-    life: str
-    peer_address: str
-    data_centre: str
-
-
 @dataclass(slots=True)
 class _Session:
     """A store lease; ``ends_at`` is on the monotonic clock, in seconds."""
--- a/src/lagoonpulley/peers/service.py
+++ b/src/lagoonpulley/peers/service.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from ..intake import messages as intake
+from ..policy.messages import AskPolicy, PolicyAnswer
 from ..upstream.tasks import AskAdvice
 from .messages import (
     AdviceAnswer,
@@ -51,6 +53,11 @@
         "FetchConfiguration", FetchConfiguration, ConfigurationAnswer, "configuration"
     ),
     _method("AskAdvice", AskAdvice, AdviceAnswer, "advisor"),
+    _method("AskPolicy", AskPolicy, PolicyAnswer, "policy"),
+    _method("SubmitStepJob", intake.SubmitJob, intake.Outcome, "intake"),
+    _method("CancelStepJob", intake.CancelJob, intake.Outcome, "intake"),
+    _method("ReadState", intake.ReadState, intake.Outcome, "intake"),
+    _method("ReadPending", intake.ReadPending, intake.Outcome, "intake"),
 )
 
 METHOD_BY_REQUEST = {method.request_type: method for method in _METHODS}
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -11,15 +11,18 @@
 from ..intake.role import IntakeRole
 from ..intake.standing import Standing
 from ..owner.advisor_role import AdvisorRole
+from ..owner.entries import EntryDocument
 from ..owner.messages import Resign
 from ..owner.role import OwnerRole
-from ..owner.session import EntryDocument, SessionRole
+from ..owner.session import SessionRole
 from ..owner.settings import OwnerSettings
 from ..peers.port import PeersPort
+from ..peers.relays import Relays
 from ..policy.role import PolicyRole
 from ..runtime.actors import Runtime, read_clocks
 from ..runtime.role import PEERS, STORE, UPSTREAM
 from ..settings.schema import ListenSettings
+from ..store.health import StoreContact
 from .documents import PlatformDirectory, PlatformPolicy
 from .gateway import PlatformGateway, ReadinessApp
 from .ports import HttpPort, StoreHttpPort
@@ -47,7 +50,8 @@
         self._store_codec = PlatformStoreCodec(settings.store_address)
         self._worker_codec = PlatformWorkerCodec(settings.advisor_address)
         self._runtime = Runtime()
-        self._standing = Standing(read_clocks)
+        self._contact = StoreContact(read_clocks)
+        self._standing = Standing(self._contact)
         self._peers = PeersPort(settings.ip, settings.peer_port, self._runtime.deliver)
         gateway = PlatformGateway(self._runtime, self._standing, read_clocks)
         self._callers = GatewayServer(
@@ -101,7 +105,7 @@
 
     def _add_ports(self) -> None:
         runtime = self._runtime
-        store = StoreHttpPort(self._store_codec, runtime.deliver, STANDING, read_clocks)
+        store = StoreHttpPort(self._store_codec, runtime.deliver, self._contact)
         workers = HttpPort("upstream-port", self._worker_codec, runtime.deliver)
         runtime.add_port(STORE, store)
         runtime.add_port(UPSTREAM, workers)
@@ -127,9 +131,14 @@
         )
         chance = random.Random(f"{settings.entry_id}:{time.time_ns()}")
         for role in (
-            PolicyRole(PlatformPolicy(), (STANDING, OwnerRole.name)),
+            PolicyRole(
+                PlatformPolicy(),
+                (STANDING, OwnerRole.name),
+                self._contact,
+                Relays(settings.entry_id, chance),
+            ),
             SessionRole(document, OwnerRole.name, chance),
-            IntakeRole(),
+            IntakeRole(settings.entry_id, self._contact, chance),
             AdvisorRole(),
             owner,
         ):
--- a/src/lagoonpulley/platform/gateway.py
+++ b/src/lagoonpulley/platform/gateway.py
@@ -80,8 +80,8 @@
     def _answer(self, request: Request) -> Response:
         for _ in range(POLICY_ATTEMPTS):
             policy = self._standing.policy
-            if policy is None or not self._standing.has_store():
-                return _not_run("no contact with the store")
+            if policy is None:
+                return _not_run("no policy is known yet")
             outcome = self._perform(request, policy)
             if isinstance(outcome, Response):
                 return outcome
--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Any, Protocol
 
-from ..intake.standing import StoreSeen
 from ..model.verdict import Ran
 from ..observability.events import log_event
 from ..runtime.curl import CurlLoop
@@ -14,7 +13,7 @@
     from collections.abc import Callable
 
     from ..runtime.curl import HttpAnswer, HttpCall, HttpFailure
-    from ..runtime.role import Now
+    from ..store.health import StoreContact
 
 __all__ = ["Codec", "HttpPort", "StoreHttpPort"]
 
@@ -70,20 +69,17 @@
 
 
 class StoreHttpPort(HttpPort):
-    """Tells a listener whenever the store has answered."""
+    """Notes whether the store answers."""
 
     def __init__(
         self,
         codec: Codec,
         deliver: Callable[[str, Any], None],
-        listener: str,
-        clocks: Callable[[], Now],
+        contact: StoreContact,
     ) -> None:
         super().__init__("store-port", codec, deliver)
-        self._listener = listener
-        self._clocks = clocks
+        self._contact = contact
 
     def note(self, result: Any) -> None:
-        """Pass on that the store has answered."""
-        if not isinstance(result, CallFailed):
-            self._deliver(self._listener, StoreSeen(self._clocks().mono))
+        """Note an answer or a failure."""
+        self._contact.note(answered=not isinstance(result, CallFailed))
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -15,10 +15,13 @@
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.model.verdict import Ran
 from lagoonpulley.owner.advisor_role import AdvisorRole
+from lagoonpulley.owner.entries import EntryDocument
 from lagoonpulley.owner.role import OwnerRole
-from lagoonpulley.owner.session import EntryDocument, SessionRole
+from lagoonpulley.owner.session import SessionRole
 from lagoonpulley.owner.settings import OwnerSettings
 from lagoonpulley.peers.messages import AdviceAnswer, PeerCall
+from lagoonpulley.peers.relays import Relays
+from lagoonpulley.peers.service import METHOD_BY_REQUEST
 from lagoonpulley.policy.role import PolicyRole
 from lagoonpulley.policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from lagoonpulley.runtime.role import (
@@ -33,6 +36,7 @@
 )
 from lagoonpulley.standin.store import StoreState
 from lagoonpulley.standin.task_worker import TaskWorkerState
+from lagoonpulley.store.health import StoreContact
 from lagoonpulley.store.messages import Transaction, WatchPrefix, Write
 from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.upstream.tasks import Advice, AskAdvice, SyncWorker
@@ -99,6 +103,7 @@
 
     name: str
     roles: dict[str, Any]
+    contact: StoreContact
     mailbox: deque = field(default_factory=deque)
     alive: bool = True
     has_store: bool = True
@@ -120,6 +125,7 @@
         self.lose_answers = 0.0
         self.life = 0
         self.request_count = 0
+        self.peer_call_by_id: dict[str, tuple[StepEntry, Request]] = {}
         self.outcome_by_request_id: dict[str, Any] = {}
         self.worker_by_id: dict[str, TaskWorkerState] = {}
         self.dead_workers: set[str] = set()
@@ -170,14 +176,18 @@
         document = EntryDocument(
             name=name, life=str(self.life), peer_address=name, data_centre="a"
         )
+        contact = StoreContact(lambda: self.clock.now)
+        chance = random.Random(self.life)
         roles = (
-            PolicyRole(JsonPolicy(), ("owner",)),
-            SessionRole(document, "owner", random.Random(self.life)),
-            IntakeRole(),
+            PolicyRole(
+                JsonPolicy(), ("owner", "standing"), contact, Relays(name, chance)
+            ),
+            SessionRole(document, "owner", chance),
+            IntakeRole(name, contact, chance),
             AdvisorRole(),
             OwnerRole(OwnerSettings(name, LEASE_S), JsonDirectory()),
         )
-        entry = StepEntry(name, {role.name: role for role in roles})
+        entry = StepEntry(name, {role.name: role for role in roles}, contact)
         self.entry_by_name[name] = entry
         self._tick(entry)
         return entry
@@ -265,6 +275,8 @@
             self._call_store(entry, message)
         elif to == UPSTREAM:
             self._call_worker(entry, message)
+        elif to == PEERS and isinstance(message, Reply):
+            self._answer_peer(message)
         elif to == PEERS:
             self._call_peer(entry, message)
         elif to == WAKE:
@@ -279,10 +291,14 @@
         role = request.reply_to
         entry.mailbox.append((role, Reply(request.request_id, result)))
 
+    def _reply_store(self, entry: StepEntry, request: Request, result: Any) -> None:
+        entry.contact.note(answered=not isinstance(result, CallFailed))
+        self._reply(entry, request, result)
+
     def _call_store(self, entry: StepEntry, request: Request) -> None:
         if not entry.has_store or not self.store_up:
             failed = CallFailed(Ran.NO, "the store is away")
-            self.clock.after(0.005, lambda: self._reply(entry, request, failed))
+            self.clock.after(0.005, lambda: self._reply_store(entry, request, failed))
             return
         until = self.clock.mono + getattr(request.operation, "wait_s", 0.0)
         lost = self.random.random() < self.lose_answers
@@ -295,12 +311,14 @@
                 self.clock.after(POLL_S, perform)
                 return
             if not lost:
-                self.clock.after(0.002, lambda: self._reply(entry, request, result))
+                self.clock.after(
+                    0.002, lambda: self._reply_store(entry, request, result)
+                )
 
         if lost:
             failed = CallFailed(Ran.MAYBE, "the answer was lost")
             self.clock.after(
-                request.timeout_s, lambda: self._reply(entry, request, failed)
+                request.timeout_s, lambda: self._reply_store(entry, request, failed)
             )
         self.clock.after(0.003, perform)
 
@@ -337,12 +355,34 @@
     def _is_cut(self, entry: StepEntry, worker_id: str) -> bool:
         return worker_id in self.dead_workers or worker_id in entry.unreachable_workers
 
+    def _call_entry(self, entry: StepEntry, request: Request) -> None:
+        """Carry a message to another entry, and its answer back."""
+        call: PeerCall = request.operation
+        other = self.entry_by_name[call.address]
+        if not other.alive:
+            failed = CallFailed(Ran.NO, "nobody listens")
+            self.clock.after(0.002, lambda: self._reply(entry, request, failed))
+            return
+        self.request_count += 1
+        request_id = f"peer:{self.request_count}"
+        self.peer_call_by_id[request_id] = (entry, request)
+        role = METHOD_BY_REQUEST[type(call.message)].role
+        passed = Request(request_id, PEERS, call.message, 3.0)
+        self.clock.after(0.001, lambda: other.mailbox.append((role, passed)))
+
+    def _answer_peer(self, reply: Reply) -> None:
+        entry, request = self.peer_call_by_id.pop(reply.request_id)
+        self.clock.after(0.001, lambda: self._reply(entry, request, reply.result))
+
     def _advice(self, question: AskAdvice) -> Advice:
         allowed = [w for w in question.worker_ids if w not in self.forbidden_workers]
         return Advice({w: f"permit-{w}" for w in allowed}, 2.0)
 
     def _call_peer(self, entry: StepEntry, request: Request) -> None:
         call: PeerCall = request.operation
+        if not isinstance(call.message, AskAdvice):
+            self._call_entry(entry, request)
+            return
         operation = AskAdvice(*[getattr(call.message, f) for f in _ADVICE_FIELDS])
         answer = AdviceAnswer(self._advice(operation))
         self.clock.after(0.5, lambda: self._reply(entry, request, answer))
