--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -32,9 +32,9 @@
 
 OWNER_KEY = "lagoonpulley/owner"
 
-SESSION_S = 2.0
-RENEW_EVERY_S = 0.6
-CALL_TIMEOUT_S = 0.6
+SESSION_S = 1.2
+RENEW_EVERY_S = 0.35
+CALL_TIMEOUT_S = 0.5
 WATCH_WAIT_S = 0.8
 WATCH_TIMEOUT_S = 1.2
 RETRY_PAUSE_S = 0.15
