Never take a job that has ended for a new one

Only the path by the watch looked at ended jobs. Change: every path does. Conclusion: test_job_that_ended_while_all_jobs_were_read_again_is_not_run_again failed first.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -272,8 +272,7 @@
             return
         job_id, kind = parsed
         if kind == SUBMISSION:
-            if job_id not in tenure.ended_at_by_job_id:
-                self._take_submission(tenure, entry)
+            self._take_submission(tenure, entry)
         elif kind == "cancel":
             self._take_state(tenure, entry)
 
@@ -283,7 +282,8 @@
             log_event("submission_refused", key=entry.key, reason=decoded.error)
             return
         spec = decoded.ok
-        if spec.id in tenure.record_by_id:
+        # What was read may be older than the end of the job.
+        if spec.id in tenure.record_by_id or spec.id in tenure.ended_at_by_job_id:
             return
         tenure.add_job(spec)
         log_event(
@@ -458,7 +458,7 @@
             tenure.refresh_demands(record)
         for link in list(tenure.link_by_worker_id.values()):
             self._check_link(tenure, link)
-        # What waits for a time to pass is told by nobody.
+        # Nothing tells of what only waits for a time to pass.
         tenure.wants_round = True
         self._log_waits(tenure)
         self._pending.refresh(tenure, self.now)
--- a/tests/owner/test_takeover.py
+++ b/tests/owner/test_takeover.py
@@ -49,6 +49,20 @@
     assert world.final_state("b" * 16) == "completed"
 
 
+def test_job_that_ended_while_all_jobs_were_read_again_is_not_run_again():
+    world = StepWorld()
+    world.run(1.0)
+    world.submit("a" * 16)
+    key = JobKeys("a" * 16).submission
+    read_before = world.store.entry_by_key[key]
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 5.0)
+    world.run(0.5)
+    owner = world.owner().owner
+    owner._load_jobs(owner._tenure, [read_before])
+    world.run(3.0)
+    assert len(world.executions("a" * 16)) == 1
+
+
 def _is_loaded(world: StepWorld) -> bool:
     for entry in world.entry_by_name.values():
         owner: OwnerRole = entry.owner
