--- /dev/null
+++ b/src/lagoonpulley/owner/jobs.py
@@ -0,0 +1,192 @@
+"""Follows the jobs in the store: submissions, cancellations and final states."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..observability.events import log_event
+from ..runtime.flows import Call, Flow, Sleep
+from ..runtime.role import STORE, CallFailed
+from ..store.messages import ReadRange, StoreStatus, Transaction, WatchPrefix
+from ..workload.documents import (
+    CANCEL,
+    FINAL,
+    JOBS_PREFIX,
+    PROGRESS_PREFIX,
+    SUBMISSION,
+    FinalDocument,
+    JobKeys,
+    decode_final,
+    decode_progress,
+    decode_submission,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..store.messages import KeyValue
+    from .host import Host
+    from .tenure import Tenure
+
+__all__ = ["JobsFollower"]
+
+READ_TIMEOUT_S = 1.0
+DELETE_TIMEOUT_S = 0.8
+RETRY_PAUSE_S = 0.05
+WATCH_WAIT_S = 1.0
+WATCH_TIMEOUT_S = 1.5
+# Final states are kept a little longer than callers may count on.
+RETENTION_SLACK_S = 10.0
+MOST_FORGOTTEN = 12
+
+
+class JobsFollower:
+    """Keeps a term's jobs as the store has them.
+
+    :param retention_s: how long a final state is kept, in seconds.
+    """
+
+    def __init__(self, host: Host, retention_s: float) -> None:
+        self._host = host
+        self._retention_s = retention_s
+
+    def read_all(self, tenure: Tenure, prefix: str) -> Flow:
+        """Read every key of a prefix; return the first page's revision and them."""
+        entries: list[KeyValue] = []
+        revision = 0
+        after = ""
+        while not tenure.over:
+            call = Call(STORE, ReadRange(prefix, after), READ_TIMEOUT_S)
+            result = yield call
+            if isinstance(result, CallFailed):
+                log_event("store_read_failed", prefix=prefix, reason=result.reason)
+                yield Sleep(RETRY_PAUSE_S)
+                continue
+            revision = revision or result.revision
+            entries += result.entries
+            if not result.truncated or not result.entries:
+                break
+            after = result.entries[-1].key
+        return revision, entries
+
+    def load_jobs(self, tenure: Tenure, entries: Iterable[KeyValue]) -> None:
+        """Take in the submissions among some entries."""
+        for entry in entries:
+            parsed = JobKeys.parse(entry.key)
+            if parsed is not None and parsed[1] == SUBMISSION:
+                self._take_submission(tenure, entry)
+
+    def load_progress(self, tenure: Tenure, entries: Iterable[KeyValue]) -> None:
+        """Take in what an earlier owner wrote of each job."""
+        for entry in entries:
+            record = tenure.record_by_id.get(entry.key.removeprefix(PROGRESS_PREFIX))
+            if record is None:
+                continue
+            decoded = decode_progress(entry.value)
+            if decoded.is_error():
+                log_event("progress_refused", key=entry.key, reason=decoded.error)
+                continue
+            tenure.restore(record, decoded.ok)
+
+    def load_states(self, tenure: Tenure, entries: Iterable[KeyValue]) -> None:
+        """Take in the cancellations and final states among some entries."""
+        for entry in entries:
+            self._take_state(tenure, entry)
+
+    def _take_state(self, tenure: Tenure, entry: KeyValue) -> None:
+        """Take in a cancellation or a final state."""
+        parsed = JobKeys.parse(entry.key)
+        if parsed is None or entry.deleted:
+            return
+        job_id, kind = parsed
+        record = tenure.record_by_id.get(job_id)
+        if kind == CANCEL and record is not None:
+            tenure.cancel(record)
+        if kind != FINAL:
+            return
+        decoded = decode_final(entry.value)
+        if decoded.is_error():
+            log_event("final_refused", key=entry.key, reason=decoded.error)
+            return
+        self._note_final(tenure, job_id, decoded.ok)
+
+    @staticmethod
+    def _note_final(tenure: Tenure, job_id: str, document: FinalDocument) -> None:
+        record = tenure.record_by_id.get(job_id)
+        if record is None:
+            tenure.ended_at_by_job_id[job_id] = document.ended_at
+        elif not record.is_final:
+            tenure.restore_final(record, document)
+            tenure.note(record)
+
+    def follow(self, tenure: Tenure, revision: int) -> Flow:
+        """Watch for submissions and cancellations after a revision."""
+        while not tenure.over:
+            watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
+            result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
+            if isinstance(result, CallFailed):
+                log_event("jobs_watch_failed", reason=result.reason)
+                yield Sleep(RETRY_PAUSE_S)
+                continue
+            if result.status is not StoreStatus.OK:
+                log_event("jobs_history_gone", revision=revision)
+                revision, entries = yield from self.read_all(tenure, JOBS_PREFIX)
+                self.load_jobs(tenure, entries)
+                self.load_states(tenure, entries)
+                self._host.act()
+                continue
+            revision = max(revision, result.revision)
+            for entry in result.entries:
+                self._take_change(tenure, entry)
+            self._host.act()
+
+    def _take_change(self, tenure: Tenure, entry: KeyValue) -> None:
+        parsed = JobKeys.parse(entry.key)
+        if tenure.over or parsed is None or entry.deleted:
+            return
+        job_id, kind = parsed
+        if kind == SUBMISSION:
+            self._take_submission(tenure, entry)
+        elif kind == CANCEL:
+            self._take_state(tenure, entry)
+
+    def _take_submission(self, tenure: Tenure, entry: KeyValue) -> None:
+        decoded = decode_submission(entry.value)
+        if decoded.is_error():
+            log_event("submission_refused", key=entry.key, reason=decoded.error)
+            return
+        spec = decoded.ok
+        # What was read may be older than the end of the job.
+        if spec.id in tenure.record_by_id or spec.id in tenure.ended_at_by_job_id:
+            return
+        tenure.add_job(spec)
+        log_event(
+            "job_known",
+            job=spec.id,
+            queue=spec.queue,
+            team=spec.team,
+            revision=entry.revision,
+            age_s=round(self._host.now.wall - spec.submitted_at, 3),
+        )
+
+    def forget_old(self, tenure: Tenure) -> None:
+        """Delete final states that were kept for the whole retention."""
+        limit = self._host.now.wall - self._retention_s - RETENTION_SLACK_S
+        old = [
+            job_id
+            for job_id, ended_at in tenure.ended_at_by_job_id.items()
+            if ended_at < limit
+        ]
+        if not old:
+            return
+        old = old[:MOST_FORGOTTEN]
+        for job_id in old:
+            del tenure.ended_at_by_job_id[job_id]
+        self._host.start(self._delete_final(old))
+
+    def _delete_final(self, job_ids: list[str]) -> Flow:
+        keys = [JobKeys(job_id) for job_id in job_ids]
+        deletes = tuple(key for job in keys for key in (job.final, job.cancel))
+        result = yield Call(STORE, Transaction(deletes=deletes), DELETE_TIMEOUT_S)
+        if isinstance(result, CallFailed):
+            log_event("final_states_kept", jobs=len(job_ids), reason=result.reason)
--- a/tests/owner/test_takeover.py
+++ b/tests/owner/test_takeover.py
@@ -58,7 +58,7 @@
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 5.0)
     world.run(0.5)
     owner = world.owner().owner
-    owner._load_jobs(owner._tenure, [read_before])
+    owner._jobs.load_jobs(owner._tenure, [read_before])
     world.run(3.0)
     assert len(world.executions("a" * 16)) == 1
 
