--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -208,6 +208,8 @@
         plan = planner.plan(demands, MOST_STARTS_PER_ROUND)
         if len(plan.starts) >= MOST_STARTS_PER_ROUND:
             tenure.wants_round = True
+        if tenure.backlog.note_kept_for(planner.kept_for):
+            tenure.wants_round = True
         for start in plan.starts:
             self._dispatch(tenure, start)
         for question in plan.questions:
--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self._demands_by_job_id: dict[str, list[Demand]] = {}
         self._in_order: list[Demand] | None = None
+        self._kept_for: list[tuple[str, tuple[int, int]]] = []
 
     def replace(self, job_id: str, demands: list[Demand]) -> None:
         """Set the demands of a job."""
@@ -33,6 +34,20 @@
         for demand in self._demands_by_job_id.get(job_id, ()):
             demand.blocked = Blocked.NOT
 
+    def note_kept_for(self, owners: list[tuple[str, tuple[int, int]]]) -> bool:
+        """Learn which gangs room is kept for.
+
+        :returns: whether that has changed, so that what was kept from others is to be
+            looked at again.
+        """
+        if owners == self._kept_for:
+            return False
+        self._kept_for = owners
+        for demand in self.in_order():
+            if demand.blocked is Blocked.KEPT:
+                demand.blocked = Blocked.NOT
+        return True
+
     def in_order(self) -> list[Demand]:
         """Return all demands, the most urgent first."""
         if self._in_order is None:
--- a/src/lagoonpulley/planning/packing.py
+++ b/src/lagoonpulley/planning/packing.py
@@ -54,13 +54,18 @@
 
 
 def pack_tasks(
-    step: StepSpec, rooms: Iterable[WorkerRoom], count: int, spread: Spread
+    step: StepSpec,
+    rooms: Iterable[WorkerRoom],
+    count: int,
+    spread: Spread,
+    kept_by_worker_id: dict[str, Resources],
 ) -> list[WorkerRoom]:
     """Choose workers for up to ``count`` independent tasks, best fit first.
 
+    :param kept_by_worker_id: room that is kept for others.
     :returns: one worker a task, fewer when room is lacking.
     """
-    packing = _Packing(step, rooms, spread)
+    packing = _Packing(step, rooms, spread, kept_by_worker_id)
     chosen = []
     for _ in range(count):
         room = packing.take_best()
@@ -71,7 +76,10 @@
 
 
 def pack_gang(
-    step: StepSpec, rooms: Iterable[WorkerRoom], spread: Spread
+    step: StepSpec,
+    rooms: Iterable[WorkerRoom],
+    spread: Spread,
+    kept_by_worker_id: dict[str, Resources],
 ) -> list[WorkerRoom]:
     """Choose workers for all tasks of a gang.
 
@@ -83,10 +91,10 @@
     rooms = list(rooms)
     if step.same_rack:
         for group in _by_rack(rooms).values():
-            chosen = pack_tasks(step, group, step.count, spread)
+            chosen = pack_tasks(step, group, step.count, spread, kept_by_worker_id)
             if len(chosen) == step.count:
                 return chosen
-    chosen = pack_tasks(step, rooms, step.count, spread)
+    chosen = pack_tasks(step, rooms, step.count, spread, kept_by_worker_id)
     return chosen if len(chosen) == step.count else []
 
 
@@ -94,7 +102,11 @@
     """Free room of some workers while tasks of one step are put there."""
 
     def __init__(
-        self, step: StepSpec, rooms: Iterable[WorkerRoom], spread: Spread
+        self,
+        step: StepSpec,
+        rooms: Iterable[WorkerRoom],
+        spread: Spread,
+        kept_by_worker_id: dict[str, Resources],
     ) -> None:
         self._step = step
         self._request = step.counted
@@ -103,6 +115,9 @@
         self._rooms = []
         for room in rooms:
             free = room.free
+            kept = kept_by_worker_id.get(room.info.id)
+            if kept is not None:
+                free = free.minus(kept)
             if not self._request.fits_in(free):
                 continue
             self._free_by_worker_id[room.info.id] = free
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -9,6 +9,7 @@
 from ..upstream.tasks import TaskRef
 from ..workload.spec import StepKey, TaskKey
 from .cell import Claim
+from .holdback import RESERVE_AFTER_S, HoldBack
 from .packing import Spread, eligible_rooms, pack_gang, pack_tasks
 
 if TYPE_CHECKING:
@@ -35,11 +36,15 @@
 
 
 class Blocked(Enum):
-    """Why a demand was not served when it was last looked at."""
+    """Why a demand was not served when it was last looked at.
+
+    ``KEPT``: room is there, or may be, and is kept for a gang.
+    """
 
     NOT = "not"
     ROOM = "room"
     LIMIT = "limit"
+    KEPT = "kept"
     ADVICE = "advice"
 
 
@@ -55,6 +60,7 @@
     queue: Queue
     due_at: float
     blocked: Blocked = Blocked.NOT
+    room_lacks_since: float | None = None
 
     @property
     def order(self) -> tuple[int, float, str, StepKey]:
@@ -64,7 +70,7 @@
     def is_worth_a_look(self, changes: Changes) -> bool:
         """Return whether anything that blocked the demand has changed."""
         match self.blocked:
-            case Blocked.ROOM:
+            case Blocked.ROOM | Blocked.KEPT:
                 return changes.may_fit(self.record.step_of(self.key).counted)
             case Blocked.LIMIT:
                 return self.record.spec.team in changes.relieved_teams
@@ -136,6 +142,12 @@
         self._now = now
         self._starts: list[Start] = []
         self._questions: list[Question] = []
+        self._held_back = HoldBack()
+
+    @property
+    def kept_for(self) -> list[tuple[str, tuple[int, int]]]:
+        """The steps that room was kept for in this round."""
+        return self._held_back.owners
 
     def plan(self, demands: list[Demand], most_starts: int) -> Plan:
         """Return what to do now; the room of starts is claimed in the cell.
@@ -147,6 +159,7 @@
         changes = self._cell.take_changes(self._now)
         for demand in demands:
             if not demand.is_worth_a_look(changes):
+                self._keep_room(demand)
                 continue
             if started >= most_starts:
                 # Left for the next round, with all that changed before this one.
@@ -154,8 +167,34 @@
                 continue
             demand.blocked = Blocked.NOT
             started += self._serve(demand)
+            self._keep_room(demand)
         return Plan(tuple(self._starts), tuple(self._questions))
 
+    def _keep_room(self, demand: Demand) -> None:
+        """Keep room for a gang that has lacked it for a while."""
+        step = demand.record.step_of(demand.key)
+        since = demand.room_lacks_since
+        if demand.blocked is not Blocked.ROOM or not step.gang or since is None:
+            return
+        if self._held_back.is_full or self._now - since < RESERVE_AFTER_S:
+            return
+        rooms = self._rooms_of(demand)
+        spec = demand.record.spec
+        spread = Spread.from_rooms(rooms, step, spec.id, demand.key)
+        self._held_back.keep_for((spec.id, demand.key), step, rooms, spread)
+
+    def _rooms_of(self, demand: Demand) -> list[WorkerRoom]:
+        """Return the workers that may run a demand's step."""
+        worker_ids = None
+        if demand.queue.advice is not None:
+            permits = self._permits.of(demand.record.spec.id, demand.key)
+            worker_ids = permits.allowed_ids
+        step = demand.record.step_of(demand.key)
+        service = demand.queue.service
+        rooms = eligible_rooms(self._cell, service, step, self._now, worker_ids)
+        shunned = demand.record.shunned_by_step.get(demand.key, ())
+        return [room for room in rooms if room.info.id not in shunned] or rooms
+
     def _serve(self, demand: Demand) -> int:
         """Start what fits of a demand; return the number of tasks."""
         step = demand.record.step_of(demand.key)
@@ -163,19 +202,14 @@
         if not waiting or (step.gang and len(waiting) < step.count):
             return 0
         permits = None
-        worker_ids = None
         if demand.queue.advice is not None:
             permits = self._permits.of(demand.record.spec.id, demand.key)
             self._ask_about_new_workers(demand, permits)
-            worker_ids = permits.allowed_ids
-            if not worker_ids:
+            if not permits.allowed_ids:
                 if permits.asking:
                     demand.blocked = Blocked.ADVICE
                 return 0
-        service = demand.queue.service
-        rooms = eligible_rooms(self._cell, service, step, self._now, worker_ids)
-        shunned = demand.record.shunned_by_step.get(demand.key, ())
-        rooms = [room for room in rooms if room.info.id not in shunned] or rooms
+        rooms = self._rooms_of(demand)
         chosen = self._choose(demand, rooms, len(waiting))
         if not chosen:
             self._block(demand)
@@ -197,11 +231,12 @@
         step = record.step_of(key)
         allowed = self._allowed_by_limit(record.spec.team, step.request, count)
         spread = Spread.from_rooms(rooms, step, record.spec.id, key)
+        kept = self._held_back.kept_by_worker_id
         if not step.gang:
-            return pack_tasks(step, rooms, allowed, spread)
+            return pack_tasks(step, rooms, allowed, spread, kept)
         if allowed < step.count:
             return []
-        return pack_gang(step, rooms, spread)
+        return pack_gang(step, rooms, spread, kept)
 
     def _block(self, demand: Demand) -> None:
         """Note what keeps a demand waiting."""
@@ -209,7 +244,12 @@
         needed = step.count if step.gang else 1
         team = demand.record.spec.team
         allowed = self._allowed_by_limit(team, step.request, needed)
-        demand.blocked = Blocked.ROOM if allowed == needed else Blocked.LIMIT
+        if allowed < needed:
+            demand.blocked = Blocked.LIMIT
+            return
+        if demand.room_lacks_since is None:
+            demand.room_lacks_since = self._now
+        demand.blocked = Blocked.KEPT if self._held_back.owners else Blocked.ROOM
 
     def _allowed_by_limit(self, team: str, request: Resources, count: int) -> int:
         """Return how many of some tasks a team may start."""
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -10,7 +10,7 @@
 
 from expression import Ok
 
-from lagoonpulley.intake.messages import SubmitJob
+from lagoonpulley.intake.messages import CancelJob, SubmitJob
 from lagoonpulley.intake.role import IntakeRole
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.model.verdict import Ran
@@ -226,6 +226,10 @@
         entry = next(e for e in self.entry_by_name.values() if e.alive and e.has_store)
         return self.ask(entry, SubmitJob(spec, POLICY_KEY, revision))
 
+    def cancel(self, job_id: str, team: str = "north"):
+        entry = next(e for e in self.entry_by_name.values() if e.alive and e.has_store)
+        return self.ask(entry, CancelJob(job_id, team))
+
     def ask(self, entry: StepEntry, operation: Any, within_s: float = 5.0) -> Any:
         self.request_count += 1
         request_id = f"test:{self.request_count}"
