Never wait for a signal without a bound

The kernel may hand a signal to any thread; Python then runs the handler only when the main thread next wakes, and its wait for the stop had no bound. Other blocking waits of main threads: none is left without a bound (searched).

--- a/src/lagoonpulley/cli/serve.py
+++ b/src/lagoonpulley/cli/serve.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from typing import TYPE_CHECKING, Any
 
 from ..entry.entry import Entry
 from ..observability.logs import configure_logging
 from .common import read_settings
 from .errors import EXIT_DONE, EXIT_REFUSED
+from .signals import StopSignals
 
 if TYPE_CHECKING:
     import argparse
@@ -36,22 +35,13 @@
     settings = read_settings(options.file)
     configure_logging(settings.log, settings.entry_id)
     entry = Entry.from_settings(settings)
-    stop = threading.Event()
-    stop_at_once = threading.Event()
-
-    def on_signal(_number: int, _frame: Any) -> None:
-        if stop.is_set():
-            stop_at_once.set()
-        stop.set()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    entry.on_drain_wanted(stop.set)
+    signals = StopSignals.installed()
+    entry.on_drain_wanted(signals.stop.set)
     entry.start()
     print(f"http {entry.http_address} peers {entry.peer_address}", flush=True)
-    stop.wait()
-    entry.drain(settings.stop_deadline_s, stop_at_once)
-    if stop_at_once.is_set():
+    signals.wait()
+    entry.drain(settings.stop_deadline_s, signals.stop_at_once)
+    if signals.stop_at_once.is_set():
         return EXIT_REFUSED
     entry.close()
     return EXIT_DONE
--- a/src/lagoonpulley/cli/standin.py
+++ b/src/lagoonpulley/cli/standin.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import threading
 from typing import TYPE_CHECKING, Any
 
 from ..standin.cell import StandinCell, StandinPlan
 from .errors import EXIT_DONE
+from .signals import StopSignals
 
 if TYPE_CHECKING:
     import argparse
@@ -47,10 +47,6 @@
     )
     cell = StandinCell.from_plan(plan)
     print(f"store {cell.store_url} workers {cell.workers_url}", flush=True)
-    try:
-        threading.Event().wait()
-    except KeyboardInterrupt:
-        pass
-    finally:
-        cell.close()
+    StopSignals.installed().wait()
+    cell.close()
     return EXIT_DONE
--- a/src/lagoonpulley/platform/reload.py
+++ b/src/lagoonpulley/platform/reload.py
@@ -14,8 +14,6 @@
 
 __all__ = ["SettingsFollower"]
 
-CHECK_EVERY_S = 1.0
-
 
 class SettingsFollower:
     """Compares the file with what is in force; faulty files change nothing.
