--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -20,6 +20,7 @@
     WorkerReport,
 )
 from ..workload.record import EndKind
+from .reports import take_report
 
 if TYPE_CHECKING:
     from ..planning.planner import Start
@@ -145,7 +146,7 @@
         known = tenure.link_by_worker_id.get(link.info.id)
         if tenure.over or known is not link or not isinstance(result, WorkerReport):
             return
-        tenure.take_report(link, result, sent_at)
+        take_report(tenure, link, result, sent_at)
         self._host.act()
 
     def _stop_unknown(self, tenure: Tenure, link: WorkerLink, ref: TaskRef) -> Flow:
--- /dev/null
+++ b/src/lagoonpulley/owner/reports.py
@@ -0,0 +1,126 @@
+"""What a worker's report changes in a term of ownership."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..observability.events import log_event
+from ..workload.record import EndKind
+
+if TYPE_CHECKING:
+    from ..upstream.tasks import Ended, TaskRef, WorkerReport
+    from .link import Hold, WorkerLink
+    from .tenure import Tenure
+
+__all__ = ["take_report"]
+
+# What a worker's clock must show past a start's time before the start is given up.
+START_SLACK_MS = 200
+
+
+def take_report(
+    tenure: Tenure, link: WorkerLink, report: WorkerReport, sent_at: float
+) -> list[TaskRef]:
+    """Take in what a worker lists.
+
+    :param sent_at: when the question was sent, in monotonic seconds.
+    :returns: runs that should not be there.
+    """
+    if tenure.is_other_life(link, report.born):
+        tenure.lose_runs(link, "worker was started again")
+        link = _replace_link(tenure, link, report.born)
+    elif report.born and not link.info.born:
+        link.info = replace(link.info, born=report.born)
+    link.note_report(report, tenure.now.mono)
+    for ended in report.ended:
+        if ended.number > link.processed:
+            _take_end(tenure, link, ended)
+            link.processed = ended.number
+    if not link.waiting_commits:
+        link.acknowledged = link.processed
+    unknown = _compare_running(tenure, link, report, sent_at)
+    tenure.refresh_accepting(link)
+    return unknown
+
+
+def _replace_link(tenure: Tenure, link: WorkerLink, born: int) -> WorkerLink:
+    link.info = replace(link.info, born=born)
+    link.processed = link.acknowledged = 0
+    tenure.cell.put_worker(link.info)
+    return link
+
+
+def _take_end(tenure: Tenure, link: WorkerLink, ended: Ended) -> None:
+    record = tenure.end_run(link, ended.ref, ended.kind, ended.checkpoint)
+    if record is None:
+        return
+    link.waiting_commits += 1
+
+    def acknowledge() -> None:
+        link.waiting_commits -= 1
+        if not link.waiting_commits:
+            link.acknowledged = link.processed
+            link.next_sync_at = 0.0
+
+    tenure.journal.note(record, acknowledge)
+
+
+def _compare_running(
+    tenure: Tenure, link: WorkerLink, report: WorkerReport, sent_at: float
+) -> list[TaskRef]:
+    unknown = []
+    listed = set()
+    for running in report.running:
+        listed.add(running.ref)
+        hold = link.hold_by_ref.get(running.ref)
+        if hold is None:
+            unknown.append(running.ref)
+            continue
+        if hold.settled_at is None:
+            hold.settled_at = tenure.now.mono
+        _note_checkpoint(tenure, running.ref, running.checkpoint)
+        if hold.progress.note(running.percent, tenure.now.mono):
+            _stop_stalled(tenure, link, hold)
+    for ref, hold in list(link.hold_by_ref.items()):
+        if ref not in listed:
+            _look_for(tenure, link, hold, report, sent_at)
+    return unknown
+
+
+def _stop_stalled(tenure: Tenure, link: WorkerLink, hold: Hold) -> None:
+    """Have a run that stands still stopped, and its worker avoided."""
+    if hold.stop_wanted:
+        return
+    hold.stop_wanted = True
+    tenure.shun_for_step(link.info.id, hold.ref)
+    until = tenure.suspicion.note_stall(link.info.id, tenure.now.mono)
+    tenure.cell.avoid(link.info.id, until)
+    log_event(
+        "task_stalled",
+        job=hold.ref.job_id,
+        task=list(hold.ref.key),
+        run=hold.ref.run,
+        worker=link.info.id,
+        percent=hold.progress.percent,
+        avoid_s=round(until - tenure.now.mono, 1),
+    )
+
+
+def _look_for(
+    tenure: Tenure, link: WorkerLink, hold: Hold, report: WorkerReport, sent_at: float
+) -> None:
+    """Decide whether a run that is not listed is gone or still on its way."""
+    if hold.settled_at is None:
+        if hold.not_after_ms and (report.clock_ms > hold.not_after_ms + START_SLACK_MS):
+            hold.settled_at = tenure.now.mono
+        return
+    if sent_at > hold.settled_at:
+        tenure.end_run(link, hold.ref, EndKind.LAPSED, "", "worker does not list it")
+
+
+def _note_checkpoint(tenure: Tenure, ref: TaskRef, checkpoint: str) -> None:
+    record = tenure.record_by_id.get(ref.job_id)
+    task = record.task_by_key.get(ref.key) if record else None
+    if task is not None and checkpoint:
+        task.checkpoint = checkpoint
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -69,8 +69,6 @@
 
     def receive(self, message: Any) -> None:
         """Process an election, a policy or a tick."""
-        if self._tenure is not None:
-            self._tenure.now = self.now
         match message:
             case Elected():
                 self._begin(message)
--- a/src/lagoonpulley/owner/tenure.py
+++ b/src/lagoonpulley/owner/tenure.py
@@ -21,14 +21,11 @@
 if TYPE_CHECKING:
     from ..policy.values import Policy, Queue
     from ..runtime.role import Now
-    from ..upstream.tasks import Ended, WorkerReport
     from ..workload.documents import FinalDocument, ProgressDocument
     from ..workload.spec import JobSpec, TaskKey
 
 __all__ = ["Tenure"]
 
-# What a worker's clock must show past a start's time before the start is given up.
-START_SLACK_MS = 200
 SETTLE_S = 0.6
 
 
@@ -187,7 +184,7 @@
     def put_worker(self, info: WorkerInfo) -> WorkerLink:
         """Take in a worker's entry; another lifetime loses what ran before."""
         link = self.link_by_worker_id.get(info.id)
-        if link is not None and self._is_other_life(link, info.born):
+        if link is not None and self.is_other_life(link, info.born):
             self.lose_runs(link, "worker was started again")
             link = None
         if link is None:
@@ -250,7 +247,8 @@
         return link
 
     @staticmethod
-    def _is_other_life(link: WorkerLink, born: int) -> bool:
+    def is_other_life(link: WorkerLink, born: int) -> bool:
+        """Return whether ``born`` names another lifetime than the one known."""
         return bool(born and link.info.born and born != link.info.born)
 
     # Runs.
@@ -352,107 +350,3 @@
             return
         if record.failures_of(ref.key) >= queue.most_attempts:
             self.finish(record, JobState.FAILED, f"{ref.key} failed too often")
-
-    # Reports of workers.
-
-    def take_report(
-        self, link: WorkerLink, report: WorkerReport, sent_at: float
-    ) -> list[TaskRef]:
-        """Take in what a worker lists.
-
-        :param sent_at: when the question was sent, in monotonic seconds.
-        :returns: runs that should not be there.
-        """
-        if self._is_other_life(link, report.born):
-            self.lose_runs(link, "worker was started again")
-            link = self._replace_link(link, report.born)
-        elif report.born and not link.info.born:
-            link.info = replace(link.info, born=report.born)
-        link.note_report(report, self.now.mono)
-        for ended in report.ended:
-            if ended.number > link.processed:
-                self._take_end(link, ended)
-                link.processed = ended.number
-        if not link.waiting_commits:
-            link.acknowledged = link.processed
-        unknown = self._compare_running(link, report, sent_at)
-        self.refresh_accepting(link)
-        return unknown
-
-    def _replace_link(self, link: WorkerLink, born: int) -> WorkerLink:
-        link.info = replace(link.info, born=born)
-        link.processed = link.acknowledged = 0
-        self.cell.put_worker(link.info)
-        return link
-
-    def _take_end(self, link: WorkerLink, ended: Ended) -> None:
-        record = self.end_run(link, ended.ref, ended.kind, ended.checkpoint)
-        if record is None:
-            return
-        link.waiting_commits += 1
-
-        def acknowledge() -> None:
-            link.waiting_commits -= 1
-            if not link.waiting_commits:
-                link.acknowledged = link.processed
-                link.next_sync_at = 0.0
-
-        self.journal.note(record, acknowledge)
-
-    def _compare_running(
-        self, link: WorkerLink, report: WorkerReport, sent_at: float
-    ) -> list[TaskRef]:
-        unknown = []
-        listed = set()
-        for running in report.running:
-            listed.add(running.ref)
-            hold = link.hold_by_ref.get(running.ref)
-            if hold is None:
-                unknown.append(running.ref)
-                continue
-            if hold.settled_at is None:
-                hold.settled_at = self.now.mono
-            self._note_checkpoint(running.ref, running.checkpoint)
-            if hold.progress.note(running.percent, self.now.mono):
-                self._stop_stalled(link, hold)
-        for ref, hold in list(link.hold_by_ref.items()):
-            if ref not in listed:
-                self._look_for(link, hold, report, sent_at)
-        return unknown
-
-    def _stop_stalled(self, link: WorkerLink, hold: Hold) -> None:
-        """Have a run that stands still stopped, and its worker avoided."""
-        if hold.stop_wanted:
-            return
-        hold.stop_wanted = True
-        self.shun_for_step(link.info.id, hold.ref)
-        until = self.suspicion.note_stall(link.info.id, self.now.mono)
-        self.cell.avoid(link.info.id, until)
-        log_event(
-            "task_stalled",
-            job=hold.ref.job_id,
-            task=list(hold.ref.key),
-            run=hold.ref.run,
-            worker=link.info.id,
-            percent=hold.progress.percent,
-            avoid_s=round(until - self.now.mono, 1),
-        )
-
-    def _look_for(
-        self, link: WorkerLink, hold: Hold, report: WorkerReport, sent_at: float
-    ) -> None:
-        """Decide whether a run that is not listed is gone or still on its way."""
-        if hold.settled_at is None:
-            if hold.not_after_ms and (
-                report.clock_ms > hold.not_after_ms + START_SLACK_MS
-            ):
-                hold.settled_at = self.now.mono
-            return
-        if sent_at > hold.settled_at:
-            self.end_run(link, hold.ref, EndKind.LAPSED, "", "worker does not list it")
-
-    def _note_checkpoint(self, ref: TaskRef, checkpoint: str) -> None:
-        record = self.record_by_id.get(ref.job_id)
-        task = record.task_by_key.get(ref.key) if record else None
-        if task is not None and checkpoint:
-            task.checkpoint = checkpoint
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -10,6 +10,7 @@
 from ..store.messages import ReadRange
 from ..upstream.tasks import Refusal, SyncWorker, WorkerAddress, WorkerReport
 from .dispatch import COMMAND_TIMEOUT_S
+from .reports import take_report
 
 if TYPE_CHECKING:
     from ..store.health import StoreHealth
@@ -177,7 +178,7 @@
                 running=len(report.running),
                 ended=len(report.ended),
             )
-        unknown = tenure.take_report(link, report, sent_at)
+        unknown = take_report(tenure, link, report, sent_at)
         for ref in unknown:
             log_event("unknown_run", worker=link.info.id, job=ref.job_id, run=ref.run)
             self._dispatcher.stop_unknown(tenure, link, ref)
