--- /dev/null
+++ b/tests/owner/test_invariants.py
@@ -0,0 +1,70 @@
+"""A full cell through deaths and late orders, against the invariants."""
+
+from __future__ import annotations
+
+import pytest
+from tests.support.step_invariants import check_all
+from tests.support.steps import StepWorld, step
+
+TEAMS = {"north": [24000, 0, 0], "south": [0, 0, 0]}
+STEPS = (
+    (step(count=5, processors=7000),),
+    (step(count=3, processors=6000, gang=True),),
+    (step(count=4, processors=3000), step(count=2, after=(0,))),
+)
+
+
+@pytest.fixture
+def loaded():
+    """Return a full cell and its jobs by id."""
+    world = StepWorld(entries=3)
+    world.set_policy(2, teams=TEAMS)
+    world.run(7.0)
+    spec_by_id = {}
+    for number in range(12):
+        job_id = f"{number:016x}"
+        team = "north" if number % 2 else "south"
+        world.submit(job_id, *STEPS[number % 3], payload="seconds=2", team=team)
+        spec_by_id[job_id] = world.last_spec
+    return world, spec_by_id
+
+
+def check_to_the_end(world, spec_by_id):
+    world.run_until(
+        lambda: all(world.final_state(job) == "completed" for job in spec_by_id), 60.0
+    )
+    check_all(world, spec_by_id, TEAMS)
+
+
+def test_invariants_hold_under_full_load(loaded):
+    check_to_the_end(*loaded)
+
+
+def test_invariants_hold_when_the_owner_dies(loaded):
+    world, spec_by_id = loaded
+    world.run(1.0)
+    world.kill(world.owner())
+    check_to_the_end(world, spec_by_id)
+
+
+def test_invariants_hold_when_a_worker_is_silent_for_a_while(loaded):
+    world, spec_by_id = loaded
+    world.run(1.0)
+    world.dead_workers.add("w1")
+    world.run(8.0)
+    world.dead_workers.clear()
+    check_to_the_end(world, spec_by_id)
+
+
+def test_invariants_hold_when_a_worker_starts_again(loaded):
+    world, spec_by_id = loaded
+    world.run(1.0)
+    world.worker_by_id["w1"].restart(world.clock.mono)
+    world.add_worker("w1")
+    check_to_the_end(world, spec_by_id)
+
+
+def test_invariants_hold_when_orders_are_carried_out_late(loaded):
+    world, spec_by_id = loaded
+    world.late_workers.add("w1")
+    check_to_the_end(world, spec_by_id)
--- /dev/null
+++ b/tests/support/step_invariants.py
@@ -0,0 +1,111 @@
+"""What must hold of every history of a cell of step jobs, as its workers saw it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lagoonpulley.model.resources import ZERO, Resources
+from lagoonpulley.workload.record import EndKind
+
+from .steps import CAPACITY
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lagoonpulley.standin.task_worker import Execution
+    from lagoonpulley.workload.spec import JobSpec
+
+    from .steps import StepWorld
+
+__all__ = ["check_all"]
+
+
+def check_all(world: StepWorld, spec_by_id: dict[str, JobSpec], limits: dict) -> None:
+    """Check every invariant over the whole history."""
+    for worker in world.worker_by_id.values():
+        worker.advance(world.clock.mono)
+    executions = [
+        execution
+        for worker in world.worker_by_id.values()
+        for execution in worker.executions
+    ]
+    check_one_run_at_a_time(executions)
+    check_capacity(world, spec_by_id)
+    check_limits(executions, spec_by_id, limits)
+    check_order(executions, spec_by_id)
+    check_nothing_unasked(executions, spec_by_id)
+
+
+def check_one_run_at_a_time(executions: Iterable[Execution]) -> None:
+    by_task: dict[tuple, list[Execution]] = {}
+    for execution in executions:
+        task = (execution.ref.job_id, execution.ref.key)
+        by_task.setdefault(task, []).append(execution)
+    for task, runs in by_task.items():
+        runs.sort(key=lambda run: run.started_at)
+        for earlier, later in zip(runs, runs[1:]):
+            assert end_of(earlier) <= later.started_at, f"{task} ran twice at once"
+        numbers = [run.ref.run for run in runs]
+        assert numbers == sorted(set(numbers)), f"{task} ran as {numbers}"
+
+
+def check_capacity(world: StepWorld, spec_by_id: dict[str, JobSpec]) -> None:
+    for worker in world.worker_by_id.values():
+        for amount in levels(worker.executions, spec_by_id):
+            assert amount.fits_in(CAPACITY), f"{worker.id} is over its capacity"
+
+
+def check_limits(
+    executions: list[Execution], spec_by_id: dict[str, JobSpec], limits: dict
+) -> None:
+    for team, limit in limits.items():
+        mine = [e for e in executions if spec_by_id[e.ref.job_id].team == team]
+        for amount in levels(mine, spec_by_id):
+            for used, most in zip(amount, limit):
+                assert not most or used <= most, f"{team} is over its limit"
+
+
+def check_order(executions: list[Execution], spec_by_id: dict[str, JobSpec]) -> None:
+    for execution in executions:
+        job_id, key = execution.ref.job_id, execution.ref.key
+        steps = spec_by_id[job_id].steps
+        for earlier in steps[key.step].after:
+            done = {
+                other.ref.key.index
+                for other in executions
+                if other.ref.job_id == job_id
+                and other.ref.key.step == earlier
+                and other.kind is EndKind.DONE
+                and end_of(other) <= execution.started_at
+            }
+            wanted = 1 if steps[earlier].gang else steps[earlier].count
+            assert len(done) >= wanted, f"{execution.ref} started too early"
+
+
+def check_nothing_unasked(
+    executions: list[Execution], spec_by_id: dict[str, JobSpec]
+) -> None:
+    for execution in executions:
+        assert execution.ref.job_id in spec_by_id
+
+
+def end_of(execution: Execution) -> float:
+    return float("inf") if execution.ended_at is None else execution.ended_at
+
+
+def levels(
+    executions: Iterable[Execution], spec_by_id: dict[str, JobSpec]
+) -> Iterable[Resources]:
+    """Yield what runs after each start; ends at the same moment come first."""
+    changes = []
+    for execution in executions:
+        steps = spec_by_id[execution.ref.job_id].steps
+        request = steps[execution.ref.key.step].request
+        changes.append((execution.started_at, 1, request))
+        changes.append((end_of(execution), 0, request))
+    changes.sort(key=lambda change: change[:2])
+    amount = ZERO
+    for _, is_start, request in changes:
+        amount = amount.plus(request) if is_start else amount.minus(request)
+        if is_start:
+            yield amount
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -125,6 +125,7 @@
         self.lose_answers = 0.0
         self.life = 0
         self.request_count = 0
+        self.last_spec: JobSpec | None = None
         self.peer_call_by_id: dict[str, tuple[StepEntry, Request]] = {}
         self.outcome_by_request_id: dict[str, Any] = {}
         self.worker_by_id: dict[str, TaskWorkerState] = {}
@@ -223,6 +224,7 @@
             submitted_at=self.clock.now.wall,
             **more,
         )
+        self.last_spec = spec
         revision = self.store.entry_by_key[POLICY_KEY].revision
         entry = next(e for e in self.entry_by_name.values() if e.alive and e.has_store)
         return self.ask(entry, SubmitJob(spec, POLICY_KEY, revision))
