--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -73,6 +73,16 @@
         """
         return cls(settings)
 
+    @property
+    def callers_address(self) -> str:
+        """Address for callers, as ``IP:PORT``."""
+        return self._callers.address
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self._standing.is_ready()
+
     def start(self) -> None:
         """Begin to take part."""
         self._runtime.start()
--- /dev/null
+++ b/tests/platform/test_entry.py
@@ -0,0 +1,145 @@
+"""The whole path over real sockets, in the platform's form."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+from tests.support.platform_standin import PlatformStandin
+
+from lagoonpulley.platform.entry import PlatformEntry
+from lagoonpulley.platform.settings import read_settings
+
+LONGEST_WAIT_S = 30.0
+
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "desk.example",
+            "prefix": "/work/",
+            "service": "desk",
+            "maxAttempts": 2,
+            "slackFactor": 2,
+            "targetDurationMs": 1000,
+            "advice": {"decideMs": 5.0, "eachMs": 0.5, "validMs": 2000},
+        }
+    ],
+    "services": [{"name": "desk", "enforcesCapacity": False}],
+    "limits": {"maxBodyBytes": 262144},
+    "tenants": [{"name": "north", "apiKeys": ["secret"], "weight": 4}],
+}
+JOB = "5c0e7a21d94b36f8"
+
+
+@pytest.fixture
+def standin():
+    made = PlatformStandin()
+    made.put("op/config", CONFIG)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def settings_path(settings_file, standin):
+    text = settings_file.read_text().replace("127.0.0.1:1", standin.address)
+    settings_file.write_text(text.replace("127.0.0.1:2", standin.address))
+    return str(settings_file)
+
+
+@pytest.fixture
+def entry(settings_path):
+    made = PlatformEntry.from_settings(read_settings(settings_path).ok)
+    made.start()
+    until(lambda: made.is_ready)
+    yield made
+    made.drain(0.0, threading.Event())
+    made.close()
+
+
+def until(condition):
+    """Wait for a condition; the bound is there only to end a broken run."""
+    give_up_at = time.monotonic() + LONGEST_WAIT_S
+    while not condition():
+        assert time.monotonic() < give_up_at, "gave up waiting"
+        time.sleep(0.02)
+
+
+def call(entry, method, path, body=None, key="secret"):
+    connection = http.client.HTTPConnection(entry.callers_address, timeout=30)
+    headers = {"Host": "desk.example", "X-Api-Key": key, "Deadline-Ms": "5000"}
+    data = json.dumps(body) if body is not None else None
+    connection.request(method, path, data, headers)
+    response = connection.getresponse()
+    text = response.read()
+    connection.close()
+    return response.status, json.loads(text) if text.startswith(b"{") else text
+
+
+def submission(count=2):
+    step = {"count": count, "cpu": 500, "memMb": 256, "estimateMs": 200}
+    return {"spec": "seconds=0.2", "steps": [step, {**step, "after": [0]}]}
+
+
+def test_job_is_accepted_run_and_shown_as_completed(entry, standin):
+    assert call(entry, "POST", f"/work/{JOB}", submission())[0] == 200
+    assert call(entry, "POST", f"/work/{JOB}", submission())[0] == 200
+    until(lambda: call(entry, "GET", f"/work/{JOB}") == (200, {"state": "completed"}))
+    runs = [e for w in standin.worker_by_id.values() for e in w.executions]
+    assert len(runs) == 4
+    assert len(standin.advised) == 2
+
+
+def test_caller_without_a_known_key_is_refused(entry):
+    assert call(entry, "POST", f"/work/{JOB}", submission(), key="other")[0] == 401
+
+
+def test_unknown_queue_job_and_faulty_body(entry):
+    assert call(entry, "GET", "/other/")[0] == 404
+    assert call(entry, "GET", f"/work/{JOB}")[0] == 410
+    assert call(entry, "POST", f"/work/{JOB}", {"steps": []})[0] == 400
+    assert call(entry, "GET", "/work/") == (200, {"pending": 0})
+
+
+def test_new_policy_is_in_force_without_a_restart(entry, standin):
+    tenants = [{"name": "north", "apiKeys": ["fresh"], "weight": 4}]
+    standin.put("op/config", CONFIG | {"version": 9, "tenants": tenants})
+    until(lambda: call(entry, "GET", "/work/")[0] == 401)
+    assert call(entry, "GET", "/work/", key="fresh")[0] == 200
+
+
+def test_malformed_worker_entries_are_passed_over(entry, standin):
+    standin.put("servers/i-bad", {"service": 7})
+    standin.put("servers/i-odd", "text")
+    assert call(entry, "POST", f"/work/{JOB}", submission())[0] == 200
+    until(lambda: call(entry, "GET", f"/work/{JOB}") == (200, {"state": "completed"}))
+
+
+def test_program_survives_sighup_and_stops_on_sigterm(settings_path, standin):
+    command = [sys.executable, "-m", "lagoonpulley", "platform", settings_path]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        events = iter(process.stdout.readline, "")
+        wait_for_event(events, "elected")
+        process.send_signal(signal.SIGHUP)
+        wait_for_event(events, "settings_reloaded")
+        process.send_signal(signal.SIGTERM)
+        wait_for_event(events, "stopped")
+        assert process.wait(timeout=LONGEST_WAIT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def wait_for_event(lines, name):
+    for line in lines:
+        if json.loads(line).get("event") == name:
+            return
+    raise AssertionError(f"the program ended before {name}")
