--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -7,6 +7,7 @@
 
 from ..model.verdict import Ran
 from ..observability.events import log_event
+from ..observability.registry import time_request
 from ..owner.pending import PENDING_KEY
 from ..peers.relays import Relays
 from ..runtime.flows import Call, Flow, FlowRole
@@ -87,6 +88,8 @@
             outcome = yield from self._perform(request)
         if not is_relayed and outcome.kind in _WORTH_RELAYING:
             outcome = yield from self._relay(operation, outcome)
+        took_s = self.now.mono - began
+        time_request(type(operation).__name__, outcome.kind.value, took_s)
         if not isinstance(operation, ReadState | ReadPending):
             log_event(
                 "request_served",
@@ -95,7 +98,7 @@
                 outcome=outcome.kind,
                 reason=outcome.reason,
                 relayed=is_relayed,
-                took_s=round(self.now.mono - began, 3),
+                took_s=round(took_s, 3),
             )
         self.answer(request, outcome)
 
--- a/src/lagoonpulley/observability/events.py
+++ b/src/lagoonpulley/observability/events.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from typing import Any
 
+from .registry import count_event
+
 __all__ = ["DECISION_LOGGER", "log_event"]
 
 DECISION_LOGGER = "lagoonpulley.decisions"
@@ -59,6 +61,7 @@
     :param event: name of the event, as listed in the operators' pages.
     :param fields: its values; enumerations are written by value.
     """
+    count_event(event)
     if not _log.isEnabledFor(logging.INFO):
         return
     left_out = _take_line(event)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..observability.events import log_event
+from ..observability.registry import time_wait
 from ..planning.planner import Planner
 from ..policy.messages import PolicyChanged
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
@@ -218,7 +219,9 @@
     def _dispatch(self, tenure: Tenure, start: Start) -> None:
         """Write the intent to start, then start."""
         record = start.record
+        waited_s = self.now.wall - record.spec.submitted_at
         for key, worker_id in start.places:
+            time_wait(record.spec.queue, waited_s)
             tenure.hold_start(record, key, start.run)
             log_event(
                 "task_placed",
@@ -227,7 +230,7 @@
                 run=start.run,
                 worker=worker_id,
                 token=tenure.token,
-                waited_s=round(self.now.wall - record.spec.submitted_at, 3),
+                waited_s=round(waited_s, 3),
             )
         tenure.refresh_demands(record)
         tenure.journal.note(record, lambda: self._dispatcher.start_all(tenure, start))
--- a/src/lagoonpulley/owner/tenure.py
+++ b/src/lagoonpulley/owner/tenure.py
@@ -256,7 +256,7 @@
     # Runs.
 
     def shun_for_step(self, worker_id: str, ref: TaskRef) -> None:
-        """Prefer other workers for a step of which one did not answer a start."""
+        """Prefer other workers for the next runs of a step's tasks."""
         record = self.record_by_id.get(ref.job_id)
         if record is not None:
             shunned = record.shunned_by_step.setdefault(ref.key.step_key, set())
@@ -330,6 +330,7 @@
             self.suspicion.note_success(link.info.id)
         if kind is not EndKind.FAILED:
             return
+        self.shun_for_step(link.info.id, ref)
         now = self.now.mono
         until = self.suspicion.note_failure(link.info.id, ref.job_id, now)
         if until is None:
@@ -424,6 +425,7 @@
         if hold.stop_wanted:
             return
         hold.stop_wanted = True
+        self.shun_for_step(link.info.id, hold.ref)
         until = self.suspicion.note_stall(link.info.id, self.now.mono)
         self.cell.avoid(link.info.id, until)
         log_event(
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -78,6 +78,11 @@
         """Address for callers, as ``IP:PORT``."""
         return self._callers.address
 
+    @property
+    def ready_address(self) -> str:
+        """Address for readiness and metrics, as ``IP:PORT``."""
+        return self._readiness.address
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
--- a/src/lagoonpulley/platform/gateway.py
+++ b/src/lagoonpulley/platform/gateway.py
@@ -18,6 +18,7 @@
     ReadState,
     SubmitJob,
 )
+from ..observability.registry import metrics_text
 from .bodies import decode_submission_body
 
 if TYPE_CHECKING:
@@ -35,6 +36,8 @@
 DEFAULT_TIMEOUT_S = 3.0
 LONGEST_TIMEOUT_S = 10.0
 RETRY_AFTER_S = "1"
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4"
 POLICY_ATTEMPTS = 12
 POLICY_PAUSE_S = 0.04
 
@@ -139,7 +142,7 @@
 
 
 class ReadinessApp:
-    """WSGI application for the balancer's readiness question."""
+    """WSGI application for the balancer's readiness question, and for metrics."""
 
     def __init__(self, standing: Standing) -> None:
         self._standing = standing
@@ -147,6 +150,9 @@
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer whether callers should be sent here."""
         request = Request(environ)
+        if request.path == METRICS_PATH:
+            response = Response(metrics_text(), content_type=METRICS_TYPE)
+            return response(environ, start_response)
         if request.path != "/api/readyz":
             return Response(status=404)(environ, start_response)
         status = 200 if self._standing.is_ready() else 503
--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..model.verdict import Ran
 from ..observability.events import log_event
+from ..observability.registry import time_store_call
 from ..runtime.curl import CurlLoop
 from ..runtime.role import CallFailed, Reply, Request
 
@@ -45,9 +47,11 @@
         operation = message.operation
         call = self._codec.encode(operation, message.timeout_s)
 
+        began = time.monotonic()
+
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
             result = self._decode(operation, outcome)
-            self.note(result)
+            self.note(operation, result, time.monotonic() - began)
             self._deliver(message.reply_to, Reply(message.request_id, result))
 
         self._loop.submit(call, complete)
@@ -60,8 +64,8 @@
             log_event("answer_not_understood", operation=kind, reason=str(error))
             return CallFailed(Ran.MAYBE, f"answer not understood: {error}")
 
-    def note(self, result: Any) -> None:
-        """See each result before it is delivered."""
+    def note(self, operation: Any, result: Any, took_s: float) -> None:
+        """See each result before it is delivered; ``took_s`` is in seconds."""
 
     def close(self) -> None:
         """Stop the port's thread."""
@@ -80,6 +84,8 @@
         super().__init__("store-port", codec, deliver)
         self._contact = contact
 
-    def note(self, result: Any) -> None:
+    def note(self, operation: Any, result: Any, took_s: float) -> None:
         """Note an answer or a failure."""
-        self._contact.note(answered=not isinstance(result, CallFailed))
+        answered = not isinstance(result, CallFailed)
+        self._contact.note(answered)
+        time_store_call(type(operation).__name__, answered, took_s)
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -81,7 +81,8 @@
 class JobRecord:
     """A job and its tasks; ``ended_at`` is in seconds of the wall clock.
 
-    ``shunned_by_step`` names workers that left a start of the step unanswered.
+    ``shunned_by_step`` names workers on which a run of the step failed, stood still or
+    was not answered.
     """
 
     spec: JobSpec
--- a/tests/owner/test_orders.py
+++ b/tests/owner/test_orders.py
@@ -110,3 +110,10 @@
         worker.advance(world.clock.mono)
     assert runs_at_once(executions) == 1
     assert len(executions) > 3
+
+
+def test_failed_task_is_tried_again_on_another_worker(world):
+    world.failing_workers.add("w0")
+    world.submit("a" * 16, payload="seconds=0.2")
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 3.0)
+    assert len(world.executions("a" * 16)) == 2
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -36,6 +36,12 @@
     "limits": {"maxBodyBytes": 262144},
     "tenants": [{"name": "north", "apiKeys": ["secret"], "weight": 4}],
 }
+DOCUMENTED_METRICS = (
+    "lagoonpulley_events_total",
+    "lagoonpulley_request_seconds",
+    "lagoonpulley_store_call_seconds",
+    "lagoonpulley_start_wait_seconds",
+)
 JOB = "5c0e7a21d94b36f8"
 
 
@@ -115,6 +121,17 @@
     assert call(entry, "GET", "/work/", key="fresh")[0] == 200
 
 
+def test_metrics_are_served_beside_readiness(entry):
+    call(entry, "POST", f"/work/{JOB}", submission())
+    connection = http.client.HTTPConnection(entry.ready_address, timeout=30)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    for name in DOCUMENTED_METRICS:
+        assert f"# TYPE {name} " in text
+    assert 'event="job_submitted"' in text
+
+
 def test_malformed_worker_entries_are_passed_over(entry, standin):
     standin.put("servers/i-bad", {"service": 7})
     standin.put("servers/i-odd", "text")
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from expression import Ok
@@ -130,6 +130,7 @@
         self.worker_by_id: dict[str, TaskWorkerState] = {}
         self.dead_workers: set[str] = set()
         self.late_workers: set[str] = set()
+        self.failing_workers: set[str] = set()
         self.silent_starts: set[str] = set()
         self.entry_by_name: dict[str, StepEntry] = {}
         self.advice_failures = 0
@@ -344,6 +345,7 @@
         times_out_at = self.clock.mono + request.timeout_s
 
         def perform() -> None:
+            nonlocal command
             if self._is_cut(entry, worker_id):
                 failed = CallFailed(Ran.MAYBE, "no answer")
                 self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
@@ -351,6 +353,8 @@
             if worker_id in self.late_workers and isinstance(command, StartTask):
                 self._carry_out_late(entry, request, worker)
                 return
+            if worker_id in self.failing_workers and isinstance(command, StartTask):
+                command = replace(command, payload="fail " + command.payload)
             result = worker.apply(command, self.clock.mono)
             waits = isinstance(command, SyncWorker) and self.clock.mono < until
             if waits and not worker.has_ends():
