Tell workers that fail tasks from jobs that fail everywhere

Twelve jobs that fail wherever they run had every worker avoided, for up to 24 s, and honest jobs waited as long beside idle workers.

Change: a task that failed on two workers speaks for both of them; and no more than a third of the workers is avoided at once, since then the tasks are the likelier cause.

Before: tests/owner/test_planning.py::test_jobs_that_fail_everywhere... failed (the honest job took over 3 s).

--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -94,8 +94,8 @@
         return
     hold.stop_wanted = True
     tenure.shun_for_step(link.info.id, hold.ref)
-    until = tenure.suspicion.note_stall(link.info.id, tenure.now.mono)
-    tenure.cell.avoid(link.info.id, until)
+    workers = len(tenure.link_by_worker_id)
+    until = tenure.suspicion.note_stall(link.info.id, tenure.now.mono, workers)
     log_event(
         "task_stalled",
         job=hold.ref.job_id,
@@ -103,8 +103,8 @@
         run=hold.ref.run,
         worker=link.info.id,
         percent=hold.progress.percent,
-        avoid_s=round(until - tenure.now.mono, 1),
     )
+    tenure.avoid(link, until)
 
 
 def _look_for(
--- a/src/lagoonpulley/owner/tenure.py
+++ b/src/lagoonpulley/owner/tenure.py
@@ -329,12 +329,17 @@
         if kind is not EndKind.FAILED:
             return
         self.shun_for_step(link.info.id, ref)
-        now = self.now.mono
-        until = self.suspicion.note_failure(link.info.id, ref.job_id, now)
+        workers = len(self.link_by_worker_id)
+        until = self.suspicion.note_failure(link.info.id, ref, self.now.mono, workers)
+        self.avoid(link, until)
+
+    def avoid(self, link: WorkerLink, until: float | None) -> None:
+        """Place nothing on a worker until a monotonic time, if there is one."""
         if until is None:
             return
         self.cell.avoid(link.info.id, until)
-        log_event("worker_avoided", worker=link.info.id, avoid_s=round(until - now, 1))
+        avoid_s = round(until - self.now.mono, 1)
+        log_event("worker_avoided", worker=link.info.id, avoid_s=avoid_s)
 
     def _judge(self, record: JobRecord, ref: TaskRef, kind: EndKind) -> None:
         """Make a job final if this end decides it."""
--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -85,3 +85,13 @@
         world.add_worker(f"w{number}")
     world.dead_workers.add("w0")
     world.run_until(lambda: len(world.executions("a" * 16)) == 2, 12.0)
+
+
+def test_jobs_that_fail_everywhere_leave_the_workers_to_the_others():
+    world = StepWorld()
+    world.run(7.0)
+    for number in range(12):
+        world.submit(f"{number:016x}", step(count=4), payload="fail seconds=0.2")
+    world.run(2.0)
+    world.submit("f" * 16, step(count=3))
+    world.run_until(lambda: world.final_state("f" * 16) == "completed", 3.0)
--- a/tests/planning/test_suspicion.py
+++ b/tests/planning/test_suspicion.py
@@ -1,31 +1,58 @@
 from __future__ import annotations
 
 from lagoonpulley.planning.suspicion import StallWatch, Suspicion
+from lagoonpulley.upstream.tasks import TaskRef
+from lagoonpulley.workload.spec import TaskKey
+
+WORKERS = 24
+
+
+def ref(job_id, index=0, run=1):
+    return TaskRef(job_id, TaskKey(0, 0, index), run)
 
 
 def test_worker_that_fails_two_jobs_in_a_row_is_avoided():
     suspicion = Suspicion()
-    assert suspicion.note_failure("w", "a", 10.0) is None
-    assert suspicion.note_failure("w", "a", 10.1) is None
-    assert suspicion.note_failure("w", "b", 10.2) > 12.0
+    assert suspicion.note_failure("w", ref("a"), 10.0, WORKERS) is None
+    assert suspicion.note_failure("w", ref("a", 1), 10.1, WORKERS) is None
+    assert suspicion.note_failure("w", ref("b"), 10.2, WORKERS) > 12.0
 
 
 def test_avoidance_grows_until_a_task_is_done():
     suspicion = Suspicion()
-    suspicion.note_failure("w", "a", 0.0)
-    first = suspicion.note_failure("w", "b", 0.0)
-    suspicion.note_failure("w", "c", 0.0)
-    second = suspicion.note_failure("w", "d", 0.0)
+    suspicion.note_failure("w", ref("a"), 0.0, WORKERS)
+    first = suspicion.note_failure("w", ref("b"), 0.0, WORKERS)
+    suspicion.note_failure("w", ref("c"), 0.0, WORKERS)
+    second = suspicion.note_failure("w", ref("d"), 0.0, WORKERS)
     assert second > first
     suspicion.note_success("w")
-    suspicion.note_failure("w", "e", 0.0)
-    assert suspicion.note_failure("w", "f", 0.0) == first
+    suspicion.note_failure("w", ref("e"), 0.0, WORKERS)
+    assert suspicion.note_failure("w", ref("f"), 0.0, WORKERS) == first
 
 
 def test_one_job_that_always_fails_casts_no_suspicion():
     suspicion = Suspicion()
     for attempt in range(10):
-        assert suspicion.note_failure("w", "poison", attempt) is None
+        failed = ref("poison", run=attempt)
+        assert suspicion.note_failure("w", failed, attempt, WORKERS) is None
+
+
+def test_job_that_fails_on_two_workers_speaks_for_both_of_them():
+    suspicion = Suspicion()
+    suspicion.note_failure("w", ref("poison"), 0.0, WORKERS)
+    suspicion.note_failure("v", ref("poison", run=2), 0.0, WORKERS)
+    assert suspicion.note_failure("w", ref("a"), 0.0, WORKERS) is None
+    assert suspicion.note_failure("v", ref("a", 1), 0.0, WORKERS) is None
+
+
+def test_no_more_than_a_third_of_the_workers_is_avoided():
+    suspicion = Suspicion()
+    avoided = []
+    for number in range(WORKERS):
+        worker = f"w{number}"
+        suspicion.note_failure(worker, ref(f"a{number}"), 0.0, WORKERS)
+        avoided.append(suspicion.note_failure(worker, ref(f"b{number}"), 0.0, WORKERS))
+    assert sum(until is not None for until in avoided) == WORKERS // 3
 
 
 def test_run_whose_progress_does_not_rise_stands_still():
