Try a gang again where it failed before it waits for ever

Cause: found by random histories. Workers on which a task of a step had failed were left out while any other was left; a gang that needs two of three workers then waited for ever on the only one it had not failed on.

Change: the preference ends once room was lacking for a second.

Before: test_gang_that_failed_on_most_workers_is_tried_there_again failed. After: it passes.

--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -33,6 +33,8 @@
 MOST_NAMED = 100
 # A step that may run somewhere is asked about again when this share is unknown.
 UNKNOWN_SHARE = 0.3
+# How long a step waits for room on workers on which it has not failed yet.
+SHUN_PATIENCE_S = 1.0
 
 
 class Blocked(Enum):
@@ -67,10 +69,22 @@
         """Rank among all demands; the lowest is served first."""
         return (self.queue.priority, self.due_at, self.record.spec.id, self.key)
 
-    def is_worth_a_look(self, changes: Changes) -> bool:
+    @property
+    def shunned_ids(self) -> set[str]:
+        """Workers on which a task of the step has failed or stood still."""
+        return self.record.shunned_by_step.get(self.key, set())
+
+    def has_lacked_room(self, duration_s: float, now: float) -> bool:
+        """Return whether room was lacking for so long already."""
+        since = self.room_lacks_since
+        return since is not None and now - since >= duration_s
+
+    def is_worth_a_look(self, changes: Changes, now: float) -> bool:
         """Return whether anything that blocked the demand has changed."""
         match self.blocked:
             case Blocked.ROOM | Blocked.KEPT:
+                if self.shunned_ids and self.has_lacked_room(SHUN_PATIENCE_S, now):
+                    return True
                 return changes.may_fit(self.record.step_of(self.key).counted)
             case Blocked.LIMIT:
                 return self.record.spec.team in changes.relieved_teams
@@ -158,7 +172,7 @@
         started = 0
         changes = self._cell.take_changes(self._now)
         for demand in demands:
-            if not demand.is_worth_a_look(changes):
+            if not demand.is_worth_a_look(changes, self._now):
                 self._keep_room(demand)
                 continue
             if started >= most_starts:
@@ -173,10 +187,11 @@
     def _keep_room(self, demand: Demand) -> None:
         """Keep room for a gang that has lacked it for a while."""
         step = demand.record.step_of(demand.key)
-        since = demand.room_lacks_since
-        if demand.blocked is not Blocked.ROOM or not step.gang or since is None:
+        if demand.blocked is not Blocked.ROOM or not step.gang:
+            return
+        if not demand.has_lacked_room(RESERVE_AFTER_S, self._now):
             return
-        if self._held_back.is_full or self._now - since < RESERVE_AFTER_S:
+        if self._held_back.is_full:
             return
         rooms = self._rooms_of(demand)
         spec = demand.record.spec
@@ -192,7 +207,9 @@
         step = demand.record.step_of(demand.key)
         service = demand.queue.service
         rooms = eligible_rooms(self._cell, service, step, self._now, worker_ids)
-        shunned = demand.record.shunned_by_step.get(demand.key, ())
+        shunned = demand.shunned_ids
+        if not shunned or demand.has_lacked_room(SHUN_PATIENCE_S, self._now):
+            return rooms
         return [room for room in rooms if room.info.id not in shunned] or rooms
 
     def _serve(self, demand: Demand) -> int:
--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -95,3 +95,11 @@
     world.run(2.0)
     world.submit("f" * 16, step(count=3))
     world.run_until(lambda: world.final_state("f" * 16) == "completed", 3.0)
+
+
+def test_gang_that_failed_on_most_workers_is_tried_there_again():
+    world = StepWorld()
+    world.run(7.0)
+    gang = step(count=3, processors=6000, gang=True)
+    world.submit("a" * 16, gang, payload="fail seconds=0.2")
+    world.run_until(lambda: world.final_state("a" * 16) == "failed", 6.0)
