Hold a start that may reach the next life of its worker

Cause: found by random histories. A worker that starts again under its id takes a start that was meant for the life before. The owner ended all runs of the old life at once and started them elsewhere; a start carried out late by the new life then ran beside its successor (TWICE).

Change: on another lifetime only runs end at once that the old life had listed. A start that it had not listed is held, and stopped, until the new life confirms it.

Invariants added: no start after an acknowledged end, no start beyond the attempts, refused jobs never run, cancelled ones start nothing late. tests/owner/test_histories_can_fail.py breaks six of the roles' rules and shows that the histories notice. The stand-in worker says which ends were acknowledged under a lease.

--- a/src/lagoonpulley/owner/link.py
+++ b/src/lagoonpulley/owner/link.py
@@ -26,17 +26,28 @@
 
     ``settled_at`` is when it became certain that no order on its way can start it
     any more; a list made after that tells whether it runs. ``not_after_ms`` is the
-    worker's clock after which a start on its way is refused. Times are monotonic
-    seconds.
+    worker's clock after which a start on its way is refused. ``listed`` says that the
+    worker's present lifetime has listed the run. Times are monotonic seconds.
     """
 
     ref: TaskRef
     not_after_ms: int = 0
     settled_at: float | None = None
+    listed: bool = False
     stop_wanted: bool = False
     stop_sent_at: float = float("-inf")
     progress: StallWatch = field(default_factory=StallWatch)
 
+    def doubt_start(self) -> None:
+        """Note that the start may still reach another lifetime of its worker.
+
+        The time after which it is refused does not hold there: each lifetime has a
+        clock of its own.
+        """
+        self.settled_at = None
+        self.not_after_ms = 0
+        self.stop_wanted = True
+
 
 @dataclass(slots=True, eq=False)
 class WorkerLink:
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -28,7 +28,7 @@
     :returns: runs that should not be there.
     """
     if tenure.is_other_life(link, report.born):
-        tenure.lose_runs(link, "worker was started again")
+        tenure.end_old_life(link)
         link = _replace_link(tenure, link, report.born)
     elif report.born and not link.info.born:
         link.info = replace(link.info, born=report.born)
@@ -77,6 +77,7 @@
         if hold is None:
             unknown.append(running.ref)
             continue
+        hold.listed = True
         if hold.settled_at is None:
             hold.settled_at = tenure.now.mono
         _note_checkpoint(tenure, running.ref, running.checkpoint)
--- a/src/lagoonpulley/owner/tenure.py
+++ b/src/lagoonpulley/owner/tenure.py
@@ -27,6 +27,8 @@
 __all__ = ["Tenure"]
 
 SETTLE_S = 0.6
+# When runs of an earlier owner became certain: before anything of this one.
+RESTORED = float("-inf")
 
 
 @dataclass(slots=True, eq=False)
@@ -76,7 +78,7 @@
             ref = TaskRef(record.spec.id, key, run.number)
             # Once a worker has seen the new token it starts nothing for an older one.
             hold = self._hold(link, record, ref)
-            hold.settled_at = float("-inf")
+            hold.settled_at = RESTORED
         self.refresh_demands(record)
 
     def restore_final(self, record: JobRecord, document: FinalDocument) -> None:
@@ -184,11 +186,13 @@
     def put_worker(self, info: WorkerInfo) -> WorkerLink:
         """Take in a worker's entry; another lifetime loses what ran before."""
         link = self.link_by_worker_id.get(info.id)
-        if link is not None and self.is_other_life(link, info.born):
-            self.lose_runs(link, "worker was started again")
-            link = None
         if link is None:
             link = self._add_link(info)
+        elif self.is_other_life(link, info.born):
+            self.end_old_life(link)
+            doubtful = link.hold_by_ref
+            link = self._add_link(info)
+            link.hold_by_ref = doubtful
         if info.born == 0 and link.info.born:
             info = replace(info, born=link.info.born)
         link.info = info
@@ -223,6 +227,19 @@
         self.link_by_worker_id.pop(link.info.id, None)
         self.cell.remove_worker(link.info.id)
 
+    def end_old_life(self, link: WorkerLink) -> None:
+        """End what ran in a worker's earlier lifetime.
+
+        A start that is not known to have arrived there may reach the new lifetime,
+        which has the same id: it is held until the worker has confirmed its stop.
+        """
+        for ref, hold in list(link.hold_by_ref.items()):
+            if hold.listed:
+                reason = "worker was started again"
+                self.end_run(link, ref, EndKind.LAPSED, "", reason)
+            elif hold.settled_at != RESTORED:
+                hold.doubt_start()
+
     def lose_runs(self, link: WorkerLink, reason: str) -> None:
         """End every run on a worker that surely runs nothing any more."""
         for ref in list(link.hold_by_ref):
--- a/src/lagoonpulley/standin/task_worker.py
+++ b/src/lagoonpulley/standin/task_worker.py
@@ -28,13 +28,18 @@
 
 @dataclass(slots=True, eq=False)
 class Execution:
-    """One run, for whoever checks what happened; times are in seconds."""
+    """One run, for whoever checks what happened; times are in seconds.
+
+    ``acknowledged_at`` stays unset when the worker's lease lapsed before the
+    acknowledgement, which then binds nobody.
+    """
 
     ref: TaskRef
     started_at: float
     ends_at: float
     ended_at: float | None = None
     kind: EndKind | None = None
+    acknowledged_at: float | None = None
 
 
 class TaskWorkerState:
@@ -62,6 +67,7 @@
         self._run_by_task: dict[tuple, int] = {}
         self._running_by_ref: dict[TaskRef, Execution] = {}
         self._ends: list[Ended] = []
+        self._execution_by_end: dict[int, Execution] = {}
         self._end_count = 0
 
     def clock_ms(self, now: float) -> int:
@@ -98,9 +104,11 @@
         for ref, execution in list(self._running_by_ref.items()):
             if execution.ends_at <= now and execution.kind is not None:
                 self._end(ref, execution.kind, execution.ends_at)
-        if self._running_by_ref and self.clock_ms(now) > self._lease_until_ms:
-            for ref in list(self._running_by_ref):
-                self._end(ref, EndKind.LAPSED, now)
+        if self.clock_ms(now) <= self._lease_until_ms:
+            return
+        self._execution_by_end.clear()
+        for ref in list(self._running_by_ref):
+            self._end(ref, EndKind.LAPSED, now)
 
     def _extend(self, until_ms: int, now: float) -> None:
         longest = self.clock_ms(now) + int(self.longest_lease_s * MS_PER_S)
@@ -136,16 +144,26 @@
     def _sync(self, command: SyncWorker, now: float) -> WorkerReport:
         if command.lease_until_ms is not None:
             self._extend(command.lease_until_ms, now)
-        self._ends = [e for e in self._ends if e.number > command.acknowledged]
+        self._acknowledge(command.acknowledged, now)
         running = tuple(Running(ref, "", 100) for ref in self._running_by_ref)
         return WorkerReport(self.clock_ms(now), self.born, running, tuple(self._ends))
 
+    def _acknowledge(self, up_to: int, now: float) -> None:
+        for end in self._ends:
+            if end.number > up_to:
+                break
+            execution = self._execution_by_end.pop(end.number, None)
+            if execution is not None:
+                execution.acknowledged_at = now
+        self._ends = [end for end in self._ends if end.number > up_to]
+
     def _end(self, ref: TaskRef, kind: EndKind, at: float) -> None:
         execution = self._running_by_ref.pop(ref)
         execution.ended_at = at
         execution.kind = kind
         self._end_count += 1
         self._ends.append(Ended(self._end_count, ref, kind, ""))
+        self._execution_by_end[self._end_count] = execution
 
 
 def _run_time_s(payload: str) -> float:
--- /dev/null
+++ b/tests/owner/test_histories_can_fail.py
@@ -0,0 +1,67 @@
+"""Each invariant of random histories notices the fault it is there for."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+from tests.support.step_history import StepHistory
+
+from lagoonpulley.owner.jobs import JobsFollower
+from lagoonpulley.owner.tenure import Tenure
+from lagoonpulley.planning.cell import Cell
+from lagoonpulley.policy.values import TeamLimits
+from lagoonpulley.workload.record import JobRecord
+
+SEARCH = settings(
+    max_examples=200,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+    print_blob=False,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def ignore_claims(patch):
+    patch.setattr(Cell, "claim", lambda self, worker_id, claim: None)
+
+
+def ignore_limits(patch):
+    patch.setattr(TeamLimits, "allows", lambda self, used: True)
+
+
+def ignore_order_of_steps(patch):
+    patch.setattr(JobRecord, "is_step_open", lambda self, key: True)
+
+
+def ignore_failures(patch):
+    patch.setattr(JobRecord, "failures_of", lambda self, key: 0)
+
+
+def forget_runs_of_earlier_owner(patch):
+    patch.setattr(JobsFollower, "load_progress", lambda self, tenure, entries: None)
+
+
+def ignore_cancellations(patch):
+    patch.setattr(Tenure, "cancel", lambda self, record: None)
+
+
+@pytest.mark.parametrize(
+    ("break_it", "message"),
+    [
+        (ignore_claims, "over its capacity"),
+        (ignore_limits, "over its limit"),
+        (ignore_order_of_steps, "started too early"),
+        (ignore_failures, "is too many|not within the time"),
+        (forget_runs_of_earlier_owner, "ran twice at once|ran after its end|ran as"),
+        (ignore_cancellations, "started after its cancellation"),
+    ],
+)
+def test_histories_notice(monkeypatch, break_it, message):
+    break_it(monkeypatch)
+    with pytest.raises(AssertionError, match=message):
+        run_state_machine_as_test(StepHistory, settings=SEARCH)
--- a/tests/owner/test_orders.py
+++ b/tests/owner/test_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from tests.support.step_invariants import check_all
 from tests.support.steps import StepWorld, step
 
 
@@ -117,3 +118,19 @@
     world.submit("a" * 16, payload="seconds=0.2")
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 3.0)
     assert len(world.executions("a" * 16)) == 2
+
+
+def test_late_start_that_reaches_the_next_life_of_its_worker_bars_another_run():
+    world = StepWorld()
+    world.run(7.0)
+    worker = world.worker_by_id["w0"]
+    world.late_workers.add("w0")
+    worker.restart(world.clock.mono)
+    world.add_worker("w0")
+    world.submit("a" * 16, step(count=6, processors=5000), payload="seconds=4")
+    spec_by_id = {"a" * 16: world.last_spec}
+    world.run(3.5)
+    world.late_workers.clear()
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 30.0)
+    assert any(execution.ref.run > 1 for execution in world.executions("a" * 16))
+    check_all(world, spec_by_id, {})
--- /dev/null
+++ b/tests/support/step_history.py
@@ -0,0 +1,192 @@
+"""Random histories of a cell of step jobs: what callers do and what fails."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from lagoonpulley.intake.messages import OutcomeKind
+
+from .step_invariants import check_all
+from .steps import StepWorld, step
+
+if TYPE_CHECKING:
+    from lagoonpulley.workload.spec import JobSpec
+
+__all__ = ["StepHistory"]
+
+ENTRIES = ("e0", "e1", "e2")
+WORKERS = ("w0", "w1", "w2")
+TEAMS = {"north": [24000, 0, 0], "south": [0, 0, 0]}
+SMALLER_TEAMS = {"north": [12000, 0, 0], "south": [0, 0, 0]}
+MOST_ATTEMPTS = 2
+SETTLE_S = 90.0
+CANCEL_BOUND_S = 6.0
+STEPS_BY_SHAPE = {
+    "wide": (step(count=5, processors=7000),),
+    "gang": (step(count=3, processors=6000, gang=True),),
+    "chain": (step(count=4, processors=3000), step(count=2, after=(0,))),
+    "whole": (step(count=1, processors=16000),),
+}
+SHAPES = sorted(STEPS_BY_SHAPE)
+PAYLOADS = ("seconds=0.3", "seconds=1", "seconds=4")
+
+
+class StepHistory(RuleBasedStateMachine):
+    """Jobs of two teams on three entries and three workers, with faults between."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = StepWorld(entries=len(ENTRIES), workers=len(WORKERS))
+        self.world.set_policy(2, teams=TEAMS)
+        self.version = 2
+        self.world.run(7.0)
+        self.spec_by_id: dict[str, JobSpec] = {}
+        self.outcome_by_id: dict[str, OutcomeKind] = {}
+        self.cancelled_at_by_id: dict[str, float] = {}
+
+    # Callers.
+
+    @rule(
+        shape=st.sampled_from(SHAPES),
+        payload=st.sampled_from(PAYLOADS),
+        team=st.sampled_from(sorted(TEAMS)),
+        jobs=st.integers(1, 4),
+    )
+    def submit(self, shape, payload, team, jobs):
+        for _ in range(jobs):
+            self._submit(shape, payload, team)
+
+    @rule(shape=st.sampled_from(SHAPES))
+    def submit_hopeless(self, shape):
+        self._submit(shape, "fail seconds=0.3", "south")
+
+    @precondition(lambda self: self.spec_by_id)
+    @rule(data=st.data())
+    def cancel(self, data):
+        job_id = data.draw(st.sampled_from(sorted(self.spec_by_id)))
+        if not self._can_ask():
+            return
+        outcome = self.world.cancel(job_id, self.spec_by_id[job_id].team)
+        if outcome.kind is OutcomeKind.DONE:
+            self.cancelled_at_by_id.setdefault(job_id, self.world.clock.mono)
+
+    @rule(tenths=st.integers(1, 25))
+    def wait(self, tenths):
+        self.world.run(tenths / 10)
+
+    # Operators.
+
+    @rule(smaller=st.booleans())
+    def change_limits(self, smaller):
+        self.version += 1
+        teams = SMALLER_TEAMS if smaller else TEAMS
+        self.world.set_policy(self.version, teams=teams)
+
+    # Faults.
+
+    @rule(name=st.sampled_from(ENTRIES))
+    def kill_entry(self, name):
+        self.world.kill(self.world.entry_by_name[name])
+
+    @rule(name=st.sampled_from(ENTRIES))
+    def restart_entry(self, name):
+        self.world.kill(self.world.entry_by_name[name])
+        self.world.start_entry(name)
+
+    @rule(name=st.sampled_from(ENTRIES), has_store=st.booleans())
+    def cut_entry_from_store(self, name, has_store):
+        self.world.entry_by_name[name].has_store = has_store
+
+    @rule(name=st.sampled_from(ENTRIES), worker=st.sampled_from(WORKERS))
+    def cut_entry_from_worker(self, name, worker):
+        self.world.entry_by_name[name].unreachable_workers ^= {worker}
+
+    @rule(up=st.booleans())
+    def switch_store(self, up):
+        self.world.store_up = up
+
+    @rule(share=st.sampled_from((0.0, 0.0, 0.3)))
+    def lose_store_answers(self, share):
+        self.world.lose_answers = share
+
+    @rule()
+    def forget_store_history(self):
+        self.world.store.forget_history()
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def silence_worker(self, worker):
+        self.world.dead_workers ^= {worker}
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def carry_out_starts_late(self, worker):
+        self.world.late_workers ^= {worker}
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def restart_worker(self, worker):
+        # Two lives differ by the millisecond of their start.
+        self.world.run(0.05)
+        self.world.worker_by_id[worker].restart(self.world.clock.mono)
+        self.world.add_worker(worker)
+
+    def teardown(self) -> None:
+        self._end_faults()
+        self.world.run_until(self._is_settled, SETTLE_S)
+        check_all(self.world, self.spec_by_id, TEAMS, MOST_ATTEMPTS)
+        for job_id in self.spec_by_id:
+            self._check_job(job_id)
+
+    def _submit(self, shape, payload, team) -> None:
+        if not self._can_ask():
+            return
+        job_id = f"{len(self.spec_by_id):016x}"
+        outcome = self.world.submit(
+            job_id, *STEPS_BY_SHAPE[shape], payload=payload, team=team
+        )
+        self.spec_by_id[job_id] = self.world.last_spec
+        self.outcome_by_id[job_id] = outcome.kind
+
+    def _can_ask(self) -> bool:
+        entries = self.world.entry_by_name.values()
+        return any(entry.alive and entry.has_store for entry in entries)
+
+    def _end_faults(self) -> None:
+        world = self.world
+        world.store_up = True
+        world.lose_answers = 0.0
+        world.dead_workers.clear()
+        world.late_workers.clear()
+        for name in ENTRIES:
+            world.entry_by_name[name].has_store = True
+            world.entry_by_name[name].unreachable_workers.clear()
+            if not world.entry_by_name[name].alive:
+                world.start_entry(name)
+        self.version += 1
+        world.set_policy(self.version, teams=TEAMS)
+
+    def _is_settled(self) -> bool:
+        return all(
+            self.world.final_state(job_id) is not None
+            for job_id, kind in self.outcome_by_id.items()
+            if kind is OutcomeKind.DONE
+        )
+
+    def _check_job(self, job_id: str) -> None:
+        executions = self.world.executions(job_id)
+        kind = self.outcome_by_id[job_id]
+        if kind not in (OutcomeKind.DONE, OutcomeKind.UNKNOWN):
+            assert not executions, f"{job_id} was refused, and ran"
+            return
+        if kind is OutcomeKind.UNKNOWN:
+            return
+        state = self.world.final_state(job_id)
+        cancelled_at = self.cancelled_at_by_id.get(job_id)
+        if cancelled_at is None:
+            fails = self.spec_by_id[job_id].payload.startswith("fail")
+            assert state == ("failed" if fails else "completed"), f"{job_id}: {state}"
+            return
+        for execution in executions:
+            late_s = execution.started_at - cancelled_at
+            assert late_s <= CANCEL_BOUND_S, f"{job_id} started after its cancellation"
--- a/tests/support/step_invariants.py
+++ b/tests/support/step_invariants.py
@@ -20,7 +20,12 @@
 __all__ = ["check_all"]
 
 
-def check_all(world: StepWorld, spec_by_id: dict[str, JobSpec], limits: dict) -> None:
+def check_all(
+    world: StepWorld,
+    spec_by_id: dict[str, JobSpec],
+    limits: dict,
+    most_attempts: int = 2,
+) -> None:
     """Check every invariant over the whole history."""
     for worker in world.worker_by_id.values():
         worker.advance(world.clock.mono)
@@ -30,6 +35,8 @@
         for execution in worker.executions
     ]
     check_one_run_at_a_time(executions)
+    check_no_start_after_acknowledged_end(executions)
+    check_attempts(executions, most_attempts)
     check_capacity(world, spec_by_id)
     check_limits(executions, spec_by_id, limits)
     check_order(executions, spec_by_id)
@@ -49,6 +56,36 @@
         assert numbers == sorted(set(numbers)), f"{task} ran as {numbers}"
 
 
+def check_no_start_after_acknowledged_end(executions: Iterable[Execution]) -> None:
+    done_at_by_task: dict[tuple, float] = {}
+    for execution in executions:
+        if execution.kind is EndKind.DONE and execution.acknowledged_at is not None:
+            task = (execution.ref.job_id, execution.ref.key)
+            done_at_by_task[task] = end_of(execution)
+    for execution in executions:
+        done_at = done_at_by_task.get((execution.ref.job_id, execution.ref.key))
+        if done_at is None:
+            continue
+        assert execution.started_at < done_at, f"{execution.ref} ran after its end"
+
+
+def check_attempts(executions: Iterable[Execution], most: int) -> None:
+    """Check that no task starts once its failed runs are all it has."""
+    failed_at_by_task: dict[tuple, list[float]] = {}
+    for execution in executions:
+        if execution.kind is EndKind.FAILED and execution.acknowledged_at is not None:
+            task = (execution.ref.job_id, execution.ref.key)
+            failed_at_by_task.setdefault(task, []).append(end_of(execution))
+    for execution in executions:
+        task = (execution.ref.job_id, execution.ref.key)
+        failed_at = sorted(failed_at_by_task.get(task, ()))
+        if len(failed_at) < most:
+            continue
+        assert execution.started_at < failed_at[most - 1], (
+            f"{execution.ref} is too many"
+        )
+
+
 def check_capacity(world: StepWorld, spec_by_id: dict[str, JobSpec]) -> None:
     for worker in world.worker_by_id.values():
         for amount in levels(worker.executions, spec_by_id):
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -370,8 +370,14 @@
         """Leave a start unanswered and carry it out three seconds later."""
         failed = CallFailed(Ran.MAYBE, "no answer")
         self.clock.after(request.timeout_s, lambda: self._reply(entry, request, failed))
-        command = request.operation
-        self.clock.after(3.0, lambda: worker.apply(command, self.clock.mono))
+        command, born = request.operation, worker.born
+
+        def perform() -> None:
+            # An order that a worker has put off ends with its process.
+            if worker.born == born:
+                worker.apply(command, self.clock.mono)
+
+        self.clock.after(3.0, perform)
 
     def _is_cut(self, entry: StepEntry, worker_id: str) -> bool:
         return worker_id in self.dead_workers or worker_id in entry.unreachable_workers
