Send no stop to a worker whose address is not known yet

Cause: found by random histories. An owner that took over runs of a cancelled job asked workers to stop them before they were listed: calls without an address, five a second.

Change: stops wait until the worker is listed. Before: the new test raised KeyError in the fake network. After: it passes.

--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -207,6 +207,9 @@
         if link.hold_by_ref and is_dead:
             tenure.lose_runs(link, "worker's lease has ended")
         self.sync(tenure, link)
+        if not link.info.address:
+            # Runs of an earlier owner on a worker that is not listed yet.
+            return
         for hold in list(link.hold_by_ref.values()):
             due = self._host.now.mono - hold.stop_sent_at > STOP_EVERY_S
             if hold.stop_wanted and due:
--- a/tests/owner/test_takeover.py
+++ b/tests/owner/test_takeover.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from tests.support.steps import StepWorld, step
+from tests.support.steps import WORKERS_PREFIX, StepWorld, step
 
 from lagoonpulley.owner.role import OwnerRole
+from lagoonpulley.store.messages import Transaction
 from lagoonpulley.workload.documents import JobKeys
 
 
@@ -69,3 +70,17 @@
         if entry.alive and owner._tenure is not None and owner._tenure.loaded:
             return True
     return False
+
+
+def test_successor_sends_no_stop_to_a_worker_that_is_not_listed():
+    world = StepWorld()
+    world.run(1.0)
+    world.submit("a" * 16, step(count=3), payload="seconds=4")
+    world.run(0.5)
+    missing = tuple(WORKERS_PREFIX + worker_id for worker_id in world.worker_by_id)
+    world.store.apply(Transaction(deletes=missing), world.clock.mono)
+    world.kill(world.owner())
+    world.cancel("a" * 16)
+    world.run_until(lambda: world.final_state("a" * 16) == "cancelled", 5.0)
+    # A stop without an address would raise an error in the fake network.
+    world.run(3.0)
