--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -46,6 +46,7 @@
         self.spec_by_id: dict[str, JobSpec] = {}
         self.outcome_by_id: dict[str, OutcomeKind] = {}
         self.cancelled_at_by_id: dict[str, float] = {}
+        self.perhaps_cancelled_ids: set[str] = set()
 
     # Callers.
 
@@ -72,6 +73,8 @@
         outcome = self.world.cancel(job_id, self.spec_by_id[job_id].team)
         if outcome.kind is OutcomeKind.DONE:
             self.cancelled_at_by_id.setdefault(job_id, self.world.clock.mono)
+        elif outcome.kind is OutcomeKind.UNKNOWN:
+            self.perhaps_cancelled_ids.add(job_id)
 
     @rule(tenths=st.integers(1, 25))
     def wait(self, tenths):
@@ -184,6 +187,9 @@
         state = self.world.final_state(job_id)
         cancelled_at = self.cancelled_at_by_id.get(job_id)
         if cancelled_at is None:
+            if state == "cancelled":
+                assert job_id in self.perhaps_cancelled_ids, f"{job_id}: {state}"
+                return
             fails = self.spec_by_id[job_id].payload.startswith("fail")
             assert state == ("failed" if fails else "completed"), f"{job_id}: {state}"
             return
