Go to the store by another entry where it turns this one away

The owner's session lapsed, the next entry was elected 1.2 s later and waited for the workers: of the jobs of seconds 14 to 18, 11 of 55 were late. The intake and the policy each had a relay of their own for this; the owner had none.

Change: every call to the store goes by another entry (StoreRelayRole, gRPC) after it was refused here, or at once after two calls in a row failed; the store itself is tried again three times a second. Writes whose answer was lost stay with the role that asked, which alone can tell a second success from the first. The relays of intake and policy go. The session, the commits and the watches of an owner that the store turns away go on, so that nobody takes over.

--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -9,9 +9,8 @@
 from ..observability.events import log_event
 from ..observability.registry import time_request
 from ..owner.pending import PENDING_KEY
-from ..peers.relays import Relays
 from ..runtime.flows import Call, Flow, FlowRole
-from ..runtime.role import PEERS, STORE, CallFailed, Request
+from ..runtime.role import STORE, CallFailed, Request
 from ..store.messages import (
     ABSENT,
     Get,
@@ -42,8 +41,6 @@
 )
 
 if TYPE_CHECKING:
-    import random
-
     from ..store.health import StoreHealth
 
 __all__ = ["IntakeRole"]
@@ -52,9 +49,6 @@
 READ_TIMEOUT_S = 0.8
 # A write without an answer is tried again; it cannot take effect twice.
 WRITE_ATTEMPTS = 2
-MOST_RELAYS = 2
-
-_WORTH_RELAYING = frozenset((OutcomeKind.REFUSED, OutcomeKind.UNKNOWN))
 
 
 class IntakeRole(FlowRole):
@@ -62,32 +56,22 @@
 
     name = "intake"
 
-    def __init__(
-        self, entry_name: str, health: StoreHealth, chance: random.Random
-    ) -> None:
+    def __init__(self, health: StoreHealth) -> None:
         super().__init__("intake")
         self._health = health
-        self._relays = Relays(entry_name, chance)
-        self._running = False
 
     def receive(self, message: Any) -> None:
         """Start an operation for each request."""
         if isinstance(message, Request):
             self.start(self._serve(message))
-        elif not self._running:
-            self._running = True
-            self.start(self._relays.follow())
 
     def _serve(self, request: Request) -> Flow:
-        """Carry out a request here or, without the store, by another entry."""
+        """Carry out a request, or refuse it at once without the store."""
         operation = request.operation
         began = self.now.mono
-        is_relayed = request.reply_to == PEERS
         outcome = Outcome(OutcomeKind.REFUSED, "no contact with the store")
         if not self._health.is_away():
             outcome = yield from self._perform(request)
-        if not is_relayed and outcome.kind in _WORTH_RELAYING:
-            outcome = yield from self._relay(operation, outcome)
         took_s = self.now.mono - began
         time_request(type(operation).__name__, outcome.kind.value, took_s)
         if not isinstance(operation, ReadState | ReadPending):
@@ -97,7 +81,6 @@
                 job=_job_of(operation),
                 outcome=outcome.kind,
                 reason=outcome.reason,
-                relayed=is_relayed,
                 took_s=round(took_s, 3),
             )
         self.answer(request, outcome)
@@ -114,25 +97,6 @@
                 return (yield from self._read_pending(operation))
         return Outcome(OutcomeKind.REFUSED, "no such operation")
 
-    def _relay(self, operation: IntakeOperation, outcome: Outcome) -> Flow:
-        """Have another entry carry out what this one could not.
-
-        A submission may be repeated, since the store accepts it once. What may have
-        run here is never called refused.
-        """
-        may_have_run = outcome.kind is OutcomeKind.UNKNOWN
-        for address in self._relays.choose(MOST_RELAYS):
-            result = yield from self._relays.ask(address, operation)
-            if isinstance(result, CallFailed):
-                may_have_run = may_have_run or result.ran is not Ran.NO
-                continue
-            if result.kind not in _WORTH_RELAYING:
-                return result
-            may_have_run = may_have_run or result.kind is OutcomeKind.UNKNOWN
-        if may_have_run:
-            return Outcome(OutcomeKind.UNKNOWN, outcome.reason)
-        return outcome
-
     # Submission.
 
     def _submit(self, request: Request, operation: SubmitJob) -> Flow:
--- a/src/lagoonpulley/peers/relays.py
+++ b/src/lagoonpulley/peers/relays.py
@@ -1,14 +1,13 @@
-"""Other entries that may reach the store when this one does not."""
+"""Other entries, any of which may do something in place of this one."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from ..owner.entries import ENTRIES_PREFIX, addresses_of
 from ..runtime.flows import Call, Flow, Sleep
-from ..runtime.role import PEERS, STORE, CallFailed
+from ..runtime.role import STORE, CallFailed
 from ..store.messages import ReadRange
-from .messages import PeerCall
 
 if TYPE_CHECKING:
     import random
@@ -18,11 +17,12 @@
 READ_EVERY_S = 2.0
 FIRST_READS_EVERY_S = 0.3
 READ_TIMEOUT_S = 0.8
-RELAY_TIMEOUT_S = 1.0
 
 
 class Relays:
-    """Follows the list of entries, and asks some of them in turn."""
+    """Follows the list of entries and chooses among them."""
+
+    prefix = ENTRIES_PREFIX
 
     def __init__(self, own_name: str, chance: random.Random) -> None:
         self._own_name = own_name
@@ -32,7 +32,7 @@
     def follow(self) -> Flow:
         """Read the list now and then; an unanswered read leaves the last one."""
         while True:
-            read = ReadRange(ENTRIES_PREFIX, stale=True)
+            read = ReadRange(self.prefix, stale=True)
             result = yield Call(STORE, read, READ_TIMEOUT_S)
             if not isinstance(result, CallFailed) and result.entries:
                 found = addresses_of(result.entries, self._own_name)
@@ -43,8 +43,3 @@
         """Return the addresses of up to ``most`` entries, in random order."""
         addresses = list(self._address_by_name.values())
         return self._chance.sample(addresses, min(most, len(addresses)))
-
-    @staticmethod
-    def ask(address: str, message: Any) -> Flow:
-        """Send a message to an entry and return its answer."""
-        return (yield Call(PEERS, PeerCall(address, message), RELAY_TIMEOUT_S))
--- a/src/lagoonpulley/peers/service.py
+++ b/src/lagoonpulley/peers/service.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from ..intake import messages as intake
-from ..policy.messages import AskPolicy, PolicyAnswer
+from ..store import messages as store
+from ..store.route import STORE_RELAY
 from ..upstream.tasks import AskAdvice
 from .messages import (
     AdviceAnswer,
@@ -22,6 +22,7 @@
     SubmitAnswer,
     SubmitJobs,
 )
+from .store_relay import StoreAnswer
 
 __all__ = ["METHOD_BY_REQUEST", "PeerMethod"]
 
@@ -53,11 +54,13 @@
         "FetchConfiguration", FetchConfiguration, ConfigurationAnswer, "configuration"
     ),
     _method("AskAdvice", AskAdvice, AdviceAnswer, "advisor"),
-    _method("AskPolicy", AskPolicy, PolicyAnswer, "policy"),
-    _method("SubmitStepJob", intake.SubmitJob, intake.Outcome, "intake"),
-    _method("CancelStepJob", intake.CancelJob, intake.Outcome, "intake"),
-    _method("ReadState", intake.ReadState, intake.Outcome, "intake"),
-    _method("ReadPending", intake.ReadPending, intake.Outcome, "intake"),
+    _method("StoreGet", store.Get, StoreAnswer, STORE_RELAY),
+    _method("StoreReadRange", store.ReadRange, StoreAnswer, STORE_RELAY),
+    _method("StoreWatch", store.WatchPrefix, StoreAnswer, STORE_RELAY),
+    _method("StoreChange", store.Transaction, StoreAnswer, STORE_RELAY),
+    _method("StoreGrantLease", store.GrantLease, StoreAnswer, STORE_RELAY),
+    _method("StoreRenewLease", store.RenewLease, StoreAnswer, STORE_RELAY),
+    _method("StoreRevokeLease", store.RevokeLease, StoreAnswer, STORE_RELAY),
 )
 
 METHOD_BY_REQUEST = {method.request_type: method for method in _METHODS}
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -17,7 +17,7 @@
 from ..owner.session import SessionRole
 from ..owner.settings import OwnerSettings
 from ..peers.port import PeersPort
-from ..peers.relays import Relays
+from ..peers.store_relay import StoreRelayRole
 from ..policy.role import PolicyRole
 from ..runtime.actors import Runtime, read_clocks
 from ..runtime.role import PEERS, STORE, UPSTREAM
@@ -148,14 +148,10 @@
         )
         chance = random.Random(f"{settings.entry_id}:{time.time_ns()}")
         for role in (
-            PolicyRole(
-                PlatformPolicy(),
-                (STANDING, OwnerRole.name),
-                self._contact,
-                Relays(settings.entry_id, chance),
-            ),
+            StoreRelayRole(settings.entry_id, self._contact, chance),
+            PolicyRole(PlatformPolicy(), (STANDING, OwnerRole.name)),
             SessionRole(document, OwnerRole.name, chance),
-            IntakeRole(settings.entry_id, self._contact, chance),
+            IntakeRole(self._contact),
             AdvisorRole(),
             owner,
         ):
--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -10,6 +10,7 @@
 from ..observability.registry import time_store_call
 from ..runtime.curl import CurlLoop
 from ..runtime.role import CallFailed, Reply, Request
+from ..store.route import STORE_RELAY, Detour, StoreRoute
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,8 +52,7 @@
 
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
             result = self._decode(operation, outcome)
-            self.note(operation, result, time.monotonic() - began)
-            self._deliver(message.reply_to, Reply(message.request_id, result))
+            self.finish(message, result, time.monotonic() - began)
 
         self._loop.submit(call, complete)
 
@@ -64,8 +64,9 @@
             log_event("answer_not_understood", operation=kind, reason=str(error))
             return CallFailed(Ran.MAYBE, f"answer not understood: {error}")
 
-    def note(self, operation: Any, result: Any, took_s: float) -> None:
-        """See each result before it is delivered; ``took_s`` is in seconds."""
+    def finish(self, request: Request, result: Any, took_s: float) -> None:
+        """Answer a request; ``took_s`` is in seconds."""
+        self._deliver(request.reply_to, Reply(request.request_id, result))
 
     def close(self) -> None:
         """Stop the port's thread."""
@@ -73,7 +74,7 @@
 
 
 class StoreHttpPort(HttpPort):
-    """Notes whether the store answers."""
+    """Sends calls the way that its route names."""
 
     def __init__(
         self,
@@ -82,10 +83,17 @@
         contact: StoreContact,
     ) -> None:
         super().__init__("store-port", codec, deliver)
-        self._contact = contact
+        self._route = StoreRoute(contact)
 
-    def note(self, operation: Any, result: Any, took_s: float) -> None:
-        """Note an answer or a failure."""
+    def submit(self, message: Request) -> None:
+        """Start one operation, here or by another entry."""
+        if self._route.goes_direct(message):
+            super().submit(message)
+        else:
+            self._deliver(STORE_RELAY, Detour(message))
+
+    def finish(self, request: Request, result: Any, took_s: float) -> None:
+        """Answer a call, or have it go another way."""
         answered = not isinstance(result, CallFailed)
-        self._contact.note(answered)
-        time_store_call(type(operation).__name__, answered, took_s)
+        time_store_call(type(request.operation).__name__, answered, took_s)
+        self._deliver(*self._route.next_step(request, result))
--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -6,15 +6,13 @@
 
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
-from ..runtime.role import STORE, CallFailed, Request
+from ..runtime.role import STORE, CallFailed
 from ..store.messages import Get, KeyValue, StoreStatus, WatchPrefix
-from .messages import AskPolicy, PolicyAnswer, PolicyChanged
+from .messages import PolicyChanged
 
 if TYPE_CHECKING:
     from expression import Result
 
-    from ..peers.relays import Relays
-    from ..store.health import StoreHealth
     from ..store.messages import StoreResult
     from .values import Policy
 
@@ -25,7 +23,6 @@
 WATCH_TIMEOUT_S = 1.2
 READ_TIMEOUT_S = 0.8
 RETRY_PAUSE_S = 0.1
-ASK_OTHERS_EVERY_S = 0.4
 
 
 class PolicyDecoder(Protocol):
@@ -46,49 +43,18 @@
 
     name = "policy"
 
-    def __init__(
-        self,
-        decoder: PolicyDecoder,
-        listeners: tuple[str, ...],
-        health: StoreHealth,
-        relays: Relays,
-    ) -> None:
+    def __init__(self, decoder: PolicyDecoder, listeners: tuple[str, ...]) -> None:
         super().__init__("policy")
         self._decoder = decoder
         self._listeners = listeners
-        self._health = health
-        self._relays = relays
         self._version = 0
-        self._entry: KeyValue | None = None
         self._running = False
 
     def receive(self, message: Any) -> None:
-        """Begin at the first tick; tell other entries the document."""
-        if isinstance(message, Request):
-            self.answer(message, self._policy_answer())
-        elif not self._running:
+        """Begin at the first tick."""
+        if not self._running:
             self._running = True
             self.start(self._follow())
-            self.start(self._relays.follow())
-            self.start(self._follow_others())
-
-    def _policy_answer(self) -> PolicyAnswer:
-        """Return the document, if this entry is in contact with the store."""
-        if self._entry is None or self._health.is_away():
-            return PolicyAnswer()
-        return PolicyAnswer(self._entry.key, self._entry.value, self._entry.revision)
-
-    def _follow_others(self) -> Flow:
-        """Ask other entries for the document while the store is away."""
-        while True:
-            yield Sleep(ASK_OTHERS_EVERY_S)
-            if not self._health.is_away():
-                continue
-            for address in self._relays.choose(1):
-                answer = yield from self._relays.ask(address, AskPolicy())
-                if isinstance(answer, PolicyAnswer) and answer.key:
-                    entry = KeyValue(answer.key, answer.value, answer.revision)
-                    self._take(entry)
 
     def _follow(self) -> Flow:
         revision = 0
@@ -132,7 +98,6 @@
         if policy.version <= self._version:
             return
         self._version = policy.version
-        self._entry = entry
         log_event("policy_in_force", version=policy.version, revision=policy.revision)
         for listener in self._listeners:
             self.emit(listener, PolicyChanged(policy))
--- a/src/lagoonpulley/store/health.py
+++ b/src/lagoonpulley/store/health.py
@@ -11,35 +11,46 @@
 
 __all__ = ["StoreContact", "StoreHealth"]
 
+# A single answer may be lost on its way while the store is well.
+FAILURES_TO_GO_ROUND = 2
+
 
 class StoreHealth(Protocol):
     """Tells whether calls to the store are worth trying."""
 
     def is_away(self) -> bool:
-        """Return whether the last call of this entry failed."""
+        """Return whether the last call failed, directly and by other entries."""
         ...
 
 
 class StoreContact:
     """Times of the last answer and of the last failure.
 
-    The store's port writes, callers' threads and roles read; each time is replaced
-    at once.
+    Ports and roles write, callers' threads read; each field is replaced at once.
     """
 
     def __init__(self, clocks: Callable[[], Now]) -> None:
         self._clocks = clocks
         self._seen_at = float("-inf")
         self._failed_at = float("-inf")
+        self._direct_failures = 0
 
     def note(self, answered: bool) -> None:
-        """Take in the outcome of one call."""
+        """Take in the outcome of one call, whichever way it went."""
         now = self._clocks().mono
         if answered:
             self._seen_at = now
         else:
             self._failed_at = now
 
+    def note_direct(self, answered: bool) -> None:
+        """Take in whether the store answered a call of this entry itself."""
+        self._direct_failures = 0 if answered else self._direct_failures + 1
+
+    def is_turned_away(self) -> bool:
+        """Return whether the last calls from here to the store failed."""
+        return self._direct_failures >= FAILURES_TO_GO_ROUND
+
     def is_away(self) -> bool:
         """See :class:`StoreHealth`."""
         return self._failed_at > self._seen_at
--- a/tests/owner/test_orders.py
+++ b/tests/owner/test_orders.py
@@ -100,7 +100,7 @@
     world.submit("a" * 16, step(count=3, processors=16000), payload="seconds=40")
     world.run(1.0)
     old = world.owner()
-    old.has_store = False
+    old.has_store = old.has_peers = False
     old.unreachable_workers.update(("w1", "w2", "w3"))
     for entry in world.entry_by_name.values():
         if entry is not old:
--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -103,6 +103,10 @@
     def cut_entry_from_store(self, name, has_store):
         self.world.entry_by_name[name].has_store = has_store
 
+    @rule(name=st.sampled_from(ENTRIES), has_peers=st.booleans())
+    def cut_entry_from_others(self, name, has_peers):
+        self.world.entry_by_name[name].has_peers = has_peers
+
     @rule(name=st.sampled_from(ENTRIES), worker=st.sampled_from(WORKERS))
     def cut_entry_from_worker(self, name, worker):
         self.world.entry_by_name[name].unreachable_workers ^= {worker}
@@ -163,6 +167,7 @@
         world.late_workers.clear()
         for name in ENTRIES:
             world.entry_by_name[name].has_store = True
+            world.entry_by_name[name].has_peers = True
             world.entry_by_name[name].unreachable_workers.clear()
             if not world.entry_by_name[name].alive:
                 world.start_entry(name)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -20,8 +20,8 @@
 from lagoonpulley.owner.session import SessionRole
 from lagoonpulley.owner.settings import OwnerSettings
 from lagoonpulley.peers.messages import AdviceAnswer, PeerCall
-from lagoonpulley.peers.relays import Relays
 from lagoonpulley.peers.service import METHOD_BY_REQUEST
+from lagoonpulley.peers.store_relay import StoreRelayRole
 from lagoonpulley.policy.role import PolicyRole
 from lagoonpulley.policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from lagoonpulley.runtime.role import (
@@ -38,6 +38,7 @@
 from lagoonpulley.standin.task_worker import TaskWorkerState
 from lagoonpulley.store.health import StoreContact
 from lagoonpulley.store.messages import Transaction, WatchPrefix, Write
+from lagoonpulley.store.route import STORE_RELAY, Detour, StoreRoute
 from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.upstream.tasks import Advice, AskAdvice, StartTask, SyncWorker
 from lagoonpulley.workload.documents import JobKeys, decode_final
@@ -104,9 +105,11 @@
     name: str
     roles: dict[str, Any]
     contact: StoreContact
+    route: StoreRoute
     mailbox: deque = field(default_factory=deque)
     alive: bool = True
     has_store: bool = True
+    has_peers: bool = True
     unreachable_workers: set[str] = field(default_factory=set)
 
     @property
@@ -182,15 +185,15 @@
         contact = StoreContact(lambda: self.clock.now)
         chance = random.Random(self.life)
         roles = (
-            PolicyRole(
-                JsonPolicy(), ("owner", "standing"), contact, Relays(name, chance)
-            ),
+            StoreRelayRole(name, contact, chance),
+            PolicyRole(JsonPolicy(), ("owner", "standing")),
             SessionRole(document, "owner", chance),
-            IntakeRole(name, contact, chance),
+            IntakeRole(contact),
             AdvisorRole(),
             OwnerRole(OwnerSettings(name, LEASE_S), JsonDirectory(), contact),
         )
-        entry = StepEntry(name, {role.name: role for role in roles}, contact)
+        role_by_name = {role.name: role for role in roles}
+        entry = StepEntry(name, role_by_name, contact, StoreRoute(contact))
         self.entry_by_name[name] = entry
         self._tick(entry)
         return entry
@@ -300,10 +303,12 @@
         entry.mailbox.append((role, Reply(request.request_id, result)))
 
     def _reply_store(self, entry: StepEntry, request: Request, result: Any) -> None:
-        entry.contact.note(answered=not isinstance(result, CallFailed))
-        self._reply(entry, request, result)
+        entry.mailbox.append(entry.route.next_step(request, result))
 
     def _call_store(self, entry: StepEntry, request: Request) -> None:
+        if not entry.route.goes_direct(request):
+            entry.mailbox.append((STORE_RELAY, Detour(request)))
+            return
         if not entry.has_store or not self.store_up:
             failed = CallFailed(Ran.NO, "the store is away")
             self.clock.after(0.005, lambda: self._reply_store(entry, request, failed))
@@ -399,6 +404,12 @@
         """Carry a message to another entry, and its answer back."""
         call: PeerCall = request.operation
         other = self.entry_by_name[call.address]
+        if not entry.has_peers or not other.has_peers:
+            failed = CallFailed(Ran.MAYBE, "no answer")
+            self.clock.after(
+                request.timeout_s, lambda: self._reply(entry, request, failed)
+            )
+            return
         if not other.alive:
             failed = CallFailed(Ran.NO, "nobody listens")
             self.clock.after(0.002, lambda: self._reply(entry, request, failed))
