--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -36,3 +36,30 @@
     assert "task j-1/0 placed on w3 (best fit, 7 workers seen)" in story
     assert "w4" not in story
     assert main(["explain", "j-9", "--log", str(path)]) == 1
+
+
+def test_explain_tells_the_story_of_a_job_over_several_entries(tmp_path, capsys):
+    events = (
+        ("one", "job_submitted", 1.0, {"team": "north", "queue": "reviews"}),
+        ("two", "job_known", 2.0, {"age_s": 1.0}),
+        ("two", "task_placed", 3.0, {"task": [0, 0, 0], "run": 1, "worker": "w3"}),
+        ("two", "task_ended", 4.0, {"task": [0, 0, 0], "run": 1, "end": "failed"}),
+        ("two", "job_final", 5.0, {"state": "failed", "reason": "failed too often"}),
+    )
+    arguments = ["explain", "a" * 16]
+    for name in ("one", "two"):
+        path = tmp_path / f"{name}.log"
+        lines = [
+            json.dumps(
+                {"event": event, "time": at, "entry": entry, "job": "a" * 16} | more
+            )
+            for entry, event, at, more in events
+            if entry == name
+        ]
+        path.write_text("\n".join(f"12.0 {name} {line}" for line in lines))
+        arguments[2:2] = ["--log", str(path)]
+    assert main(arguments) == 0
+    story = capsys.readouterr().out.splitlines()
+    assert [line.split()[1] for line in story] == ["one", "two", "two", "two", "two"]
+    assert "placed on w3 as run 1" in story[2]
+    assert "final: failed (failed too often)" in story[4]
