Let an entry whose election was won without an answer take office

Cause: found by random histories. The answer to the election was lost, and the answer to the look at the record after it as well. The entry then found itself on the record and took that for settled: nobody acted as owner for as long as its session lived, and no job was started any more.

Change: an entry that reads its own life on the owner's record takes office, under the revision that the record was created with. The reading back of its own goes.

--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -18,7 +18,6 @@
     KeyValue,
     RenewLease,
     RevokeLease,
-    StoreResult,
     StoreStatus,
     Transaction,
     WatchPrefix,
@@ -142,10 +141,22 @@
 
     def _look_at(self, entry: KeyValue) -> None:
         """Compare the owner's record with what this entry believes."""
-        if not self._is_owner or self._is_mine(entry):
+        if self._is_mine(entry):
+            # The answer to the election may have been lost.
+            self._take_office(entry.created)
+        elif self._is_owner:
+            self._is_owner = False
+            self.emit(self._owner_role, Deposed("another entry is the owner"))
+
+    def _take_office(self, revision: int) -> None:
+        """Be the owner, under the revision that the election was won with."""
+        session = self._session
+        if self._is_owner or session is None:
             return
-        self._is_owner = False
-        self.emit(self._owner_role, Deposed("another entry is the owner"))
+        self._is_owner = True
+        log_event("elected", token=revision, entry=self._document.name)
+        self.emit(self._owner_role, Elected(revision, revision))
+        self._tell_session(session)
 
     def _watch(self, revision: int) -> Flow:
         """Wait until the owner's record may have changed."""
@@ -179,23 +190,10 @@
         )
         result = yield Call(STORE, change, CALL_TIMEOUT_S)
         if isinstance(result, CallFailed):
-            result = yield from self._read_back()
-        if not isinstance(result, StoreResult) or not result.ok:
-            return
-        self._is_owner = True
-        log_event("elected", token=result.revision, entry=self._document.name)
-        self.emit(self._owner_role, Elected(result.revision, result.revision))
-        self._tell_session(session)
-
-    def _read_back(self) -> Flow:
-        """Find out whether an election without an answer was won."""
-        result = yield Call(STORE, Get(OWNER_KEY), CALL_TIMEOUT_S)
-        if isinstance(result, CallFailed) or result.entry is None:
+            # The record tells who has won.
             yield Sleep(RETRY_PAUSE_S)
-            return None
-        if not self._is_mine(result.entry):
-            return None
-        return StoreResult(StoreStatus.OK, revision=result.entry.created)
+        elif result.ok:
+            self._take_office(result.revision)
 
     def _is_mine(self, entry: KeyValue) -> bool:
         try:
--- /dev/null
+++ b/tests/owner/test_session.py
@@ -0,0 +1,42 @@
+"""Elections whose answers are lost."""
+
+from __future__ import annotations
+
+from tests.support.steps import StepWorld
+
+from lagoonpulley.owner.session import OWNER_KEY
+from lagoonpulley.store.messages import Get, Transaction
+
+
+def is_about_the_owner(operation):
+    if isinstance(operation, Transaction):
+        return any(write.key == OWNER_KEY for write in operation.puts)
+    return operation == Get(OWNER_KEY)
+
+
+def lose_answers_about_the_owner(world, most):
+    """Lose so many answers to elections and to looks at the owner's record."""
+    call_store = world._call_store
+    lost = []
+
+    def call(entry, request):
+        is_lost = is_about_the_owner(request.operation) and len(lost) < most
+        has_begun = lost or isinstance(request.operation, Transaction)
+        if is_lost and has_begun:
+            lost.append(request)
+            world.lose_answers = 1.0
+        call_store(entry, request)
+        world.lose_answers = 0.0
+
+    world._call_store = call
+    return lost
+
+
+def test_entry_that_won_without_an_answer_takes_office():
+    world = StepWorld(entries=2)
+    world.run(2.0)
+    lost = lose_answers_about_the_owner(world, most=4)
+    world.kill(world.owner())
+    world.run(8.0)
+    assert len(lost) == 4
+    assert world.owner()
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -419,6 +419,9 @@
         self.peer_call_by_id[request_id] = (entry, request)
         role = METHOD_BY_REQUEST[type(call.message)].role
         passed = Request(request_id, PEERS, call.message, 3.0)
+        # The other entry may stop before it answers; the first reply counts.
+        late = CallFailed(Ran.MAYBE, "no answer")
+        self.clock.after(request.timeout_s, lambda: self._reply(entry, request, late))
         self.clock.after(0.001, lambda: other.mailbox.append((role, passed)))
 
     def _answer_peer(self, reply: Reply) -> None:
