Split the placement core by concern

Change: what the core knows (state), what events change (changes), one job's placement (placing) and rounds of decisions (rounds), behind the same PlacementCore; decisions import state, never the core. No behaviour changes. A mutant's stand-in for WorkerTable.release takes the argument that the method had already.

Before and after: tests/placement, tests/scheduler and tests/invariants pass.

--- a/src/lagoonpulley/placement/preemption.py
+++ b/src/lagoonpulley/placement/preemption.py
@@ -5,16 +5,18 @@
 from typing import TYPE_CHECKING
 
 from ..model.job import JobKind
+from .events import Preempt
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
     from ..model.resources import Resources
-    from .core import PlacedTask
+    from .events import Decision, PreemptReason
+    from .state import PlacedTask
     from .teams import Team
     from .workers import Worker, WorkerTable
 
-__all__ = ["choose_over_capacity", "choose_over_limit", "choose_victims"]
+__all__ = ["choose_over_capacity", "choose_over_limit", "choose_victims", "preempt"]
 
 
 WORKERS_LOOKED_AT = 48
@@ -114,3 +116,14 @@
         victims.append(task)
         free = free.plus(task.job.request)
     return victims
+
+
+def preempt(
+    victims: list[PlacedTask], reason: PreemptReason, decisions: list[Decision]
+) -> None:
+    """Have tasks give up their room, unless that is under way."""
+    for placed in victims:
+        if placed.preempting:
+            continue
+        placed.preempting = True
+        decisions.append(Preempt(placed.task_id, placed.worker.id, reason))
--- a/src/lagoonpulley/placement/shares.py
+++ b/src/lagoonpulley/placement/shares.py
@@ -6,14 +6,13 @@
 
 from ..model.job import JobKind
 from .events import PreemptReason
-from .preemption import choose_victims
+from .preemption import choose_victims, preempt
 from .reservation import ExpectedEnd, Reservation, plan_reservation
 from .teams import SMALLEST_WEIGHT
 
 if TYPE_CHECKING:
-    from .core import PlacementCore
     from .events import Decision
-    from .reservation import ReservationBook
+    from .state import CoreState
     from .teams import PendingJob, Team
     from .workers import Worker
 
@@ -31,9 +30,9 @@
 class ShareKeeper:
     """Reserves room, and asks for checkpoints, for teams below their share."""
 
-    def __init__(self, core: PlacementCore, book: ReservationBook) -> None:
-        self._core = core
-        self._book = book
+    def __init__(self, state: CoreState) -> None:
+        self._state = state
+        self._book = state.reservations
         self._next_plan_at = float("-inf")
         self._next_share_preemption_at = float("-inf")
         self._share_level = 0.0
@@ -42,7 +41,7 @@
         """Drop reservations that ended, and plan for blocked gangs."""
         if now < self._next_plan_at:
             return
-        self._next_plan_at = now + self._core.settings.replan_after_s
+        self._next_plan_at = now + self._state.settings.replan_after_s
         self._book.drop_ended(now, self.is_due)
         gangs = self._blocked_gangs(now)
         if not gangs:
@@ -57,8 +56,8 @@
 
     def is_due(self, pending: PendingJob) -> bool:
         """Return whether only room keeps a job from running, not a limit."""
-        team = self._core.team(pending.job.team)
-        return team.may_add(self._core.whole_request(pending))
+        team = self._state.team(pending.job.team)
+        return team.may_add(self._state.whole_request(pending))
 
     def _blocked_gangs(self, now: float) -> list[PendingJob]:
         """Return each team's first blocked gang, in the fair order of teams.
@@ -67,19 +66,19 @@
         no gang ever waits for what another one keeps for good.
         """
         due = []
-        for name in self._core.waiting_teams:
-            team = self._core.team_by_name[name]
+        for name in self._state.waiting_teams:
+            team = self._state.team_by_name[name]
             pending = self._first_blocked_gang(team, now)
             if pending is not None and self.is_due(pending):
-                due.append((self._core.order_key(team, now), name, pending))
+                due.append((self._state.order_key(team, now), name, pending))
         due.sort(key=lambda item: item[:2])
         return [pending for _, _, pending in due]
 
     def _first_blocked_gang(self, team: Team, now: float) -> PendingJob | None:
-        for pending in team.waiting(self._core.settings.backfill_depth):
+        for pending in team.waiting(self._state.settings.backfill_depth):
             if pending.job.kind is not JobKind.GANG or pending.blocked_at is None:
                 continue
-            if now - pending.blocked_at >= self._core.settings.reserve_after_s:
+            if now - pending.blocked_at >= self._state.settings.reserve_after_s:
                 return pending
         return None
 
@@ -87,7 +86,7 @@
         """Keep a worker for the blocked job of a team that is below its share."""
         if self._book.is_full() or not self._is_below_share(team):
             return
-        for pending in team.waiting(self._core.settings.backfill_depth):
+        for pending in team.waiting(self._state.settings.backfill_depth):
             if pending.job.kind is JobKind.GANG or pending.blocked_at is None:
                 continue
             if self._book.has(pending) or not self.is_due(pending):
@@ -101,35 +100,35 @@
         self, team: Team, now: float, decisions: list[Decision]
     ) -> None:
         """Checkpoint batch work above its share for a team below its own."""
-        after_s = self._core.settings.share_preempt_after_s
+        after_s = self._state.settings.share_preempt_after_s
         if after_s is None or now < self._next_share_preemption_at:
             return
         if not self._is_below_share(team):
             return
-        level = self._share_level * (1.0 + self._core.settings.share_slack)
-        for pending in team.waiting(self._core.settings.backfill_depth):
+        level = self._share_level * (1.0 + self._state.settings.share_slack)
+        for pending in team.waiting(self._state.settings.backfill_depth):
             job = pending.job
             if pending.blocked_at is None or now - pending.blocked_at < after_s:
                 continue
             if job.kind is JobKind.GANG or not self.is_due(pending):
                 continue
-            if now - pending.preempted_at < self._core.settings.preempt_again_after_s:
+            if now - pending.preempted_at < self._state.settings.preempt_again_after_s:
                 continue
             above = {
                 name
-                for name, other in self._core.team_by_name.items()
+                for name, other in self._state.team_by_name.items()
                 if rank(other) > level
             }
             victims = choose_victims(
-                self._core.table, self._core.placed_by_task_id, above, job.request
+                self._state.table, self._state.placed_by_task_id, above, job.request
             )
             pending.preempted_at = now
             self._next_share_preemption_at = now + SHARE_PREEMPTION_PAUSE_S
-            self._core.preempt(victims, PreemptReason.SHARE, decisions)
+            preempt(victims, PreemptReason.SHARE, decisions)
             return
 
     def _plan_on(self, worker: Worker, pending: PendingJob, now: float) -> Reservation:
-        placed = [self._core.placed_by_task_id[task_id] for task_id in worker.task_ids]
+        placed = [self._state.placed_by_task_id[task_id] for task_id in worker.task_ids]
         ends = [ExpectedEnd(task.expected_end, task.job.request) for task in placed]
         ends_by_worker_id = {worker.id: ends}
         planned = plan_reservation(pending, 1, [worker], ends_by_worker_id, now)
@@ -145,8 +144,8 @@
         """Work out the even level of share by weight of all active teams."""
         share = 0.0
         weight = 0.0
-        for team in self._core.team_by_name.values():
-            if not team.share and team.name not in self._core.waiting_teams:
+        for team in self._state.team_by_name.values():
+            if not team.share and team.name not in self._state.waiting_teams:
                 continue
             share += team.share
             weight += team.policy.weight
@@ -154,7 +153,7 @@
 
     def _expected_ends(self) -> dict[str, list[ExpectedEnd]]:
         ends: dict[str, list[ExpectedEnd]] = {}
-        for placed in self._core.placed_by_task_id.values():
+        for placed in self._state.placed_by_task_id.values():
             expected = ExpectedEnd(placed.expected_end, placed.job.request)
             ends.setdefault(placed.worker.id, []).append(expected)
         return ends
--- a/tests/support/mutants.py
+++ b/tests/support/mutants.py
@@ -40,7 +40,7 @@
     def commit(self, worker, task_id, request):
         worker.task_ids[task_id] = None
 
-    def release(self, worker, task_id, request):
+    def release(self, worker, task_id, request, is_new=True):
         worker.task_ids.pop(task_id, None)
 
     monkeypatch.setattr(WorkerTable, "commit", commit)
