Have an owner's record go when the owner ends by itself

Cause: found by random histories. An entry whose session had lapsed went on to believe that it was the owner; elected anew, it did not tell its owner role, whose old term then ended on the moved head. The record named an entry on which nobody acted, and no job was started any more, for as long as its session was renewed.

Change: a lapsed session deposes at once; an owner that stands down by itself (fenced by a worker, head moved) has the session ended, and with it the record, so that an election follows.

--- a/src/lagoonpulley/owner/host.py
+++ b/src/lagoonpulley/owner/host.py
@@ -24,6 +24,6 @@
         """Plan if anything changed, then write what changed."""
         ...
 
-    def end(self, reason: str) -> None:
-        """Stop being the owner."""
+    def stand_down(self, reason: str) -> None:
+        """Stop being the owner, and have one elected anew."""
         ...
--- a/src/lagoonpulley/owner/messages.py
+++ b/src/lagoonpulley/owner/messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Deposed", "Elected", "Resign", "SessionExtended"]
+__all__ = ["Deposed", "Elected", "Resign", "SessionExtended", "StoodDown"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +26,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoodDown:
+    """The owner has found that it cannot go on under ``token``."""
+
+    token: int
+
+
 @dataclass(frozen=True, slots=True)
 class SessionExtended:
     """Nobody else can become the owner before ``until`` (monotonic seconds)."""
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -16,8 +16,9 @@
 from .dispatch import Dispatcher
 from .jobs import JobsFollower
 from .journal import Journal
-from .messages import Deposed, Elected, SessionExtended
+from .messages import Deposed, Elected, SessionExtended, StoodDown
 from .pending import PendingBoard
+from .session import SessionRole
 from .tenure import Tenure
 from .workers import WorkersFollower
 
@@ -73,7 +74,7 @@
             case Elected():
                 self._begin(message)
             case Deposed(reason):
-                self.end(reason)
+                self._end(reason)
             case SessionExtended(until):
                 if self._tenure is not None:
                     self._tenure.session_until = until
@@ -93,7 +94,7 @@
         return super().handle(message, now)
 
     def _begin(self, elected: Elected) -> None:
-        self.end("elected anew")
+        self._end("elected anew")
         tenure = Tenure(
             token=elected.token,
             journal=Journal(elected.token, elected.head_revision),
@@ -105,8 +106,13 @@
         log_event("ownership_began", token=elected.token)
         self.start(self._take_over(tenure))
 
-    def end(self, reason: str) -> None:
-        """Stop being the owner."""
+    def stand_down(self, reason: str) -> None:
+        """See :class:`~.host.Host`."""
+        if self._tenure is not None:
+            self.emit(SessionRole.name, StoodDown(self._tenure.token))
+        self._end(reason)
+
+    def _end(self, reason: str) -> None:
         if self._tenure is None:
             return
         self._tenure.over = True
@@ -264,7 +270,7 @@
                 yield Sleep(RETRY_PAUSE_S)
                 continue
             if not tenure.journal.take_result(result):
-                self.end("another entry has moved the journal's head")
+                self.stand_down("the journal's head was moved by another term")
                 return
             for link in list(tenure.link_by_worker_id.values()):
                 self._workers.sync(tenure, link)
--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -25,7 +25,7 @@
 )
 from .entries import ENTRIES_PREFIX, EntryDocument
 from .journal import HEAD_KEY
-from .messages import Deposed, Elected, Resign, SessionExtended
+from .messages import Deposed, Elected, Resign, SessionExtended, StoodDown
 
 __all__ = ["OWNER_KEY", "SessionRole"]
 
@@ -68,6 +68,7 @@
         self._chance = chance
         self._session: _Session | None = None
         self._is_owner = False
+        self._token = 0
         self._resigned = False
         self._running = False
 
@@ -76,6 +77,9 @@
         if isinstance(message, Resign):
             self._resign()
             return
+        if isinstance(message, StoodDown):
+            self._take_back_record(message.token)
+            return
         if not self._running:
             self._running = True
             self.start(self._keep_session())
@@ -104,6 +108,7 @@
                 continue
             log_event("session_lapsed", lease=session.lease_id)
             self._session = None
+            self._depose("the session has lapsed")
 
     def _tell_session(self, session: _Session) -> None:
         if self._is_owner:
@@ -144,9 +149,8 @@
         if self._is_mine(entry):
             # The answer to the election may have been lost.
             self._take_office(entry.created)
-        elif self._is_owner:
-            self._is_owner = False
-            self.emit(self._owner_role, Deposed("another entry is the owner"))
+        else:
+            self._depose("another entry is the owner")
 
     def _take_office(self, revision: int) -> None:
         """Be the owner, under the revision that the election was won with."""
@@ -154,6 +158,7 @@
         if self._is_owner or session is None:
             return
         self._is_owner = True
+        self._token = revision
         log_event("elected", token=revision, entry=self._document.name)
         self.emit(self._owner_role, Elected(revision, revision))
         self._tell_session(session)
@@ -204,9 +209,22 @@
 
     def _resign(self) -> None:
         self._resigned = True
+        self._depose("this entry stops")
+        self._give_up_session()
+
+    def _depose(self, reason: str) -> None:
         if self._is_owner:
             self._is_owner = False
-            self.emit(self._owner_role, Deposed("this entry stops"))
+            self.emit(self._owner_role, Deposed(reason))
+
+    def _take_back_record(self, token: int) -> None:
+        """Have the owner's record removed after the owner stood down."""
+        if self._is_owner and self._token == token:
+            self._is_owner = False
+            self._give_up_session()
+
+    def _give_up_session(self) -> None:
+        """End the session, and with it what stands under its lease."""
         if self._session is not None:
             self.start(self._end_session(self._session.lease_id))
             self._session = None
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -199,7 +199,7 @@
             log_event("worker_lost", worker=link.info.id, reason=str(reason))
         tenure.refresh_accepting(link)
         if reason is Refusal.FENCED:
-            self._host.end("a worker has seen a higher token")
+            self._host.stand_down("a worker has seen a higher token")
 
     def check(self, tenure: Tenure, link: WorkerLink) -> None:
         """Do what is due for a worker: give it up, ask it, have runs stopped."""
--- a/tests/owner/test_session.py
+++ b/tests/owner/test_session.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from tests.support.steps import StepWorld
+from tests.support.steps import StepWorld, step
 
+from lagoonpulley.owner.journal import HEAD_KEY
 from lagoonpulley.owner.session import OWNER_KEY
-from lagoonpulley.store.messages import Get, Transaction
+from lagoonpulley.store.messages import Get, RevokeLease, Transaction
 
 
 def is_about_the_owner(operation):
@@ -40,3 +41,26 @@
     world.run(8.0)
     assert len(lost) == 4
     assert world.owner()
+
+
+def test_owner_whose_session_lapsed_may_be_elected_again():
+    world = StepWorld(entries=1)
+    world.run(2.0)
+    first = world.owner().owner._tenure.token
+    lose_answers_about_the_owner(world, most=2)
+    session = world.owner().roles["session"]._session
+    world.store.apply(RevokeLease(session.lease_id), world.clock.mono)
+    world.run(6.0)
+    assert world.owner().owner._tenure.token > first
+    world.submit("a" * 16, step())
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 12.0)
+
+
+def test_owner_that_stands_down_leaves_no_record_behind():
+    world = StepWorld(entries=2)
+    world.run(2.0)
+    first = world.owner().owner._tenure.token
+    world.put(HEAD_KEY, "written by somebody else")
+    world.submit("a" * 16, step())
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 12.0)
+    assert world.owner().owner._tenure.token > first
