Read the jobs while the watch is silent on the owner's own commits

Change: an owner knows what it has committed; a watch that has not told of it within 0.1 s is taken for deaf, and the jobs are read directly, five times a second at most, until it speaks again.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from ..observability.events import log_event
@@ -38,6 +40,36 @@
 # Final states are kept a little longer than callers may count on.
 RETENTION_SLACK_S = 10.0
 MOST_FORGOTTEN = 12
+# A watch tells of this owner's own commits within milliseconds; one that does not
+# tells of nothing else either.
+WATCH_LAG_S = 0.1
+READ_AGAIN_EVERY_S = 0.2
+
+
+@dataclass(slots=True, eq=False)
+class _Watched:
+    """How far the watch has come, and this owner's commits behind that.
+
+    ``own_at`` is when the first commit was made that the watch has not told of.
+    Times are monotonic seconds.
+    """
+
+    seen_revision: int = 0
+    own_revision: int = 0
+    own_at: float = 0.0
+    read_at: float = float("-inf")
+
+    def note_commit(self, revision: int, now: float) -> None:
+        """Take in a commit of this owner."""
+        if self.own_revision <= self.seen_revision:
+            self.own_at = now
+        self.own_revision = max(self.own_revision, revision)
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the watch is late, and the jobs were not read of late."""
+        if self.own_revision <= self.seen_revision or now - self.own_at < WATCH_LAG_S:
+            return False
+        return now - self.read_at >= READ_AGAIN_EVERY_S
 
 
 class JobsFollower:
@@ -49,6 +81,7 @@
     def __init__(self, host: Host, retention_s: float) -> None:
         self._host = host
         self._retention_s = retention_s
+        self._watched = _Watched()
 
     def read_all(self, tenure: Tenure, prefix: str) -> Flow:
         """Read every key of a prefix; return the first page's revision and them."""
@@ -70,8 +103,8 @@
         return revision, entries
 
     def load_jobs(self, tenure: Tenure, entries: Iterable[KeyValue]) -> None:
-        """Take in the submissions among some entries."""
-        for entry in entries:
+        """Take in the submissions among some entries, in the order of their writing."""
+        for entry in sorted(entries, key=attrgetter("revision")):
             parsed = JobKeys.parse(entry.key)
             if parsed is not None and parsed[1] == SUBMISSION:
                 self._take_submission(tenure, entry)
@@ -121,6 +154,7 @@
 
     def follow(self, tenure: Tenure, revision: int) -> Flow:
         """Watch for submissions and cancellations after a revision."""
+        watched = self._watched = _Watched()
         while not tenure.over:
             watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
             result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
@@ -136,10 +170,33 @@
                 self._host.act()
                 continue
             revision = max(revision, result.revision)
+            watched.seen_revision = revision
             for entry in result.entries:
                 self._take_change(tenure, entry)
             self._host.act()
 
+    def note_commit(self, change: Transaction, revision: int) -> None:
+        """Learn of a commit that the watch will tell of if it works."""
+        if any(write.key.startswith(JOBS_PREFIX) for write in change.puts):
+            self._watched.note_commit(revision, self._host.now.mono)
+
+    def check_watch(self, tenure: Tenure) -> None:
+        """Read the jobs while the watch is silent on what surely has changed."""
+        if self._watched.is_silent(self._host.now.mono):
+            self._watched.read_at = self._host.now.mono
+            self._host.start(self._read_news(tenure, self._watched))
+
+    def _read_news(self, tenure: Tenure, watched: _Watched) -> Flow:
+        log_event(
+            "jobs_watch_silent",
+            committed=watched.own_revision,
+            seen=watched.seen_revision,
+        )
+        _, entries = yield from self.read_all(tenure, JOBS_PREFIX)
+        for entry in entries:
+            self._take_change(tenure, entry)
+        self._host.act()
+
     def _take_change(self, tenure: Tenure, entry: KeyValue) -> None:
         parsed = JobKeys.parse(entry.key)
         if tenure.over or parsed is None or entry.deleted:
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -155,6 +155,7 @@
         tenure.wants_round = True
         self._log_waits(tenure)
         self._pending.refresh(tenure, self.now)
+        self._jobs.check_watch(tenure)
         self._jobs.forget_old(tenure)
 
     def _log_waits(self, tenure: Tenure) -> None:
@@ -269,9 +270,12 @@
                 log_event("commit_failed", reason=result.reason, ran=result.ran)
                 yield Sleep(RETRY_PAUSE_S)
                 continue
+            if result.ok:
+                self._jobs.note_commit(transaction, result.revision)
             if not tenure.journal.take_result(result):
                 self.stand_down("the journal's head was moved by another term")
                 return
+            self._jobs.check_watch(tenure)
             for link in list(tenure.link_by_worker_id.values()):
                 self._workers.sync(tenure, link)
             self.act()
--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -103,3 +103,13 @@
     gang = step(count=3, processors=6000, gang=True)
     world.submit("a" * 16, gang, payload="fail seconds=0.2")
     world.run_until(lambda: world.final_state("a" * 16) == "failed", 6.0)
+
+
+def test_job_is_known_soon_while_watches_tell_of_nothing():
+    world = StepWorld()
+    world.run(7.0)
+    world.submit("a" * 16, step())
+    world.watches_hear = False
+    world.submit("b" * 16, step())
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 2.0)
+    world.run_until(lambda: world.executions("b" * 16), 0.8)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -126,6 +126,7 @@
         self.store = StoreState()
         self.store_up = True
         self.lose_answers = 0.0
+        self.watches_hear = True
         self.life = 0
         self.request_count = 0
         self.last_spec: JobSpec | None = None
@@ -319,6 +320,8 @@
         def perform() -> None:
             result = self.store.apply(request.operation, self.clock.mono)
             waits = isinstance(request.operation, WatchPrefix)
+            if waits and not self.watches_hear:
+                result = replace(result, entries=(), revision=request.operation.after)
             waits = waits and result.ok and not result.entries
             if waits and self.clock.mono < until:
                 self.clock.after(POLL_S, perform)
