Send no start whose permit ran out before the start was durable

The store was down from 18 s to 22.2 s; intents placed before it became durable 4 s later and were sent with permits that had run out.

Change: a start of an advised queue is planned anew when its permit has run out.

Before: the new test fails (two starts refused). After: it passes.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from ..planning.planner import Start
+    from ..workload.record import JobRecord
     from ..workload.spec import TaskKey
     from .host import Host
     from .link import Hold, WorkerLink
@@ -61,6 +62,9 @@
         if record.is_final or hold.stop_wanted or not link.fenced:
             self._not_started(tenure, link, ref, "no longer wanted")
             return
+        if self._needs_new_permit(tenure, record, key, worker_id):
+            self._not_started(tenure, link, ref, "its permit has run out")
+            return
         hold.not_after_ms = (
             link.lease_until_ms(self._host.now.mono, START_WINDOW_S) or 0
         )
@@ -80,6 +84,16 @@
         self._take_start_result(tenure, link, hold, result)
         self._host.act()
 
+    def _needs_new_permit(
+        self, tenure: Tenure, record: JobRecord, key: TaskKey, worker_id: str
+    ) -> bool:
+        """Return whether the intent took so long that the worker would refuse."""
+        queue = tenure.queue_of(record)
+        if queue is None or queue.advice is None:
+            return False
+        permits = tenure.permits.of(record.spec.id, key.step_key)
+        return not permits.is_valid(worker_id, self._host.now.mono)
+
     def _take_start_result(
         self, tenure: Tenure, link: WorkerLink, hold: Hold, result: Any
     ) -> None:
--- a/src/lagoonpulley/planning/permits.py
+++ b/src/lagoonpulley/planning/permits.py
@@ -36,6 +36,10 @@
             if expires_at > now
         }
 
+    def is_valid(self, worker_id: str, now: float) -> bool:
+        """Return whether a worker's permit may still be used."""
+        return self.expires_by_worker_id.get(worker_id, float("-inf")) > now
+
     def take(self, asked: tuple[str, ...], advice: Advice, now: float) -> None:
         """Take in an answer received at ``now`` (monotonic seconds)."""
         self.known_ids.update(asked)
--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -113,3 +113,14 @@
     world.submit("b" * 16, step())
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 2.0)
     world.run_until(lambda: world.executions("b" * 16), 0.8)
+def test_start_is_not_sent_when_its_permit_ran_out_before_it_was_durable(world):
+    with_advice(world, 2)
+    world.permit_valid_s = 0.6
+    world.run(6.0)
+    world.submit("a" * 16, step(count=2))
+    world.run(0.3)
+    world.store_up = False
+    world.run(0.9)
+    world.store_up = True
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 6.0)
+    assert world.refused_permits == 0
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -40,7 +40,14 @@
 from lagoonpulley.store.messages import Transaction, WatchPrefix, Write
 from lagoonpulley.store.route import STORE_RELAY, Detour, StoreRoute
 from lagoonpulley.upstream.directory import WorkerInfo
-from lagoonpulley.upstream.tasks import Advice, AskAdvice, StartTask, SyncWorker
+from lagoonpulley.upstream.tasks import (
+    Advice,
+    AskAdvice,
+    CommandRefused,
+    Refusal,
+    StartTask,
+    SyncWorker,
+)
 from lagoonpulley.workload.documents import JobKeys, decode_final
 from lagoonpulley.workload.spec import JobSpec, StepSpec
 
@@ -140,6 +147,9 @@
         self.entry_by_name: dict[str, StepEntry] = {}
         self.advice_failures = 0
         self.forbidden_workers: set[str] = set()
+        self.permit_valid_s = 2.0
+        self.permit_until: dict[tuple[str, str], float] = {}
+        self.refused_permits = 0
         self.set_policy(1)
         for number in range(workers):
             self.add_worker(f"w{number}")
@@ -379,6 +389,11 @@
                 return
             if worker_id in self.failing_workers and isinstance(command, StartTask):
                 command = replace(command, payload="fail " + command.payload)
+            if self._refuses_permit(worker_id, command):
+                self.refused_permits += 1
+                refused = CommandRefused(Refusal.PERMIT, worker.clock_ms(0.0))
+                self._reply(entry, request, refused)
+                return
             result = worker.apply(command, self.clock.mono)
             if isinstance(command, SyncWorker) and self.clock.mono < until:
                 answer_once_ended(worker.born)
@@ -433,7 +448,15 @@
 
     def _advice(self, question: AskAdvice) -> Advice:
         allowed = [w for w in question.worker_ids if w not in self.forbidden_workers]
-        return Advice({w: f"permit-{w}" for w in allowed}, 2.0)
+        for worker_id in allowed:
+            until = self.clock.mono + self.permit_valid_s
+            self.permit_until[question.job_id, worker_id] = until
+        return Advice({w: f"permit-{w}" for w in allowed}, self.permit_valid_s)
+
+    def _refuses_permit(self, worker_id: str, command: Any) -> bool:
+        if not isinstance(command, StartTask) or not command.permit:
+            return False
+        return self.permit_until[command.ref.job_id, worker_id] < self.clock.mono
 
     def _call_peer(self, entry: StepEntry, request: Request) -> None:
         call: PeerCall = request.operation
