--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -113,6 +113,8 @@
     world.submit("b" * 16, step())
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 2.0)
     world.run_until(lambda: world.executions("b" * 16), 0.8)
+
+
 def test_start_is_not_sent_when_its_permit_ran_out_before_it_was_durable(world):
     with_advice(world, 2)
     world.permit_valid_s = 0.6
