Send a start again that was not answered

A start without an answer was stopped after 0.4 s and placed elsewhere, where the next one met the same; a gang of eight rarely got all its starts answered, broke, and began anew (59 runs of 16 jobs).

Change: a worker takes one run once, so the same start is sent again after 0.1 s, five times in all, and only then given up. A refusal after an attempt without an answer proves nothing and is treated as no answer.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -36,6 +36,9 @@
 COMMAND_TIMEOUT_S = 0.4
 # A start that is carried out later than this is refused by the worker.
 START_WINDOW_S = 1.5
+# A start is sent again soon: a worker takes one run only once.
+START_TIMEOUT_S = 0.1
+START_ATTEMPTS = 5
 AVOID_UNHEALTHY_S = 0.5
 
 
@@ -78,12 +81,32 @@
             checkpoint=start.checkpoint,
             permit=permits.permit_by_worker_id.get(worker_id, ""),
         )
-        result = yield Call(UPSTREAM, command, COMMAND_TIMEOUT_S)
+        result = yield from self._send_start(hold, command)
         if tenure.over or link.hold_by_ref.get(ref) is not hold:
             return
         self._take_start_result(tenure, link, hold, result)
         self._host.act()
 
+    def _send_start(self, hold: Hold, command: StartTask) -> Flow:
+        """Send a start until it is answered, a few times at most.
+
+        Once an attempt went unanswered, a refusal of a later one proves nothing: the
+        run may have ended already, or the first attempt may still be carried out.
+        """
+        failed = CallFailed(Ran.NO, "not sent")
+        for _ in range(START_ATTEMPTS):
+            result = yield Call(UPSTREAM, command, START_TIMEOUT_S)
+            if isinstance(result, CommandAccepted):
+                return result
+            if isinstance(result, CommandRefused) and failed.ran is Ran.NO:
+                return result
+            if isinstance(result, CommandRefused):
+                return CallFailed(Ran.MAYBE, f"then refused: {result.reason.value}")
+            failed = CallFailed(failed.ran.combine(result.ran), result.reason)
+            if failed.ran is Ran.NO or hold.stop_wanted or hold.listed:
+                break
+        return failed
+
     def _needs_new_permit(
         self, tenure: Tenure, record: JobRecord, key: TaskKey, worker_id: str
     ) -> bool:
@@ -98,8 +121,8 @@
         self, tenure: Tenure, link: WorkerLink, hold: Hold, result: Any
     ) -> None:
         ref = hold.ref
-        if isinstance(result, CommandAccepted):
-            hold.settled_at = self._host.now.mono
+        if isinstance(result, CommandAccepted) or hold.listed:
+            hold.settled_at = hold.settled_at or self._host.now.mono
             return
         log_event(
             "start_failed",
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -142,6 +142,7 @@
         self.worker_by_id: dict[str, TaskWorkerState] = {}
         self.dead_workers: set[str] = set()
         self.late_workers: set[str] = set()
+        self.late_share = 0.0
         self.failing_workers: set[str] = set()
         self.silent_starts: set[str] = set()
         self.entry_by_name: dict[str, StepEntry] = {}
@@ -384,7 +385,7 @@
                 failed = CallFailed(Ran.MAYBE, "no answer")
                 self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
                 return
-            if worker_id in self.late_workers and isinstance(command, StartTask):
+            if isinstance(command, StartTask) and self._is_late(worker_id):
                 self._carry_out_late(entry, request, worker)
                 return
             if worker_id in self.failing_workers and isinstance(command, StartTask):
@@ -415,6 +416,10 @@
 
         self.clock.after(3.0, perform)
 
+    def _is_late(self, worker_id: str) -> bool:
+        by_chance = self.random.random() < self.late_share
+        return by_chance or worker_id in self.late_workers
+
     def _is_cut(self, entry: StepEntry, worker_id: str) -> bool:
         return worker_id in self.dead_workers or worker_id in entry.unreachable_workers
 
