Split the group of the scheduler by concern

Change: the links to workers (workers), decisions carried out (dispatch) and final states made durable (settlement) are parts that know a group by the protocol GroupHost; links, limits and outcomes use the same protocol, so that only the group imports its parts. No behaviour changes. The mutant that patched Group.surely_ended_at patches it where it went.

--- a/src/lagoonpulley/scheduler/group.py
+++ b/src/lagoonpulley/scheduler/group.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import time
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
 from ..journal.messages import (
     Append,
     CloseJournal,
-    Committed,
 )
 from ..limits.messages import HoldAllotments
-from ..model.job import JobKind, TaskState
+from ..model.job import TaskState
 from ..model.resources import Resources
 from ..model.verdict import Ran
 from ..observability.events import log_event
@@ -21,18 +19,15 @@
 from ..placement.events import (
     JobCancelled,
     JobSubmitted,
-    Place,
-    Preempt,
-    PreemptReason,
     TaskAdopted,
     TaskEnded,
     TaskOutcome,
     UsageReported,
     WorkerChanged,
-    WorkerGone,
 )
 from ..runtime.flows import Call, Flow
 from . import outcomes
+from .dispatch import GroupDispatcher
 from .limits import GroupLimits
 from .link import Assignment, WorkerLink
 from .messages import GroupStatus
@@ -41,10 +36,9 @@
     JOURNAL_TIMEOUT_S,
     JobRecord,
     TaskRecord,
-    job_key,
-    task_document,
-    task_key,
 )
+from .settlement import GroupSettlement
+from .workers import GroupWorkers
 
 if TYPE_CHECKING:
     from ..runtime.role import Now
@@ -93,6 +87,9 @@
         self.acquired_at = role.now.mono
         self.instance_by_id: dict[str, Instance] = {}
         self.limits = GroupLimits(self)
+        self._workers = GroupWorkers(self)
+        self._dispatcher = GroupDispatcher(self)
+        self._settlement = GroupSettlement(self)
 
     # What links and outcomes need.
 
@@ -128,6 +125,14 @@
         """Send a message to another role."""
         self._role.emit(to, message)
 
+    def count(self, name: str) -> None:
+        """Count something in the metrics."""
+        self._role.count(name)
+
+    def time(self, name: str, duration_s: float) -> None:
+        """Time something in the metrics."""
+        self._role.time(name, duration_s)
+
     def wants_decisions(self) -> None:
         """Have the core decide once the present message is processed."""
         self._role.wants_decisions(self)
@@ -202,106 +207,39 @@
         self._role.emit("ownership", GroupDeposed(self.name, self.epoch))
         self._role.drop(self)
 
-    # Workers.
+    # Workers; see the module ``workers``.
 
     def set_instances(self, instance_by_id: dict[str, Instance]) -> None:
         """Take in the list of this data centre's workers."""
-        self.instance_by_id = instance_by_id
-        if self.phase is not Phase.ACTIVE:
-            return
-        for instance in list(instance_by_id.values()):
-            link = self.link_by_worker_id.get(instance.id)
-            if instance.gone:
-                self._remove_link(link)
-            elif link is None:
-                self.start(self.add_link(instance).run())
-            else:
-                self._update_link(link, instance)
-        self.wants_decisions()
+        self._workers.set_instances(instance_by_id)
 
     def add_link(self, instance: Instance) -> WorkerLink:
         """Begin to know a worker; its exchange is not yet started."""
-        link = WorkerLink(self, instance)
-        self.link_by_worker_id[instance.id] = link
-        self.worker_changed(link)
-        return link
-
-    def _update_link(self, link: WorkerLink, instance: Instance) -> None:
-        was_leaving = link.leaving
-        link.update(instance)
-        self.worker_changed(link)
-        if link.leaving and not was_leaving:
-            log_event("worker_leaving", worker=link.worker_id, epoch=self.epoch)
-            self._move_services_off(link)
-
-    def _move_services_off(self, link: WorkerLink) -> None:
-        for assignment in self.assignments_on(link.worker_id):
-            if assignment.record.job.kind is JobKind.SERVICE:
-                self.start(link.stop(assignment, checkpoint=True))
-
-    def _remove_link(self, link: WorkerLink | None) -> None:
-        if link is None or link.gone:
-            return
-        link.gone = True
-        link.close()
-        for assignment in self.assignments_on(link.worker_id):
-            self.attempt_lost(assignment, "worker is gone")
-        self.core.apply(WorkerGone(link.worker_id), self.now.mono)
-        del self.link_by_worker_id[link.worker_id]
-        log_event("worker_gone", worker=link.worker_id, epoch=self.epoch)
+        return self._workers.add_link(instance)
 
     def worker_changed(self, link: WorkerLink) -> None:
         """Tell the core what a worker holds and whether it accepts tasks."""
-        changed = WorkerChanged(
-            link.worker_id, link.rack, link.capacity, link.accepting
-        )
-        self.core.apply(changed, self.now.mono)
-        self.limits.push()
-        self.wants_decisions()
+        self._workers.tell_core(link)
 
     def check_lost(self, link: WorkerLink) -> None:
         """Give up the tasks of a silent worker once their leases have ended."""
-        if self.now.mono < self.surely_ended_at(link):
-            return
-        for assignment in self.assignments_on(link.worker_id):
-            self.attempt_lost(assignment, "worker is silent and its lease ended")
+        self._workers.check_lost(link)
 
     def surely_ended_at(self, link: WorkerLink) -> float:
         """Return when every lease on a worker has ended unless renewed from here."""
-        if not link.ever_fenced:
-            return self.unknown_surely_ended_at()
-        lease_s = self.settings.task_lease_s + LEASE_END_MARGIN_S
-        return link.last_contact_at + lease_s
+        return self._workers.surely_ended_at(link)
 
     def unknown_surely_ended_at(self) -> float:
         """Return when leases that an earlier owner renewed have all ended."""
-        lease_s = self.settings.task_lease_s + LEASE_END_MARGIN_S
-        if self.settings.workers_fence:
-            lease_s += self.settings.longest_without_store_s
-        return self.acquired_at + lease_s
+        return self._workers.unknown_surely_ended_at()
 
     def assignments_on(self, worker_id: str) -> list[Assignment]:
         """Return the attempts that hold room on a worker."""
-        worker = self.core.table.by_id.get(worker_id)
-        if worker is None:
-            return []
-        assignments = []
-        for task_id in list(worker.task_ids):
-            found = self.find_task(task_id)
-            if found is None:
-                continue
-            assignment = Assignment(*found, found[1].attempt)
-            if assignment.is_current:
-                assignments.append(assignment)
-        return assignments
+        return self._workers.assignments_on(worker_id)
 
     def running_attempts_on(self, worker_id: str) -> set[tuple[str, int]]:
         """Return the (task, attempt) pairs known to run on a worker."""
-        return {
-            (assignment.record.task_id(assignment.task), assignment.attempt)
-            for assignment in self.assignments_on(worker_id)
-            if assignment.task.state is TaskState.RUNNING
-        }
+        return self._workers.running_attempts_on(worker_id)
 
     # Jobs.
 
@@ -338,100 +276,20 @@
                 task.state = TaskState.CANCELLED
                 changed.append(task)
             elif task.holds_room:
-                self._stop_task(record, task, checkpoint=False)
+                self.stop_task(record, task, checkpoint=False)
         log_event("job_cancelled", job=record.job.id, epoch=self.epoch)
         self.settle(record, changed)
 
-    def _stop_task(self, record: JobRecord, task: TaskRecord, checkpoint: bool) -> None:
+    def stop_task(self, record: JobRecord, task: TaskRecord, checkpoint: bool) -> None:
+        """Have a running task stopped."""
         link = self.link_by_worker_id.get(task.worker_id)
         if link is not None:
             assignment = Assignment(record, task, task.attempt)
             self.start(link.stop(assignment, checkpoint))
 
-    # Decisions.
-
     def act(self) -> None:
         """Carry out one round of decisions; asks for another if any was made."""
-        if self.phase is not Phase.ACTIVE:
-            return
-        began = time.perf_counter()
-        decisions = self.core.decide(self.now.mono)
-        took_s = time.perf_counter() - began
-        for decision in decisions:
-            self._carry_out(decision, took_s / len(decisions))
-        if any(isinstance(decision, Place) for decision in decisions):
-            self.wants_decisions()
-        for link in self.link_by_worker_id.values():
-            link.flush()
-
-    def _carry_out(self, decision: Place | Preempt, took_s: float) -> None:
-        found = self.find_task(decision.task_id)
-        if found is None:
-            return
-        record, task = found
-        if isinstance(decision, Preempt):
-            self._preempt(record, task, decision)
-            return
-        task.state = TaskState.ASSIGNED
-        task.attempt = max(task.attempt + 1, self.epoch << 20)
-        task.worker_id = decision.worker_id
-        task.boot_id = self.link_by_worker_id[decision.worker_id].boot_id
-        task.sent = False
-        task.ran = Ran.NO
-        log_event(
-            "task_placed",
-            job=record.job.id,
-            task=decision.task_id,
-            team=record.job.team,
-            attempt=task.attempt,
-            worker=decision.worker_id,
-            epoch=self.epoch,
-            reason=decision.reason,
-            candidates=decision.candidates,
-            waited_s=round(decision.waited_s, 3),
-            took_us=round(took_s * 1e6),
-        )
-        self._role.count("placements")
-        self._role.time("waiting", decision.waited_s)
-        self._dispatch(record, task)
-
-    def _dispatch(self, record: JobRecord, task: TaskRecord) -> None:
-        assignment = Assignment(record, task, task.attempt)
-        job = record.job
-        if job.durable and (job.exclusive or not job.repeatable):
-            self.start(self._journal_then_start(assignment))
-        else:
-            self.link_by_worker_id[task.worker_id].queue_start(assignment)
-
-    def _journal_then_start(self, assignment: Assignment) -> Flow:
-        record, task = assignment.record, assignment.task
-        put = (task_key(record.task_id(task)), task_document(record, task))
-        result = yield self.journal_call((put,))
-        if self.phase is not Phase.ACTIVE or not assignment.is_current:
-            return
-        if not isinstance(result, Committed):
-            self.attempt_not_run(assignment, "assignment was not journalled")
-            return
-        link = self.link_by_worker_id.get(task.worker_id)
-        if record.cancel_wanted or link is None:
-            self.attempt_not_run(assignment, "cancelled before start")
-            return
-        link.queue_start(assignment)
-        link.flush()
-
-    def _preempt(self, record: JobRecord, task: TaskRecord, decision: Preempt) -> None:
-        log_event(
-            "task_preempted",
-            job=record.job.id,
-            task=decision.task_id,
-            attempt=task.attempt,
-            worker=decision.worker_id,
-            epoch=self.epoch,
-            reason=decision.reason,
-        )
-        self._role.count("preemptions")
-        is_forced = decision.reason is not PreemptReason.URGENT
-        self._stop_task(record, task, checkpoint=record.job.repeatable or not is_forced)
+        self._dispatcher.act()
 
     # Outcomes; the rules are in the module ``outcomes``.
 
@@ -503,38 +361,15 @@
         acknowledge: tuple[WorkerLink, str, int] | None = None,
     ) -> None:
         """Make final states durable, then acknowledge them and answer callers."""
-        if record.is_final and record.ended_at is None:
-            record.ended_at = self.now.wall
-        if not changed:
-            return
-        if not record.job.durable:
-            self._confirm(record, acknowledge)
-            return
-        self.start(self._settle_durably(record, changed, acknowledge))
+        self._settlement.settle(record, changed, acknowledge)
 
-    def _settle_durably(
-        self,
-        record: JobRecord,
-        changed: list[TaskRecord],
-        acknowledge: tuple[WorkerLink, str, int] | None,
-    ) -> Flow:
-        puts = tuple(
-            (task_key(record.task_id(task)), task_document(record, task))
-            for task in changed
-        )
-        result = yield self.journal_call(puts)
-        if isinstance(result, Committed):
-            self._confirm(record, acknowledge)
+    def job_settled(self, record: JobRecord) -> None:
+        """Answer those who wait for a job's end."""
+        self._role.job_settled(self, record)
 
-    def _confirm(
-        self, record: JobRecord, acknowledge: tuple[WorkerLink, str, int] | None
-    ) -> None:
-        if acknowledge is not None:
-            link, task_id, attempt = acknowledge
-            link.acknowledge(task_id, attempt)
-        if record.is_final:
-            record.is_settled = True
-            self._role.job_settled(self, record)
+    def forget_old(self) -> None:
+        """Remove jobs whose answers were kept for the whole retention."""
+        self._settlement.forget_old()
 
     def has_unknown_workers(self) -> bool:
         """Return whether any worker was never fenced under this epoch."""
@@ -566,20 +401,3 @@
             quarantined_workers=len(self.core.quarantine.quarantined(self.now.mono)),
             fault=fault,
         )
-
-    def forget_old(self) -> None:
-        """Remove jobs whose answers were kept for the whole retention."""
-        limit = self.now.wall - self.settings.retention_s
-        old = [
-            record
-            for record in self.record_by_id.values()
-            if record.ended_at is not None and record.ended_at < limit
-        ]
-        for record in old:
-            del self.record_by_id[record.job.id]
-            if record.job.durable:
-                self.start(self._forget_durably(record))
-
-    def _forget_durably(self, record: JobRecord) -> Flow:
-        keys = [task_key(record.task_id(task)) for task in record.tasks]
-        yield self.journal_call((), (job_key(record.job.id), *keys))
--- a/src/lagoonpulley/scheduler/limits.py
+++ b/src/lagoonpulley/scheduler/limits.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from ..configuration.document import ConfigurationDocument
     from ..model.job import Job
-    from .group import Group
+    from .host import GroupHost
 
 __all__ = ["GroupLimits"]
 
@@ -24,7 +24,7 @@
 class GroupLimits:
     """What each team may run in this data centre, as the core is told."""
 
-    def __init__(self, group: Group) -> None:
+    def __init__(self, group: GroupHost) -> None:
         self._group = group
         self._document: ConfigurationDocument | None = None
         self._parts_by_team: dict[str, int] = {}
--- /dev/null
+++ b/src/lagoonpulley/scheduler/workers.py
@@ -0,0 +1,124 @@
+"""The workers of a group, and what their silence means."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model.job import JobKind, TaskState
+from ..observability.events import log_event
+from ..placement.events import WorkerChanged, WorkerGone
+from .link import Assignment, WorkerLink
+
+if TYPE_CHECKING:
+    from ..store.messages import Instance
+    from .host import GroupHost
+
+__all__ = ["GroupWorkers"]
+
+LEASE_END_MARGIN_S = 3.0
+
+
+class GroupWorkers:
+    """Keeps the links to the workers of a group."""
+
+    def __init__(self, group: GroupHost) -> None:
+        self._group = group
+
+    def set_instances(self, instance_by_id: dict[str, Instance]) -> None:
+        """Take in the list of this data centre's workers."""
+        self._group.instance_by_id = instance_by_id
+        if self._group.is_closed:
+            return
+        for instance in list(instance_by_id.values()):
+            link = self._group.link_by_worker_id.get(instance.id)
+            if instance.gone:
+                self._remove_link(link)
+            elif link is None:
+                self._group.start(self.add_link(instance).run())
+            else:
+                self._update_link(link, instance)
+        self._group.wants_decisions()
+
+    def add_link(self, instance: Instance) -> WorkerLink:
+        """Begin to know a worker; its exchange is not yet started."""
+        link = WorkerLink(self._group, instance)
+        self._group.link_by_worker_id[instance.id] = link
+        self.tell_core(link)
+        return link
+
+    def _update_link(self, link: WorkerLink, instance: Instance) -> None:
+        was_leaving = link.leaving
+        link.update(instance)
+        self.tell_core(link)
+        if link.leaving and not was_leaving:
+            log_event("worker_leaving", worker=link.worker_id, epoch=self._group.epoch)
+            self._move_services_off(link)
+
+    def _move_services_off(self, link: WorkerLink) -> None:
+        for assignment in self._group.assignments_on(link.worker_id):
+            if assignment.record.job.kind is JobKind.SERVICE:
+                self._group.start(link.stop(assignment, checkpoint=True))
+
+    def _remove_link(self, link: WorkerLink | None) -> None:
+        if link is None or link.gone:
+            return
+        link.gone = True
+        link.close()
+        for assignment in self._group.assignments_on(link.worker_id):
+            self._group.attempt_lost(assignment, "worker is gone")
+        self._group.core.apply(WorkerGone(link.worker_id), self._group.now.mono)
+        del self._group.link_by_worker_id[link.worker_id]
+        log_event("worker_gone", worker=link.worker_id, epoch=self._group.epoch)
+
+    def tell_core(self, link: WorkerLink) -> None:
+        """Tell the core what a worker holds and whether it accepts tasks."""
+        changed = WorkerChanged(
+            link.worker_id, link.rack, link.capacity, link.accepting
+        )
+        self._group.core.apply(changed, self._group.now.mono)
+        self._group.limits.push()
+        self._group.wants_decisions()
+
+    def check_lost(self, link: WorkerLink) -> None:
+        """Give up the tasks of a silent worker once their leases have ended."""
+        if self._group.now.mono < self.surely_ended_at(link):
+            return
+        for assignment in self._group.assignments_on(link.worker_id):
+            self._group.attempt_lost(assignment, "worker is silent and its lease ended")
+
+    def surely_ended_at(self, link: WorkerLink) -> float:
+        """Return when every lease on a worker has ended unless renewed from here."""
+        if not link.ever_fenced:
+            return self.unknown_surely_ended_at()
+        lease_s = self._group.settings.task_lease_s + LEASE_END_MARGIN_S
+        return link.last_contact_at + lease_s
+
+    def unknown_surely_ended_at(self) -> float:
+        """Return when leases that an earlier owner renewed have all ended."""
+        lease_s = self._group.settings.task_lease_s + LEASE_END_MARGIN_S
+        if self._group.settings.workers_fence:
+            lease_s += self._group.settings.longest_without_store_s
+        return self._group.acquired_at + lease_s
+
+    def assignments_on(self, worker_id: str) -> list[Assignment]:
+        """Return the attempts that hold room on a worker."""
+        worker = self._group.core.table.by_id.get(worker_id)
+        if worker is None:
+            return []
+        assignments = []
+        for task_id in list(worker.task_ids):
+            found = self._group.find_task(task_id)
+            if found is None:
+                continue
+            assignment = Assignment(*found, found[1].attempt)
+            if assignment.is_current:
+                assignments.append(assignment)
+        return assignments
+
+    def running_attempts_on(self, worker_id: str) -> set[tuple[str, int]]:
+        """Return the (task, attempt) pairs known to run on a worker."""
+        return {
+            (assignment.record.task_id(assignment.task), assignment.attempt)
+            for assignment in self._group.assignments_on(worker_id)
+            if assignment.task.state is TaskState.RUNNING
+        }
--- a/tests/support/mutants.py
+++ b/tests/support/mutants.py
@@ -14,9 +14,9 @@
 from lagoonpulley.placement.workers import WorkerTable
 from lagoonpulley.routing.role import RoutingRole
 from lagoonpulley.scheduler import admission, outcomes
-from lagoonpulley.scheduler.group import Group
 from lagoonpulley.scheduler.link import WorkerLink
 from lagoonpulley.scheduler.role import SchedulerRole
+from lagoonpulley.scheduler.workers import GroupWorkers
 
 from .history import History
 
@@ -48,7 +48,7 @@
 
 
 def _silence_means_end(monkeypatch: Any) -> None:
-    monkeypatch.setattr(Group, "surely_ended_at", lambda self, link: 0.0)
+    monkeypatch.setattr(GroupWorkers, "surely_ended_at", lambda self, link: 0.0)
 
 
 def _any_key_opens(monkeypatch: Any) -> None:
