Check the deploy file and the platform's settings

lagoonpulley check read only the program's own settings. Now the name tells the kind: a deploy file is checked with its templates and the program that each role runs, the platform's settings as the entry reads them at its start.

--- a/src/lagoonpulley/cli/check.py
+++ b/src/lagoonpulley/cli/check.py
@@ -1,11 +1,14 @@
-"""``lagoonpulley check``: validate a settings file."""
+"""``lagoonpulley check``: validate a settings or deploy file."""
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from ..platform import deploy
+from ..platform import settings as platform_settings
 from .common import read_settings
-from .errors import EXIT_DONE
+from .errors import EXIT_DONE, CommandError
 
 if TYPE_CHECKING:
     import argparse
@@ -17,15 +20,42 @@
     """Add the subcommand."""
     parser = subparsers.add_parser(
         "check",
-        help="validate a settings file",
-        description="Name each faulty setting by its JSON path.",
+        help="validate a settings or deploy file",
+        description=(
+            "Name each faulty field by its path. The name tells the kind of file: "
+            ".json settings of the program's own, .yaml settings as the users' "
+            "platform lays them out, .toml a deploy file and its templates."
+        ),
     )
-    parser.add_argument("file", metavar="FILE", help="settings file")
+    parser.add_argument("file", metavar="FILE", help="the file")
     parser.set_defaults(run=run)
 
 
 def run(options: argparse.Namespace) -> int:
     """Validate and say so."""
-    settings = read_settings(options.file)
-    print(f"{options.file}: valid, entry {settings.entry_id}")
+    path = Path(options.file)
+    if path.suffix == ".toml":
+        found = _check_deploy_file(path)
+    elif path.suffix in (".yaml", ".yml"):
+        found = _check_platform_settings(path)
+    else:
+        found = f"entry {read_settings(options.file).entry_id}"
+    print(f"{options.file}: valid, {found}")
     return EXIT_DONE
+
+
+def _check_platform_settings(path: Path) -> str:
+    result = platform_settings.read_settings(str(path))
+    if result.is_error():
+        raise CommandError(result.error)
+    return f"entry {result.ok.entry_id}"
+
+
+def _check_deploy_file(path: Path) -> str:
+    result = deploy.read_deploy_file(path)
+    if result.is_error():
+        raise CommandError(result.error)
+    for name, role in result.ok.roles.items():
+        if role.arguments() is None:
+            raise CommandError(f"{path}: roles.{name}: runs another program")
+    return "roles " + ", ".join(result.ok.roles)
--- /dev/null
+++ b/src/lagoonpulley/platform/deploy.py
@@ -0,0 +1,84 @@
+"""The deploy file, which says how the platform builds and runs the program."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+__all__ = ["DeployFile", "DeployRole", "read_deploy_file"]
+
+MOST_TEMPLATE_BYTES = 64 * 1024
+_PROGRAM = ["python3", "-m", "lagoonpulley"]
+
+
+class DeployRole(BaseModel):
+    """One program; ``on`` is the class of machines, ``serves`` who may call it."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    run: str
+    on: str
+    share: float | None = Field(None, gt=0.0, le=1.0)
+    count: int | None = Field(None, ge=1)
+    apart: bool = False
+    serves: list[str] = Field(default_factory=list)
+    metrics: str | None = None
+    template: str | None = None
+    env: dict[str, str] = Field(default_factory=dict)
+
+    def arguments(self) -> list[str] | None:
+        """Return the program's own arguments, or ``None`` for another program."""
+        words = self.run.split()
+        if words[: len(_PROGRAM)] != _PROGRAM:
+            return None
+        return words[len(_PROGRAM) :]
+
+
+class DeployFile(BaseModel):
+    """The whole file."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    build: str
+    packages: list[str] = Field(default_factory=list)
+    roles: dict[str, DeployRole] = Field(min_length=1)
+
+
+def read_deploy_file(path: Path) -> Result[DeployFile, str]:
+    """Read and check a deploy file and the templates that it names."""
+    try:
+        file = DeployFile.model_validate(tomllib.loads(path.read_text("utf-8")))
+    except OSError as error:
+        return Error(f"{path}: {error.strerror}")
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Error(f"{path}: not TOML: {error}")
+    except ValidationError as error:
+        faults = "; ".join(
+            f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
+            for fault in error.errors()
+        )
+        return Error(f"{path}: {faults}")
+    # Paths in the file are relative to the repository, which holds deploy/.
+    root = path.resolve().parent.parent
+    for name, role in file.roles.items():
+        fault = _fault_of(role, root)
+        if fault:
+            return Error(f"{path}: roles.{name}: {fault}")
+    return Ok(file)
+
+
+def _fault_of(role: DeployRole, root: Path) -> str:
+    """Return what is wrong with a role, or nothing."""
+    if role.share is not None and role.count is not None:
+        return "share and count exclude each other"
+    if role.template is None:
+        return ""
+    template = root / role.template
+    if not template.is_file():
+        return f"template {role.template} does not exist"
+    if template.stat().st_size >= MOST_TEMPLATE_BYTES:
+        return f"template {role.template} is larger than {MOST_TEMPLATE_BYTES} bytes"
+    return ""
