--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -31,8 +31,8 @@
 
 OWNER_KEY = "lagoonpulley/owner"
 
-SESSION_S = 1.2
-RENEW_EVERY_S = 0.35
+SESSION_S = 1.0
+RENEW_EVERY_S = 0.25
 CALL_TIMEOUT_S = 0.5
 WATCH_WAIT_S = 0.8
 WATCH_TIMEOUT_S = 1.2
