--- a/src/lagoonpulley/standin/task_worker.py
+++ b/src/lagoonpulley/standin/task_worker.py
@@ -53,13 +53,16 @@
         self.id = worker_id
         self.longest_lease_s = longest_lease_s
         self.executions: list[Execution] = []
-        self.restart(now)
+        self._begin_life(now)
 
     def restart(self, now: float) -> None:
         """Begin a new life that knows nothing of the one before."""
-        for execution in self.executions:
-            if execution.ended_at is None:
-                execution.ended_at = now
+        self.advance(now)
+        for execution in self._running_by_ref.values():
+            execution.ended_at = now
+        self._begin_life(now)
+
+    def _begin_life(self, now: float) -> None:
         self.born = int(now * MS_PER_S) + 1
         self._began_at = now
         self._token = 0
@@ -101,14 +104,15 @@
 
     def advance(self, now: float) -> None:
         """End what is done, and everything if the lease has passed."""
+        lapses_at = self._began_at + self._lease_until_ms / MS_PER_S
         for ref, execution in list(self._running_by_ref.items()):
-            if execution.ends_at <= now and execution.kind is not None:
+            if execution.ends_at <= min(now, lapses_at) and execution.kind is not None:
                 self._end(ref, execution.kind, execution.ends_at)
-        if self.clock_ms(now) <= self._lease_until_ms:
+        if now <= lapses_at:
             return
         self._execution_by_end.clear()
         for ref in list(self._running_by_ref):
-            self._end(ref, EndKind.LAPSED, now)
+            self._end(ref, EndKind.LAPSED, lapses_at)
 
     def _extend(self, until_ms: int, now: float) -> None:
         longest = self.clock_ms(now) + int(self.longest_lease_s * MS_PER_S)
