Do not take a run for lost whose end is on a later page

Cause: noticed in reading. A worker lists 500 ends at a time; a run that is in neither list then counted as lapsed and was started again, though its end would follow.

Change: while a full page of ends is listed, no run is looked for. The stand-in worker pages its ends too.

Before: test_ends_on_a_later_page_are_not_taken_for_lost_runs fails without the change. After: it passes. Two methods that nothing called go.

--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -17,6 +17,8 @@
 
 # What a worker's clock must show past a start's time before the start is given up.
 START_SLACK_MS = 200
+# A worker lists so many ends at a time; the rest follows their acknowledgement.
+MOST_ENDS_LISTED = 500
 
 
 def take_report(
@@ -83,6 +85,9 @@
         _note_checkpoint(tenure, running.ref, running.checkpoint)
         if hold.progress.note(running.percent, tenure.now.mono):
             _stop_stalled(tenure, link, hold)
+    if len(report.ended) >= MOST_ENDS_LISTED:
+        # The end of a run that is not listed may follow once these are acknowledged.
+        return unknown
     for ref, hold in list(link.hold_by_ref.items()):
         if ref not in listed:
             _look_for(tenure, link, hold, report, sent_at)
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -153,14 +153,6 @@
         """Return what a team has claimed."""
         return self.used_by_team.get(team, ZERO)
 
-    def capacity_of(self, service: str) -> Resources:
-        """Return the capacity of the accepting workers of a service."""
-        total = ZERO
-        for room in self.room_by_worker_id.values():
-            if room.info.service == service and room.accepting:
-                total = total.plus(room.info.capacity)
-        return total
-
     def _give_back(self, claim: Claim) -> None:
         self._use(claim.team, ZERO.minus(claim.request))
         self._relieved_teams.add(claim.team)
--- a/src/lagoonpulley/standin/task_worker.py
+++ b/src/lagoonpulley/standin/task_worker.py
@@ -24,6 +24,7 @@
 MS_PER_S = 1000
 GANG_WAIT_S = 3.0
 DEFAULT_RUN_TIME_S = 1.0
+MOST_ENDS_LISTED = 500
 
 
 @dataclass(slots=True, eq=False)
@@ -52,6 +53,7 @@
     def __init__(self, worker_id: str, longest_lease_s: float, now: float) -> None:
         self.id = worker_id
         self.longest_lease_s = longest_lease_s
+        self.most_ends_listed = MOST_ENDS_LISTED
         self.executions: list[Execution] = []
         self._begin_life(now)
 
@@ -150,7 +152,8 @@
             self._extend(command.lease_until_ms, now)
         self._acknowledge(command.acknowledged, now)
         running = tuple(Running(ref, "", 100) for ref in self._running_by_ref)
-        return WorkerReport(self.clock_ms(now), self.born, running, tuple(self._ends))
+        ended = tuple(self._ends[: self.most_ends_listed])
+        return WorkerReport(self.clock_ms(now), self.born, running, ended)
 
     def _acknowledge(self, up_to: int, now: float) -> None:
         for end in self._ends:
--- a/src/lagoonpulley/workload/spec.py
+++ b/src/lagoonpulley/workload/spec.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ..model.resources import ZERO, Resources
+from ..model.resources import Resources
 
 __all__ = ["JobSpec", "StepKey", "StepSpec", "TaskKey"]
 
@@ -102,10 +102,3 @@
             before = max((chain_by_step[i] for i in step.after), default=0.0)
             chain_by_step.append(before + step.estimate_s)
         return max(chain_by_step, default=0.0)
-
-    def largest_request(self) -> Resources:
-        """Return the largest amount of each resource that any task counts."""
-        largest = ZERO
-        for step in self.steps:
-            largest = Resources(*map(max, zip(largest, step.counted)))
-        return largest
--- a/tests/owner/test_orders.py
+++ b/tests/owner/test_orders.py
@@ -6,6 +6,8 @@
 from tests.support.step_invariants import check_all
 from tests.support.steps import StepWorld, step
 
+from lagoonpulley.owner import reports
+
 
 @pytest.fixture
 def world():
@@ -148,3 +150,13 @@
     assert len(runs) == 24
     assert runs.count(1) >= 21
     check_all(world, {"a" * 16: world.last_spec}, {})
+
+
+def test_ends_on_a_later_page_are_not_taken_for_lost_runs(monkeypatch):
+    monkeypatch.setattr(reports, "MOST_ENDS_LISTED", 3)
+    world = StepWorld(workers=1)
+    world.worker_by_id["w0"].most_ends_listed = 3
+    world.run(7.0)
+    world.submit("a" * 16, step(count=10, processors=1000))
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 5.0)
+    assert len(world.executions("a" * 16)) == 10
