Leave the rotation after 0.7 s of the store's silence

Cause: an entry that is cut off from the store and from the others refuses its callers until the balancer has missed two answers of readiness; it went on calling itself ready for 1.5 s.

Change: STORE_SILENCE_S 0.7.

--- a/src/lagoonpulley/intake/standing.py
+++ b/src/lagoonpulley/intake/standing.py
@@ -14,7 +14,7 @@
 __all__ = ["Standing"]
 
 # Without an answer of the store for this long, callers are better served elsewhere.
-STORE_SILENCE_S = 1.5
+STORE_SILENCE_S = 0.7
 
 
 class Standing:
--- /dev/null
+++ b/tests/intake/test_standing.py
@@ -0,0 +1,65 @@
+"""When an entry asks for callers."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonpulley.intake.standing import STORE_SILENCE_S, Standing
+from lagoonpulley.policy.messages import PolicyChanged
+from lagoonpulley.policy.values import Policy
+from lagoonpulley.runtime.role import Now
+from lagoonpulley.store.health import StoreContact
+
+
+class Clocks:
+    def __init__(self):
+        self.now = Now(100.0, 100.0)
+
+    def __call__(self):
+        return self.now
+
+    def pass_s(self, seconds):
+        self.now = Now(self.now.mono + seconds, self.now.wall + seconds)
+
+
+@pytest.fixture
+def clocks():
+    return Clocks()
+
+
+@pytest.fixture
+def contact(clocks):
+    made = StoreContact(clocks)
+    made.note(answered=True)
+    return made
+
+
+@pytest.fixture
+def standing(contact):
+    made = Standing(contact)
+    made.submit(PolicyChanged(Policy(1, "policy", 1, {}, {}, {}, {})))
+    return made
+
+
+def test_entry_without_a_policy_is_not_ready(contact):
+    assert not Standing(contact).is_ready()
+
+
+def test_entry_is_ready_while_the_store_answers(standing, clocks):
+    clocks.pass_s(STORE_SILENCE_S / 2)
+    assert standing.is_ready()
+
+
+def test_entry_that_the_store_left_alone_is_not_ready_until_it_answers(
+    standing, clocks, contact
+):
+    clocks.pass_s(STORE_SILENCE_S + 0.1)
+    contact.note(answered=False)
+    assert not standing.is_ready()
+    contact.note(answered=True)
+    assert standing.is_ready()
+
+
+def test_entry_that_stops_is_not_ready(standing):
+    standing.stop()
+    assert not standing.is_ready()
