--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -83,7 +83,7 @@
         if hold.settled_at is None:
             hold.settled_at = tenure.now.mono
         _note_checkpoint(tenure, running.ref, running.checkpoint)
-        if hold.progress.note(running.percent, tenure.now.mono):
+        if _stands_still(tenure, hold, running.percent):
             _stop_stalled(tenure, link, hold)
     if len(report.ended) >= MOST_ENDS_LISTED:
         # The end of a run that is not listed may follow once these are acknowledged.
@@ -94,6 +94,14 @@
     return unknown
 
 
+def _stands_still(tenure: Tenure, hold: Hold, percent: int) -> bool:
+    record = tenure.record_by_id.get(hold.ref.job_id)
+    if record is None:
+        return False
+    estimate_s = record.step_of(hold.ref.key).estimate_s
+    return hold.progress.note(percent, tenure.now.mono, estimate_s)
+
+
 def _stop_stalled(tenure: Tenure, link: WorkerLink, hold: Hold) -> None:
     """Have a run that stands still stopped, and its worker avoided."""
     if hold.stop_wanted:
--- a/src/lagoonpulley/planning/suspicion.py
+++ b/src/lagoonpulley/planning/suspicion.py
@@ -24,8 +24,11 @@
 # Where more of the workers fail tasks, the tasks are the likelier cause.
 MOST_AVOIDED_SHARE = 0.35
 MOST_REMEMBERED = 1000
-# Progress is listed in percent; the longest tasks rise by one within this time.
-STALL_S = 1.5
+# Progress is listed in percent: a task that runs as estimated rises by one in a
+# hundredth of its time, one that runs forty times slower within this share of it.
+STALL_SHARE = 0.4
+SHORTEST_STALL_S = 0.5
+LONGEST_STALL_S = 1.5
 
 
 @dataclass(slots=True, eq=False)
@@ -124,9 +127,13 @@
     percent: int = -1
     since: float = 0.0
 
-    def note(self, percent: int, now: float) -> bool:
-        """Take in the progress that a worker lists; return whether it stands still."""
+    def note(self, percent: int, now: float, estimate_s: float) -> bool:
+        """Take in the progress that a worker lists; return whether it stands still.
+
+        :param estimate_s: how long the task was said to take, in seconds.
+        """
         if percent != self.percent:
             self.percent = percent
             self.since = now
-        return percent < 100 and now - self.since > STALL_S
+        patience_s = max(SHORTEST_STALL_S, estimate_s * STALL_SHARE)
+        return percent < 100 and now - self.since > min(patience_s, LONGEST_STALL_S)
--- a/src/lagoonpulley/standin/task_worker.py
+++ b/src/lagoonpulley/standin/task_worker.py
@@ -25,6 +25,7 @@
 GANG_WAIT_S = 3.0
 DEFAULT_RUN_TIME_S = 1.0
 MOST_ENDS_LISTED = 500
+STANDING_PERCENT = 40
 
 
 @dataclass(slots=True, eq=False)
@@ -54,6 +55,7 @@
         self.id = worker_id
         self.longest_lease_s = longest_lease_s
         self.most_ends_listed = MOST_ENDS_LISTED
+        self.stands_still = False
         self.executions: list[Execution] = []
         self._begin_life(now)
 
@@ -108,7 +110,9 @@
         """End what is done, and everything if the lease has passed."""
         lapses_at = self._began_at + self._lease_until_ms / MS_PER_S
         for ref, execution in list(self._running_by_ref.items()):
-            if execution.ends_at <= min(now, lapses_at) and execution.kind is not None:
+            if self.stands_still or execution.kind is None:
+                continue
+            if execution.ends_at <= min(now, lapses_at):
                 self._end(ref, execution.kind, execution.ends_at)
         if now <= lapses_at:
             return
@@ -151,7 +155,8 @@
         if command.lease_until_ms is not None:
             self._extend(command.lease_until_ms, now)
         self._acknowledge(command.acknowledged, now)
-        running = tuple(Running(ref, "", 100) for ref in self._running_by_ref)
+        percent = STANDING_PERCENT if self.stands_still else 100
+        running = tuple(Running(ref, "", percent) for ref in self._running_by_ref)
         ended = tuple(self._ends[: self.most_ends_listed])
         return WorkerReport(self.clock_ms(now), self.born, running, ended)
 
--- a/tests/owner/test_orders.py
+++ b/tests/owner/test_orders.py
@@ -160,3 +160,12 @@
     world.submit("a" * 16, step(count=10, processors=1000))
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 5.0)
     assert len(world.executions("a" * 16)) == 10
+
+
+def test_short_task_that_stands_still_is_soon_started_elsewhere():
+    world = StepWorld()
+    world.run(7.0)
+    world.worker_by_id["w0"].stands_still = True
+    world.submit("a" * 16, step(), payload="seconds=0.5")
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 2.2)
+    assert len(world.executions("a" * 16)) == 2
--- a/tests/planning/test_suspicion.py
+++ b/tests/planning/test_suspicion.py
@@ -57,13 +57,20 @@
 
 def test_run_whose_progress_does_not_rise_stands_still():
     watch = StallWatch()
-    assert not watch.note(40, 0.0)
-    assert not watch.note(40, 1.0)
-    assert watch.note(40, 2.0)
-    assert not watch.note(41, 2.5)
+    assert not watch.note(40, 0.0, 6.0)
+    assert not watch.note(40, 1.0, 6.0)
+    assert watch.note(40, 2.0, 6.0)
+    assert not watch.note(41, 2.5, 6.0)
 
 
-def test_run_that_is_fully_at_work_never_stands_still():
+def test_short_run_is_judged_sooner():
     watch = StallWatch()
-    watch.note(100, 0.0)
-    assert not watch.note(100, 60.0)
+    watch.note(40, 0.0, 0.8)
+    assert not watch.note(40, 0.4, 0.8)
+    assert watch.note(40, 0.6, 0.8)
+
+
+def test_run_that_is_at_its_end_never_stands_still():
+    watch = StallWatch()
+    watch.note(100, 0.0, 1.0)
+    assert not watch.note(100, 60.0, 1.0)
--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -177,7 +177,7 @@
         world.set_policy(self.version, teams=TEAMS)
 
     def _work_s(self) -> float:
-        """Return how long all jobs take one after the other in the room that is sure."""
+        """Return how long all jobs take, one after the other, in the sure room."""
         work = 0.0
         for spec in self.spec_by_id.values():
             seconds = float(spec.payload.partition("seconds=")[2])
