Take the operators' document from a submission that was refused for it

Keys were taken away while the store's watches heard nothing; submissions expect the revision of the document that they were judged by, all were refused by the store, and the entries waited for a watch that was deaf.

Change: the store's refusal holds the document as it stands; it goes to the policy role at once.

--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -9,6 +9,7 @@
 from ..observability.events import log_event
 from ..observability.registry import time_request
 from ..owner.pending import PENDING_KEY
+from ..policy.messages import POLICY_ROLE, PolicySeen
 from ..runtime.flows import Call, Flow, FlowRole
 from ..runtime.role import STORE, CallFailed, Request
 from ..store.messages import (
@@ -135,6 +136,9 @@
         for entry in result.entries:
             if entry.key in (keys.submission, keys.final):
                 return _same_team(_team_of(keys, entry), operation.spec.team)
+            if entry.key == operation.policy_key:
+                # Sooner than the watch, which may hear nothing for a while.
+                self.emit(POLICY_ROLE, PolicySeen(entry))
         return Outcome(OutcomeKind.POLICY_CHANGED, "the policy has changed")
 
     def _write(self, change: Transaction, timeout_s: float) -> Flow:
--- a/src/lagoonpulley/policy/messages.py
+++ b/src/lagoonpulley/policy/messages.py
@@ -4,9 +4,12 @@
 
 from dataclasses import dataclass
 
+from ..store.messages import KeyValue
 from .values import Policy
 
-__all__ = ["PolicyChanged"]
+__all__ = ["POLICY_ROLE", "PolicyChanged", "PolicySeen"]
+
+POLICY_ROLE = "policy"
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,3 +17,10 @@
     """A policy is in force from now on."""
 
     policy: Policy
+
+
+@dataclass(frozen=True, slots=True)
+class PolicySeen:
+    """The store has shown the operators' document beside something else."""
+
+    entry: KeyValue
--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -8,7 +8,7 @@
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.role import STORE, CallFailed
 from ..store.messages import Get, KeyValue, StoreStatus, WatchPrefix
-from .messages import PolicyChanged
+from .messages import POLICY_ROLE, PolicyChanged, PolicySeen
 
 if TYPE_CHECKING:
     from expression import Result
@@ -41,18 +41,20 @@
     :param listeners: roles and ports that are told of each version.
     """
 
-    name = "policy"
+    name = POLICY_ROLE
 
     def __init__(self, decoder: PolicyDecoder, listeners: tuple[str, ...]) -> None:
-        super().__init__("policy")
+        super().__init__(self.name)
         self._decoder = decoder
         self._listeners = listeners
         self._version = 0
         self._running = False
 
     def receive(self, message: Any) -> None:
-        """Begin at the first tick."""
-        if not self._running:
+        """Begin at the first tick; take in a document that another role has seen."""
+        if isinstance(message, PolicySeen):
+            self._take(message.entry)
+        elif not self._running:
             self._running = True
             self.start(self._follow())
 
--- a/tests/intake/test_role.py
+++ b/tests/intake/test_role.py
@@ -114,3 +114,15 @@
     ask(world, submission(world))
     world.run(2.5)
     assert ask(world, ReadPending("reviews")).pending == 1
+
+
+def test_submission_under_an_old_policy_brings_the_new_one_while_watches_are_deaf(
+    world,
+):
+    old = submission(world)
+    world.watches_hear = False
+    world.set_policy(2)
+    assert ask(world, old).kind is OutcomeKind.POLICY_CHANGED
+    world.run(0.01)
+    assert world.entry_by_name["e0"].roles["policy"]._version == 2
+    assert ask(world, submission(world)).kind is OutcomeKind.DONE
