Believe that the store is away only after two failures in a row

Cause: noticed in reading the diff.

Change: the contact is lost after two failures without an answer between, directly or by others.

Before: the new test of tests/store/test_route.py fails. After: it passes.

--- a/src/lagoonpulley/store/health.py
+++ b/src/lagoonpulley/store/health.py
@@ -12,19 +12,19 @@
 __all__ = ["StoreContact", "StoreHealth"]
 
 # A single answer may be lost on its way while the store is well.
-FAILURES_TO_GO_ROUND = 2
+FAILURES_TO_BELIEVE = 2
 
 
 class StoreHealth(Protocol):
     """Tells whether calls to the store are worth trying."""
 
     def is_away(self) -> bool:
-        """Return whether the last call failed, directly and by other entries."""
+        """Return whether the last calls failed, directly and by other entries."""
         ...
 
 
 class StoreContact:
-    """Times of the last answer and of the last failure.
+    """The last answer, and the failures since then.
 
     Ports and roles write, callers' threads read; each field is replaced at once.
     """
@@ -32,16 +32,14 @@
     def __init__(self, clocks: Callable[[], Now]) -> None:
         self._clocks = clocks
         self._seen_at = float("-inf")
-        self._failed_at = float("-inf")
+        self._failures = 0
         self._direct_failures = 0
 
     def note(self, answered: bool) -> None:
         """Take in the outcome of one call, whichever way it went."""
-        now = self._clocks().mono
+        self._failures = 0 if answered else self._failures + 1
         if answered:
-            self._seen_at = now
-        else:
-            self._failed_at = now
+            self._seen_at = self._clocks().mono
 
     def note_direct(self, answered: bool) -> None:
         """Take in whether the store answered a call of this entry itself."""
@@ -49,11 +47,11 @@
 
     def is_turned_away(self) -> bool:
         """Return whether the last calls from here to the store failed."""
-        return self._direct_failures >= FAILURES_TO_GO_ROUND
+        return self._direct_failures >= FAILURES_TO_BELIEVE
 
     def is_away(self) -> bool:
         """See :class:`StoreHealth`."""
-        return self._failed_at > self._seen_at
+        return self._failures >= FAILURES_TO_BELIEVE
 
     def silence_s(self) -> float:
         """Return how long ago the store answered, in seconds."""
--- a/tests/store/test_route.py
+++ b/tests/store/test_route.py
@@ -72,7 +72,18 @@
 
 
 def test_contact_is_lost_only_once_the_detour_failed_as_well(route, contact):
-    route.next_step(request(READ), NOT_RUN)
+    for _ in range(5):
+        route.next_step(request(READ), NOT_RUN)
+    assert not contact.is_away()
+    contact.note(answered=False)
+    contact.note(answered=False)
+    assert contact.is_away()
+
+
+def test_contact_survives_one_write_without_an_answer(route, contact):
+    route.next_step(request(CHANGE), NO_ANSWER)
     assert not contact.is_away()
     route.next_step(request(CHANGE), NO_ANSWER)
     assert contact.is_away()
+    route.next_step(request(READ), ANSWER)
+    assert not contact.is_away()
