--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 fuzz: setup
 	$(PYTHON) -m benchmarks.fuzz
+	$(PYTHON) -m benchmarks.step_fuzz
 
 slopes: setup
 	$(PYTHON) -m benchmarks.slopes
