Describe the faults of a document in one place of the platform's adapter

Cause: found in reading the whole change. The settings, the deploy file and the body of a request each built the same line from pydantic's errors.

Change: platform/faults.py does it for all three; the text is the same. The gateway of the product's own interface writes paths in another form, which its callers know, and keeps its own.

--- a/src/lagoonpulley/platform/bodies.py
+++ b/src/lagoonpulley/platform/bodies.py
@@ -7,6 +7,7 @@
 
 from ..model.resources import Resources
 from ..workload.spec import JobSpec, StepSpec
+from .faults import describe_faults
 
 __all__ = ["decode_submission_body"]
 
@@ -90,11 +91,7 @@
     try:
         submission = _Submission.model_validate_json(body)
     except ValidationError as error:
-        faults = "; ".join(
-            f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
-            for fault in error.errors()
-        )
-        return Error(faults)
+        return Error(describe_faults(error))
     return Ok(
         JobSpec(
             id=job_id,
--- a/src/lagoonpulley/platform/deploy.py
+++ b/src/lagoonpulley/platform/deploy.py
@@ -8,6 +8,8 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from .faults import describe_faults
+
 __all__ = ["DeployFile", "DeployRole", "read_deploy_file"]
 
 MOST_TEMPLATE_BYTES = 64 * 1024
@@ -56,11 +58,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Error(f"{path}: not TOML: {error}")
     except ValidationError as error:
-        faults = "; ".join(
-            f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
-            for fault in error.errors()
-        )
-        return Error(f"{path}: {faults}")
+        return Error(f"{path}: {describe_faults(error)}")
     # Paths in the file are relative to the repository, which holds deploy/.
     root = path.resolve().parent.parent
     for name, role in file.roles.items():
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -10,6 +10,8 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, Field, ValidationError
 
+from .faults import describe_faults
+
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
 
 SETTINGS_VARIABLE = "LAGOONPULLEY_SETTINGS"
@@ -95,11 +97,7 @@
     except (yaml.YAMLError, UnicodeDecodeError) as error:
         return Error(f"{path}: not YAML: {error}")
     except ValidationError as error:
-        faults = "; ".join(
-            f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
-            for fault in error.errors()
-        )
-        return Error(f"{path}: {faults}")
+        return Error(f"{path}: {describe_faults(error)}")
     return Ok(_to_settings(file))
 
 
