--- a/benchmarks/step_fuzz.py
+++ b/benchmarks/step_fuzz.py
@@ -11,30 +11,22 @@
 import argparse
 import contextlib
 import io
-import logging
 import multiprocessing
 
-from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import Phase, seed
 from hypothesis.stateful import run_state_machine_as_test
-from tests.support.step_history import StepHistory
+from tests.support.step_history import StepHistory, history_settings
 
-from lagoonpulley.observability.logs import ROOT_LOGGER
+from .fuzz import silence
 
 HISTORIES_PER_SEED = 100
-STEPS_PER_HISTORY = 25
 
 
 def run_seed(number: int) -> tuple[int, str]:
     """Run a batch of histories; return its seed and what broke, if anything."""
     machine = seed(number)(type("Seeded", (StepHistory,), {}))
-    batch = settings(
-        max_examples=HISTORIES_PER_SEED,
-        stateful_step_count=STEPS_PER_HISTORY,
-        deadline=None,
-        database=None,
-        phases=[Phase.generate],
-        print_blob=False,
-        suppress_health_check=list(HealthCheck),
+    batch = history_settings(
+        HISTORIES_PER_SEED, phases=[Phase.generate], print_blob=False
     )
     printed = io.StringIO()
     try:
@@ -53,13 +45,10 @@
     parser.add_argument("--processes", type=int, default=3)
     parser.add_argument("--first-seed", type=int, default=1)
     options = parser.parse_args()
-    logger = logging.getLogger(ROOT_LOGGER)
-    logger.addHandler(logging.NullHandler())
-    logger.propagate = False
     batches = -(-options.histories // HISTORIES_PER_SEED)
     seeds = range(options.first_seed, options.first_seed + batches)
     broken = 0
-    with multiprocessing.Pool(options.processes) as pool:
+    with multiprocessing.Pool(options.processes, initializer=silence) as pool:
         for number, what in pool.imap_unordered(run_seed, seeds):
             if what:
                 broken += 1
--- a/tests/owner/test_histories_can_fail.py
+++ b/tests/owner/test_histories_can_fail.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import Phase
 from hypothesis.stateful import run_state_machine_as_test
-from tests.support.step_history import StepHistory
+from tests.support.step_history import StepHistory, history_settings
 
 from lagoonpulley.owner.tenure import Tenure
 from lagoonpulley.planning.cell import Cell
@@ -13,16 +13,12 @@
 from lagoonpulley.workload.documents import ProgressDocument
 from lagoonpulley.workload.record import JobRecord
 
-SEARCH = settings(
-    max_examples=200,
-    stateful_step_count=25,
-    deadline=None,
+SEARCH = history_settings(
+    200,
     derandomize=True,
-    database=None,
     phases=[Phase.generate],
     report_multiple_bugs=False,
     print_blob=False,
-    suppress_health_check=list(HealthCheck),
 )
 
 
--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
@@ -15,7 +16,7 @@
 if TYPE_CHECKING:
     from lagoonpulley.workload.spec import JobSpec
 
-__all__ = ["StepHistory"]
+__all__ = ["StepHistory", "history_settings"]
 
 ENTRIES = ("e0", "e1", "e2")
 WORKERS = ("w0", "w1", "w2")
@@ -26,6 +27,7 @@
 # Room that even the team with the lowest limit has, with a half of it lost to packing.
 SURE_PROCESSORS = TEAMS["north"][0] / 2
 CANCEL_BOUND_S = 6.0
+STEPS_PER_HISTORY = 25
 STEPS_BY_SHAPE = {
     "wide": (step(count=5, processors=7000),),
     "gang": (step(count=3, processors=6000, gang=True),),
@@ -36,6 +38,21 @@
 PAYLOADS = ("seconds=0.3", "seconds=1", "seconds=4")
 
 
+def history_settings(histories: int, **more: Any) -> settings:
+    """Return how hypothesis runs a number of histories, without a database.
+
+    :param more: further settings of hypothesis.
+    """
+    return settings(
+        max_examples=histories,
+        stateful_step_count=STEPS_PER_HISTORY,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+        **more,
+    )
+
+
 class StepHistory(RuleBasedStateMachine):
     """Jobs of two teams on three entries and three workers, with faults between."""
 
