--- a/src/lagoonpulley/observability/prometheus.py
+++ b/src/lagoonpulley/observability/prometheus.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 __all__ = [
     "REGISTRY",
+    "CallCounters",
+    "add_role_load",
     "count_event",
     "metrics_text",
     "observe_request",
     "observe_start_wait",
     "observe_store_call",
+    "role_delay_histogram",
+    "set_role_queue",
 ]
 
 # From the latency of a store call within a data centre up to a caller's deadline.
@@ -45,6 +55,43 @@
     buckets=BUCKETS_S,
     registry=REGISTRY,
 )
+_role_delays = Histogram(
+    "lagoonpulley_role_delay_seconds",
+    "Time from queueing a message to the begin of its processing, by role.",
+    ["role"],
+    buckets=BUCKETS_S,
+    registry=REGISTRY,
+)
+_role_messages = Counter(
+    "lagoonpulley_role_messages",
+    "Messages that a role has processed, by kind.",
+    ["role", "kind"],
+    registry=REGISTRY,
+)
+_role_busy = Counter(
+    "lagoonpulley_role_busy_seconds",
+    "Time that a role spent processing messages, by kind.",
+    ["role", "kind"],
+    registry=REGISTRY,
+)
+_role_queue = Gauge(
+    "lagoonpulley_role_queued_messages",
+    "Messages in the mailbox of a role.",
+    ["role"],
+    registry=REGISTRY,
+)
+_calls = Counter(
+    "lagoonpulley_calls",
+    "Completed calls, answered or not, by port and operation.",
+    ["port", "operation"],
+    registry=REGISTRY,
+)
+_call_bytes = Counter(
+    "lagoonpulley_call_bytes",
+    "Bytes of calls with headers, by port, operation and direction.",
+    ["port", "operation", "direction"],
+    registry=REGISTRY,
+)
 
 
 def count_event(event: str) -> None:
@@ -67,6 +114,37 @@
     _waits.labels(queue).observe(duration_s)
 
 
+def role_delay_histogram(role: str) -> Histogram:
+    """Return the histogram that observes the delays of a role's messages."""
+    return _role_delays.labels(role)
+
+
+def add_role_load(role: str, kind: str, messages: int, busy_s: float) -> None:
+    """Add processed messages of one kind and their processing time in seconds."""
+    _role_messages.labels(role, kind).inc(messages)
+    _role_busy.labels(role, kind).inc(busy_s)
+
+
+def set_role_queue(role: str, messages: int) -> None:
+    """Set the number of messages in the mailbox of a role."""
+    _role_queue.labels(role).set(messages)
+
+
+class CallCounters:
+    """Counters of the calls of one operation at one port."""
+
+    def __init__(self, port: str, operation: str) -> None:
+        self._calls = _calls.labels(port, operation)
+        self._sent_bytes = _call_bytes.labels(port, operation, "sent")
+        self._received_bytes = _call_bytes.labels(port, operation, "received")
+
+    def add(self, sent_bytes: int, received_bytes: int) -> None:
+        """Count one completed call and its bytes."""
+        self._calls.inc()
+        self._sent_bytes.inc(sent_bytes)
+        self._received_bytes.inc(received_bytes)
+
+
 def metrics_text() -> bytes:
     """Return all metrics in the Prometheus text exposition format."""
     return generate_latest(REGISTRY)
--- a/src/lagoonpulley/runtime/actors.py
+++ b/src/lagoonpulley/runtime/actors.py
@@ -10,6 +10,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, Protocol
 
+from .entry_load import EntryLoadLog
+from .load import LoadMeter
 from .role import CALLERS, WAKE, Now, Reply, Request, Role, Send, Tick, WakeAfter
 
 __all__ = ["CallerPort", "Port", "Runtime", "WakePort", "read_clocks"]
@@ -132,10 +134,20 @@
     """Delivers messages between the roles and ports of one process.
 
     :param clocks: returns the current monotonic and wall-clock time.
+    :param monotonic: returns the monotonic time in seconds.
+    :param load: receives the measurements of the roles.
     """
 
-    def __init__(self, clocks: Callable[[], Now] = read_clocks) -> None:
+    def __init__(
+        self,
+        clocks: Callable[[], Now] = read_clocks,
+        monotonic: Callable[[], float] = time.monotonic,
+        load: LoadMeter | None = None,
+    ) -> None:
         self._clocks = clocks
+        self._monotonic = monotonic
+        self._load = load or LoadMeter()
+        self._load_log = EntryLoadLog(self._load.add_reader())
         self._role_by_name: dict[str, Role] = {}
         self._executor_by_name: dict[str, ThreadPoolExecutor] = {}
         self._port_by_name: dict[str, Port] = {}
@@ -148,6 +160,7 @@
     def add_role(self, role: Role) -> None:
         """Register a role and create its thread."""
         self._role_by_name[role.name] = role
+        self._load.add_role(role.name)
         self._executor_by_name[role.name] = ThreadPoolExecutor(
             max_workers=1, thread_name_prefix=role.name
         )
@@ -172,8 +185,9 @@
         executor = self._executor_by_name.get(to)
         if executor is None or self._stopped.is_set():
             return
+        self._load.role_by_name[to].record_queued()
         try:
-            executor.submit(self._process, to, message)
+            executor.submit(self._process, to, message, self._monotonic())
         except RuntimeError:
             _log.debug(
                 "message dropped: the role's executor is shut down", extra={"role": to}
@@ -203,14 +217,25 @@
         for port in self._port_by_name.values():
             port.close()
 
-    def _process(self, name: str, message: Any) -> None:
+    def _process(self, name: str, message: Any, queued_at: float) -> None:
+        role = self._role_by_name[name]
+        meter = self._load.role_by_name[name]
+        now = self._clocks()
+        meter.record_began(queued_at, now.mono)
+        kind = role.kind_of(message)
+        self._handle(role, message, now)
+        ended_at = self._monotonic()
+        meter.record_ended(kind, now.mono, ended_at)
+        self._load_log.write_if_due(ended_at)
+
+    def _handle(self, role: Role, message: Any, now: Now) -> None:
         try:
-            sends = self._role_by_name[name].handle(message, self._clocks())
+            sends = role.handle(message, now)
         except Exception:
             kind = type(message).__name__
             _log.exception(
                 "role raised an exception while processing a message",
-                extra={"role": name, "message_kind": kind},
+                extra={"role": role.name, "message_kind": kind},
             )
             return
         self._send_all(sends)
--- a/src/lagoonpulley/runtime/flows.py
+++ b/src/lagoonpulley/runtime/flows.py
@@ -38,12 +38,14 @@
 class _PendingCalls:
     """The calls that a flow waits for.
 
-    ``remaining`` is the number of replies still outstanding. A flow that yielded a
-    single call is resumed with its result instead of a list.
+    ``operations`` holds the names of their types. ``remaining`` is the number of
+    replies still outstanding. A flow that yielded a single call is resumed with its
+    result instead of a list.
     """
 
     flow: Flow
     results: list[Any]
+    operations: list[str]
     remaining: int
     is_single: bool
 
@@ -80,6 +82,20 @@
         outbox, self._outbox = self._outbox, []
         return outbox
 
+    def kind_of(self, message: Any) -> str:
+        """Return the type's name of a message, or ``reply:`` or ``request:`` and that
+        of its operation; see :class:`~.role.Role`.
+        """
+        if isinstance(message, Request):
+            return f"request:{type(message.operation).__name__}"
+        if not isinstance(message, Reply):
+            return type(message).__name__
+        found = self._pending_by_request_id.get(message.request_id)
+        if found is None:
+            return "reply:unexpected"
+        pending, index = found
+        return f"reply:{pending.operations[index]}"
+
     def receive(self, message: Any) -> None:
         """Process a message that is not a :class:`Reply`."""
         raise NotImplementedError
@@ -111,7 +127,13 @@
             return
         is_single = isinstance(yielded, Call)
         calls = [yielded] if is_single else yielded
-        pending = _PendingCalls(flow, [None] * len(calls), len(calls), is_single)
+        pending = _PendingCalls(
+            flow,
+            results=[None] * len(calls),
+            operations=[type(call.operation).__name__ for call in calls],
+            remaining=len(calls),
+            is_single=is_single,
+        )
         for index, call in enumerate(calls):
             request_id = self._next_request_id()
             self._pending_by_request_id[request_id] = (pending, index)
--- a/src/lagoonpulley/runtime/role.py
+++ b/src/lagoonpulley/runtime/role.py
@@ -105,3 +105,10 @@
         :param now: clocks as read before processing.
         """
         ...
+
+    def kind_of(self, message: Any) -> str:
+        """Return the kind of a message, a name for metrics from a small set.
+
+        Called before :meth:`handle`.
+        """
+        ...
