Count calls and bytes of the platform's ports by operation

Bytes to and from the store were not measured, so that the logs could not show whether a link is full, or how many bytes a commit takes.

The HTTP client reports the bytes of a request and its response with each outcome, and of a failed call those that arrived; the store's and the workers' ports count them.

The tests of the client and of the metrics fail on the code before (seen).

--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -20,6 +20,7 @@
 from ..peers.store_relay import StoreRelayRole
 from ..policy.role import PolicyRole
 from ..runtime.actors import Runtime, read_clocks
+from ..runtime.load import LoadMeter
 from ..runtime.role import PEERS, STORE, UPSTREAM
 from ..settings.schema import ListenSettings
 from ..store.health import StoreHealthTracker
@@ -51,7 +52,8 @@
         self._settings = settings
         self._store_codec = PlatformStoreCodec(settings.store_address)
         self._worker_codec = PlatformWorkerCodec(settings.advisor_address)
-        self._runtime = Runtime()
+        self._load = LoadMeter()
+        self._runtime = Runtime(load=self._load)
         self._store_health = StoreHealthTracker(read_clocks)
         self._entry_readiness = EntryReadiness(self._store_health)
         self._peers = PeersPort(settings.ip, settings.peer_port, self._runtime.deliver)
@@ -122,8 +124,18 @@
 
     def _add_ports(self) -> None:
         runtime = self._runtime
-        store = StoreHttpPort(self._store_codec, runtime.deliver, self._store_health)
-        workers = HttpPort("upstream-port", self._worker_codec, runtime.deliver)
+        store = StoreHttpPort(
+            self._store_codec,
+            runtime.deliver,
+            self._load.add_port(STORE),
+            self._store_health,
+        )
+        workers = HttpPort(
+            "upstream-port",
+            self._worker_codec,
+            runtime.deliver,
+            self._load.add_port(UPSTREAM),
+        )
         runtime.add_port(STORE, store)
         runtime.add_port(UPSTREAM, workers)
         runtime.add_port(PEERS, self._peers)
--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from ..runtime.curl import HttpAnswer, HttpCall, HttpFailure
+    from ..runtime.load import PortMeter
     from ..store.health import StoreHealthTracker
 
 __all__ = ["Codec", "HttpPort", "StoreHttpPort"]
@@ -37,12 +38,22 @@
 
 
 class HttpPort:
-    """Performs operations over HTTP and replies to the requesting role."""
+    """Performs operations over HTTP and replies to the requesting role.
+
+    :param name: name of the port's thread.
+    :param deliver: puts a message into the mailbox of a role.
+    :param meter: counts the calls and their bytes.
+    """
 
     def __init__(
-        self, name: str, codec: Codec, deliver: Callable[[str, Any], None]
+        self,
+        name: str,
+        codec: Codec,
+        deliver: Callable[[str, Any], None],
+        meter: PortMeter,
     ) -> None:
         self._codec = codec
+        self._meter = meter
         self._deliver = deliver
         self._loop = CurlLoop(name)
 
@@ -54,6 +65,10 @@
         started_at = time.monotonic()
 
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
+            traffic = outcome.traffic
+            self._meter.record(
+                type(operation).__name__, traffic.sent_bytes, traffic.received_bytes
+            )
             result = self._decode(operation, outcome)
             self.finish(message, result, time.monotonic() - started_at)
 
@@ -86,9 +101,10 @@
         self,
         codec: Codec,
         deliver: Callable[[str, Any], None],
+        meter: PortMeter,
         store_health: StoreHealthTracker,
     ) -> None:
-        super().__init__("store-port", codec, deliver)
+        super().__init__("store-port", codec, deliver, meter)
         self._route = StoreRoute(store_health)
 
     def submit(self, message: Request) -> None:
--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -15,7 +15,7 @@
 
 from ..model.verdict import Ran
 
-__all__ = ["CurlLoop", "HttpAnswer", "HttpCall", "HttpFailure"]
+__all__ = ["CurlLoop", "HttpAnswer", "HttpCall", "HttpFailure", "Traffic"]
 
 CONNECT_TIMEOUT_MS = 1000
 MAX_CACHED_CONNECTIONS = 600
@@ -43,12 +43,24 @@
     headers: tuple[str, ...] = ("Content-Type: application/json",)
 
 
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Bytes of one HTTP request and its response, with headers."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+NO_TRAFFIC = Traffic()
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """A complete HTTP response."""
 
     status: int
     body: bytes
+    traffic: Traffic = NO_TRAFFIC
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +72,7 @@
 
     ran: Ran
     reason: str
+    traffic: Traffic = NO_TRAFFIC
 
 
 HttpOutcome = HttpAnswer | HttpFailure
@@ -227,14 +240,15 @@
 
     def _answer_of(self, handle: pycurl.Curl) -> HttpAnswer:
         body = self._transfer_by_handle[handle].buffer.getvalue()
-        return HttpAnswer(handle.getinfo(pycurl.RESPONSE_CODE), body)
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
+        return HttpAnswer(status, body, _traffic_of(handle))
 
     @staticmethod
     def _failure_of(handle: pycurl.Curl, code: int, message: str) -> HttpFailure:
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
         if code in _NOT_SENT_ERRORS or not sent:
-            return HttpFailure(Ran.NO, message)
-        return HttpFailure(Ran.MAYBE, message)
+            return HttpFailure(Ran.NO, message, _traffic_of(handle))
+        return HttpFailure(Ran.MAYBE, message, _traffic_of(handle))
 
     def _finish(self, handle: pycurl.Curl, outcome: HttpOutcome) -> None:
         transfer = self._transfer_by_handle.pop(handle)
@@ -254,3 +268,11 @@
         self._selector.close()
         self._wake_reader.close()
         self._wake_writer.close()
+
+
+def _traffic_of(handle: pycurl.Curl) -> Traffic:
+    # REQUEST_SIZE covers the headers and the body that were sent.
+    received_bytes = handle.getinfo(pycurl.HEADER_SIZE) + int(
+        handle.getinfo(pycurl.SIZE_DOWNLOAD_T)
+    )
+    return Traffic(handle.getinfo(pycurl.REQUEST_SIZE), received_bytes)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -41,6 +41,12 @@
     "lagoonpulley_request_seconds",
     "lagoonpulley_store_call_seconds",
     "lagoonpulley_start_wait_seconds",
+    "lagoonpulley_role_delay_seconds",
+    "lagoonpulley_role_messages_total",
+    "lagoonpulley_role_busy_seconds_total",
+    "lagoonpulley_role_queued_messages",
+    "lagoonpulley_calls_total",
+    "lagoonpulley_call_bytes_total",
 )
 JOB = "5c0e7a21d94b36f8"
 
@@ -132,6 +138,8 @@
     for name in DOCUMENTED_METRICS:
         assert f"# TYPE {name} " in text
     assert 'event="job_submitted"' in text
+    calls = "lagoonpulley_calls_total{"
+    assert calls + 'operation="Transaction",port="store"}' in text
 
 
 def test_malformed_worker_records_are_ignored(entry, standin):
--- /dev/null
+++ b/tests/runtime/test_curl.py
@@ -0,0 +1,78 @@
+"""Bytes that the HTTP client counts, over real sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from concurrent.futures import Future
+
+import pytest
+from werkzeug.wrappers import Request, Response
+
+from lagoonpulley.runtime.curl import CurlLoop, HttpAnswer, HttpCall, HttpFailure
+from lagoonpulley.standin.http import StandinServer
+
+TIMEOUT_S = 30.0
+BODY_BYTES = 200_000
+ANSWER_BYTES = 300_000
+MAX_HEADER_BYTES = 1_000
+
+
+@pytest.fixture
+def loop():
+    made = CurlLoop("test")
+    yield made
+    made.close()
+
+
+def perform(loop, call):
+    outcome = Future()
+    loop.submit(call, outcome.set_result)
+    return outcome.result(timeout=TIMEOUT_S)
+
+
+def test_answer_has_the_bytes_of_both_directions(loop):
+    def application(environ, start_response):
+        Request(environ).get_data()
+        return Response(b"x" * ANSWER_BYTES)(environ, start_response)
+
+    server = StandinServer(application)
+    try:
+        call = HttpCall("POST", server.url, b"y" * BODY_BYTES, TIMEOUT_S)
+        answer = perform(loop, call)
+    finally:
+        server.close()
+    assert isinstance(answer, HttpAnswer)
+    headers = answer.traffic.sent_bytes - BODY_BYTES
+    assert 0 < headers < MAX_HEADER_BYTES
+    headers = answer.traffic.received_bytes - ANSWER_BYTES
+    assert 0 < headers < MAX_HEADER_BYTES
+
+
+def test_failure_has_the_bytes_that_arrived(loop):
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def answer_in_part():
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n123")
+
+    thread = threading.Thread(target=answer_in_part)
+    thread.start()
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+    failure = perform(loop, HttpCall("GET", url, b"", TIMEOUT_S))
+    thread.join()
+    listener.close()
+    assert isinstance(failure, HttpFailure)
+    header = b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n"
+    assert failure.traffic.received_bytes == len(header) + 3
+    assert failure.traffic.sent_bytes > 0
+
+
+def test_failure_to_connect_has_no_bytes(loop):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    call = HttpCall("GET", f"http://127.0.0.1:{port}/", b"", TIMEOUT_S)
+    failure = perform(loop, call)
+    assert (failure.traffic.sent_bytes, failure.traffic.received_bytes) == (0, 0)
