--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -58,6 +58,11 @@
         self._progress_stored_ids: set[str] = set()
         self.in_flight: Commit | None = None
 
+    @property
+    def waiting_records(self) -> int:
+        """Number of records and values that wait for the next commits."""
+        return len(self._record_by_id) + len(self._value_by_key)
+
     def enqueue(self, record: JobRecord, on_durable: Callback | None = None) -> None:
         """Enqueue a record; ``on_durable`` is called once it is committed."""
         self._record_by_id[record.spec.id] = record
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -9,6 +9,7 @@
 from ..planning.planner import Planner
 from ..policy.messages import PolicyChanged
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
+from ..runtime.load import NoLoad
 from ..runtime.role import STORE, WAKE, CallFailed, Tick, WakeAfter
 from ..upstream.tasks import Advice
 from ..workload.documents import JOBS_PREFIX, PROGRESS_PREFIX
@@ -16,6 +17,7 @@
 from .dispatch import Dispatcher
 from .jobs import JobWatcher
 from .journal import Journal
+from .load import OwnerLoadLog
 from .messages import Deposed, Elected, SessionExtended, StoodDown
 from .pending import PendingCounts
 from .session import SessionRole
@@ -25,6 +27,7 @@
 if TYPE_CHECKING:
     from ..planning.planner import AdviceRequest, Start
     from ..policy.values import Policy
+    from ..runtime.load import LoadSource
     from ..store.health import StoreHealth
     from ..store.messages import Transaction
     from ..upstream.directory import DirectoryDecoder
@@ -53,6 +56,7 @@
         settings: OwnerSettings,
         directory: DirectoryDecoder,
         health: StoreHealth,
+        load: LoadSource | None = None,
     ) -> None:
         super().__init__("owner")
         self._settings = settings
@@ -63,6 +67,7 @@
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
         self._pending = PendingCounts()
         self._advisors = AdvisorBalancer(self, settings)
+        self._load_log = OwnerLoadLog(settings, load or NoLoad())
         self._next_check_at = 0.0
         self._next_round_at = 0.0
         self._wake_requested = False
@@ -103,6 +108,7 @@
         )
         term.now = self.now
         self._term = term
+        self._load_log.begin(self.now.mono)
         log_event("ownership_began", token=elected.token)
         self.start(self._take_over(term))
 
@@ -144,6 +150,8 @@
 
     def _tick(self) -> None:
         term = self._term
+        if term is not None:
+            self._load_log.write_if_due(term, self.now.mono)
         if term is None or not term.loaded or self.now.mono < self._next_check_at:
             return
         self._next_check_at = self.now.mono + CHECK_INTERVAL_S
@@ -265,6 +273,7 @@
 
     def _send_commit(self, term: OwnerTerm, transaction: Transaction) -> Flow:
         """Send a transaction until the store answers, then apply the result."""
+        began = self.now.mono
         while not term.has_ended:
             result = yield Call(STORE, transaction, COMMIT_TIMEOUT_S)
             if term.has_ended:
@@ -275,6 +284,7 @@
                 continue
             if result.ok:
                 self._jobs.record_commit(transaction, result.revision)
+                self._load_log.record_commit(self.now.mono - began)
             if not term.journal.apply_result(result):
                 self.step_down("another owner has changed the journal's head")
                 return
--- a/src/lagoonpulley/owner/settings.py
+++ b/src/lagoonpulley/owner/settings.py
@@ -13,10 +13,15 @@
 
     ``longest_worker_lease_s`` is the longest lease that a worker may be granted,
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
-    start, and ``retention_s`` how long a final state is kept.
+    start, and ``retention_s`` how long a final state is kept. The rates of store calls
+    are those that all entries together may make, and ``link_bytes_per_s`` is the
+    bandwidth of this entry's link; ``None`` if unknown. They are only reported.
     """
 
     entry_id: str
     longest_worker_lease_s: float
     early_s: float = 0.0
     retention_s: float = 120.0
+    store_writes_per_s: float | None = None
+    store_reads_per_s: float | None = None
+    link_bytes_per_s: float | None = None
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -155,9 +155,13 @@
                 longest_worker_lease_s=settings.longest_worker_lease_s,
                 early_s=settings.early_s,
                 retention_s=settings.retention_s,
+                store_writes_per_s=settings.store_writes_per_s,
+                store_reads_per_s=settings.store_reads_per_s,
+                link_bytes_per_s=settings.link_bytes_per_s,
             ),
             PlatformDirectory(),
             self._store_health,
+            self._load.add_reader(),
         )
         rng = random.Random(f"{settings.entry_id}:{time.time_ns()}")
         for role in (
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -16,6 +16,7 @@
 
 SETTINGS_VARIABLE = "LAGOONPULLEY_SETTINGS"
 MS_PER_S = 1000
+BYTES_PER_MEGABIT = 125_000
 
 
 class _Listen(BaseModel):
@@ -38,6 +39,12 @@
 class _Platform(BaseModel):
     address: str
     ttl_min_ms: int = Field(1000, alias="ttlMinMs")
+    writes_per_s: float | None = Field(None, alias="writesPerS")
+    reads_per_s: float | None = Field(None, alias="readsPerS")
+
+
+class _Limits(BaseModel):
+    link_mbps: float | None = Field(None, alias="linkMbps")
 
 
 class _Cloud(BaseModel):
@@ -52,6 +59,7 @@
     port_range: tuple[int, int] = Field(alias="portRange")
     platform: _Platform
     bounds: _Bounds = Field(default_factory=_Bounds)
+    limits: _Limits = Field(default_factory=_Limits)
     advice: str = ""
     cloud: _Cloud | None = None
 
@@ -64,7 +72,8 @@
     the longest time that a worker keeps its tasks running without a lease extension,
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
     start, ``retention_s`` how long a final state is kept, and ``stop_deadline_s`` the
-    longest time of a drain.
+    longest time of a drain. The rates of store calls are those that all entries
+    together may make; they and the entry's own link are ``None`` if unknown.
     """
 
     entry_id: str
@@ -82,6 +91,9 @@
     retention_s: float
     stop_deadline_s: float
     shortest_session_s: float
+    store_writes_per_s: float | None
+    store_reads_per_s: float | None
+    link_bytes_per_s: float | None
 
 
 def read_settings(path: str | None = None) -> Result[PlatformSettings, str]:
@@ -106,6 +118,7 @@
 
 def _to_settings(file: _File) -> PlatformSettings:
     bounds = file.bounds
+    link_mbps = file.limits.link_mbps
     return PlatformSettings(
         entry_id=file.node,
         data_centre=file.zone,
@@ -122,4 +135,7 @@
         retention_s=float(bounds.status_s),
         stop_deadline_s=bounds.grace_s,
         shortest_session_s=file.platform.ttl_min_ms / MS_PER_S,
+        store_writes_per_s=file.platform.writes_per_s,
+        store_reads_per_s=file.platform.reads_per_s,
+        link_bytes_per_s=link_mbps and link_mbps * BYTES_PER_MEGABIT,
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -12,6 +12,23 @@
     assert settings.retention_s == 120.0
 
 
+def test_settings_without_rates_leave_them_unknown(settings_file):
+    settings = read_settings(str(settings_file)).ok
+    assert settings.store_writes_per_s is None
+    assert settings.store_reads_per_s is None
+    assert settings.link_bytes_per_s is None
+
+
+def test_settings_have_the_rates_of_the_store_and_of_the_link(settings_file):
+    rates = "ttlMinMs: 1000, writesPerS: 400, readsPerS: 2000"
+    text = settings_file.read_text().replace("ttlMinMs: 1000", rates)
+    settings_file.write_text(text + "limits: {linkMbps: 10.0, cpuShare: 0.5}\n")
+    settings = read_settings(str(settings_file)).ok
+    assert settings.store_writes_per_s == 400.0
+    assert settings.store_reads_per_s == 2000.0
+    assert settings.link_bytes_per_s == 1_250_000.0
+
+
 def test_settings_error_names_the_invalid_field(settings_file):
     text = settings_file.read_text().replace('node: "edge-1"', "node: [1]")
     settings_file.write_text(text)
