Add a failing test: a new owner on a slow link never loads many jobs

Each page of up to 1 MB must arrive within 1.0 s; one that does not is read again from its first byte.

The store stand-in bounds a page to 1 MB as well as to 500 items. The simulated cell can give an entry's link a rate: answers of the store queue for it, and a call whose answer has not arrived within its timeout fails. The test stores 7,000 jobs.

Seen: the case of 2 Mbit/s fails, that of 10 Mbit/s passes on this code.

--- a/src/lagoonpulley/standin/store.py
+++ b/src/lagoonpulley/standin/store.py
@@ -29,6 +29,7 @@
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_KEYS_PER_PAGE = 500
+MAX_PAGE_BYTES = 1_000_000
 MAX_TRANSACTION_ROWS = 32
 
 _OK = StoreResult(StoreStatus.OK)
@@ -167,7 +168,7 @@
             for key in self.key_value_by_key
             if key.startswith(prefix) and key > after
         )
-        page = keys[:MAX_KEYS_PER_PAGE]
+        page = self._first_page(keys)
         return StoreResult(
             StoreStatus.OK,
             entries=tuple(self.key_value_by_key[key] for key in page),
@@ -175,6 +176,16 @@
             truncated=len(keys) > len(page),
         )
 
+    def _first_page(self, keys: list[str]) -> list[str]:
+        """Return as many of the keys as one answer contains, at least one of them."""
+        page = keys[:MAX_KEYS_PER_PAGE]
+        size = 0
+        for index, key in enumerate(page):
+            size += len(key) + len(self.key_value_by_key[key].value.encode())
+            if index and size > MAX_PAGE_BYTES:
+                return page[:index]
+        return page
+
     def _changes_since(self, prefix: str, after: int) -> StoreResult:
         if after < self._compacted_revision:
             return StoreResult(StoreStatus.NOT_FOUND, revision=self.revision)
--- a/tests/owner/test_takeover.py
+++ b/tests/owner/test_takeover.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import random
+
+import pytest
 from tests.support.steps import WORKERS_PREFIX, StepWorld, step
 
 from lagoonpulley.owner.role import OwnerRole
 from lagoonpulley.store.messages import Transaction
-from lagoonpulley.workload.documents import JobKeys
+from lagoonpulley.workload.documents import (
+    FinalDocument,
+    JobKeys,
+    encode_submission,
+)
+from lagoonpulley.workload.record import JobState
+from lagoonpulley.workload.spec import JobSpec
 
 
 def test_job_runs_to_completion():
@@ -99,3 +108,42 @@
 def has_owner(world):
     entries = world.entry_by_name.values()
     return any(entry.alive and entry.owner._term is not None for entry in entries)
+
+
+def store_jobs(world, open_count, final_count, payload_bytes=1500):
+    """Write the documents of open and of final jobs, and return the open jobs' ids."""
+    rng = random.Random(1)
+    ids = [f"{rng.getrandbits(64):016x}" for _ in range(open_count + final_count)]
+    now = world.clock.now.wall
+    payload = "seconds=600 ".ljust(payload_bytes)
+    for job_id in ids[:open_count]:
+        spec = JobSpec(
+            id=job_id,
+            queue="reviews",
+            team="north",
+            payload=payload,
+            steps=(step(),),
+            submitted_at=now,
+        )
+        world.put(JobKeys(job_id).submission, encode_submission(spec))
+    final = FinalDocument(state=JobState.COMPLETED, team="north", ended_at=now)
+    for job_id in ids[open_count:]:
+        world.put(JobKeys(job_id).final, final.model_dump_json())
+    return ids[:open_count]
+
+
+# Answers of the store arrive at 10 and at 2 Mbit/s.
+@pytest.mark.parametrize(
+    ("bytes_per_s", "within_s"), [(1_250_000, 8.0), (250_000, 30.0)]
+)
+def test_takeover_loads_many_jobs_over_slow_link(bytes_per_s, within_s):
+    world = StepWorld(entries=3)
+    world.run(1.0)
+    world.kill(world.owner())
+    open_ids = store_jobs(world, open_count=1000, final_count=6000)
+    for entry in world.entry_by_name.values():
+        entry.store_bytes_per_s = bytes_per_s
+    world.run_until(lambda: _is_loaded(world), within_s)
+    term = world.owner().owner._term
+    assert set(open_ids) <= set(term.record_by_id)
+    assert len(term.ended_at_by_job_id) == 6000
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -59,6 +59,10 @@
 CAPACITY = Resources(16000, 65536, 0)
 POLICY_KEY = "test/policy"
 WORKERS_PREFIX = "test/workers/"
+# Sizes on the wire, in bytes: an answer's headers, and the field names and numbers of
+# an item.
+ANSWER_BYTES = 200
+ITEM_BYTES = 80
 
 
 class JsonPolicy:
@@ -118,6 +122,10 @@
     mailbox: deque = field(default_factory=deque)
     alive: bool = True
     has_store: bool = True
+    # Rate at which answers of the store arrive, and when the last one has arrived.
+    # They queue for the link in the order in which the store sends them.
+    store_bytes_per_s: float = float("inf")
+    store_link_free_at: float = 0.0
     has_peers: bool = True
     unreachable_workers: set[str] = field(default_factory=set)
 
@@ -361,6 +369,7 @@
             self.clock.after(0.005, lambda: self._reply_store(entry, request, failed))
             return
         until = self.clock.mono + getattr(request.operation, "wait_s", 0.0)
+        times_out_at = self.clock.mono + request.timeout_s
         lost = self.random.random() < self.lose_answers
 
         def perform() -> None:
@@ -373,9 +382,7 @@
                 self.clock.after(POLL_INTERVAL_S, perform)
                 return
             if not lost:
-                self.clock.after(
-                    0.002, lambda: self._reply_store(entry, request, result)
-                )
+                self._deliver_store_answer(entry, request, result, times_out_at)
 
         if lost:
             failed = CallFailed(Ran.MAYBE, "the answer was lost")
@@ -384,6 +391,24 @@
             )
         self.clock.after(0.003, perform)
 
+    def _deliver_store_answer(
+        self, entry: StepEntry, request: Request, result: Any, times_out_at: float
+    ) -> None:
+        """Deliver an answer over the entry's link, or its timeout if that is earlier.
+
+        An answer that timed out occupies the link only until then: the entry closes
+        the connection.
+        """
+        starts_at = max(self.clock.mono + 0.002, entry.store_link_free_at)
+        arrives_at = starts_at + _size(result) / entry.store_bytes_per_s
+        if arrives_at <= times_out_at:
+            entry.store_link_free_at = arrives_at
+            self.clock.at(arrives_at, lambda: self._reply_store(entry, request, result))
+            return
+        entry.store_link_free_at = max(entry.store_link_free_at, times_out_at)
+        failed = CallFailed(Ran.MAYBE, "timed out while the answer arrived")
+        self.clock.at(times_out_at, lambda: self._reply_store(entry, request, failed))
+
     def _call_worker(self, entry: StepEntry, request: Request) -> None:
         command = request.operation
         if isinstance(command, AskAdvice) and self.advice_failures:
@@ -513,6 +538,13 @@
         self.clock.after(0.5, lambda: self._reply(entry, request, answer))
 
 
+def _size(result: Any) -> int:
+    """Return the approximate size in bytes of the store's answer on the wire."""
+    items = getattr(result, "entries", ())
+    values = sum(len(item.key) + len(item.value) * 4 // 3 for item in items)
+    return ANSWER_BYTES + values + len(items) * ITEM_BYTES
+
+
 _ADVICE_FIELDS = ("job_id", "occurrence", "step", "worker_ids")
 
 
