Read the jobs in parts, so that a slow link can load them

store/range_reader.py reads a prefix by narrower prefixes, one for each next character. A page that arrived is not read again, a call that used up its timeout gets a longer one, and fewer calls are in flight while calls are slow. It is used for the jobs, their progress and the directory of workers, which paged on their own. Progress is read for the first characters of the known jobs only. The revision for the watch is the lowest of all parts; read_jobs says why no job is lost or run twice.

Job ids with other characters than the gateway accepts are found as well.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -9,10 +9,12 @@
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import STORE, CallFailed
-from ..store.messages import ReadRange, StoreStatus, Transaction, WatchPrefix
+from ..store.messages import StoreStatus, Transaction, WatchPrefix
+from ..store.range_reader import RangePart, read_range, split_by_first_character
 from ..workload.documents import (
     CANCEL,
     FINAL,
+    JOB_ID_CHARACTERS,
     JOBS_PREFIX,
     PROGRESS_PREFIX,
     SUBMISSION,
@@ -27,12 +29,12 @@
     from collections.abc import Iterable
 
     from ..store.messages import KeyValue
+    from ..store.range_reader import RangeRead
     from .flow_host import FlowHost
     from .term import OwnerTerm
 
 __all__ = ["JobWatcher"]
 
-READ_TIMEOUT_S = 1.0
 DELETE_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.05
 WATCH_WAIT_S = 1.0
@@ -87,28 +89,38 @@
         self._retention_s = retention_s
         self._watched = _WatchProgress()
 
-    def read_all(self, term: OwnerTerm, prefix: str) -> Flow:
-        """Read every key under a prefix, page by page.
+    def read_jobs(self, term: OwnerTerm) -> Flow:
+        """Read all documents of jobs except their progress.
 
-        :returns: the revision of the first page, and all items; not all of them if
-            the term ends meanwhile.
+        The parts are read at different revisions. A watch from the returned revision,
+        the lowest of them, reports every change that a part may lack.
+
+        While a new owner reads, no job is lost or run twice, because its documents
+        change in two ways only: callers submit and cancel, which the watch replays.
+        Submissions are deleted, and final states and progress written, only by commits
+        on condition of the head's revision, and the election has changed the head. So
+        a commit of an earlier owner either is part of everything read afterwards or
+        never takes effect, and progress may be read before or after the jobs. Final
+        states that expire meanwhile are of jobs whose submission is long gone.
+
+        When the owner reads again later, its own commits may have ended a job whose
+        submission was read before. The term knows such a job, and does not add it again
+        until its final state has expired.
+
+        :returns: a :class:`RangeRead`, incomplete if the term ends meanwhile.
         """
-        items: list[KeyValue] = []
-        revision = 0
-        after = ""
-        while not term.has_ended:
-            call = Call(STORE, ReadRange(prefix, after), READ_TIMEOUT_S)
-            result = yield call
-            if isinstance(result, CallFailed):
-                log_event("store_read_failed", prefix=prefix, reason=result.reason)
-                yield Sleep(RETRY_DELAY_S)
-                continue
-            revision = revision or result.revision
-            items += result.entries
-            if not result.truncated or not result.entries:
-                break
-            after = result.entries[-1].key
-        return revision, items
+        parts = split_by_first_character(JOBS_PREFIX, JOB_ID_CHARACTERS)
+        return read_range(self._host, parts, lambda: term.has_ended)
+
+    def read_progress(self, term: OwnerTerm, jobs: RangeRead) -> Flow:
+        """Read the progress documents of the jobs that were read.
+
+        :returns: a :class:`RangeRead`, incomplete if the term ends meanwhile.
+        """
+        parsed = [JobKeys.parse(key) for key in jobs.item_by_key]
+        characters = {job[0][:1] for job in parsed if job is not None}
+        parts = [RangePart(PROGRESS_PREFIX + first) for first in sorted(characters)]
+        return read_range(self._host, parts, lambda: term.has_ended)
 
     def load_jobs(self, term: OwnerTerm, items: Iterable[KeyValue]) -> None:
         """Add the jobs whose submissions are among the items, in order of revision."""
@@ -175,9 +187,10 @@
                 continue
             if result.status is not StoreStatus.OK:
                 log_event("jobs_history_gone", revision=revision)
-                revision, items = yield from self.read_all(term, JOBS_PREFIX)
-                self.load_jobs(term, items)
-                self.load_states(term, items)
+                jobs = yield from self.read_jobs(term)
+                revision = jobs.revision
+                self.load_jobs(term, jobs.items)
+                self.load_states(term, jobs.items)
                 self._host.plan_and_commit()
                 continue
             revision = max(revision, result.revision)
@@ -203,8 +216,8 @@
             committed=watched.committed_revision,
             seen=watched.seen_revision,
         )
-        _, items = yield from self.read_all(term, JOBS_PREFIX)
-        for item in items:
+        jobs = yield from self.read_jobs(term)
+        for item in jobs.items:
             self._apply_change(term, item)
         self._host.plan_and_commit()
 
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -11,7 +11,6 @@
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.role import STORE, WAKE, CallFailed, Tick, WakeAfter
 from ..upstream.tasks import Advice
-from ..workload.documents import JOBS_PREFIX, PROGRESS_PREFIX
 from .advisors import AdvisorBalancer
 from .dispatch import Dispatcher
 from .jobs import JobWatcher
@@ -122,15 +121,15 @@
     def _take_over(self, term: OwnerTerm) -> Flow:
         """Load every job, then start watching the store and the workers."""
         began = self.now.mono
-        revision, jobs = yield from self._jobs.read_all(term, JOBS_PREFIX)
-        _, progress = yield from self._jobs.read_all(term, PROGRESS_PREFIX)
+        jobs = yield from self._jobs.read_jobs(term)
+        progress = yield from self._jobs.read_progress(term, jobs)
         if term.has_ended:
             return
         if self._policy is not None:
             term.apply_policy(self._policy)
-        self._jobs.load_jobs(term, jobs)
-        self._jobs.load_progress(term, progress)
-        self._jobs.load_states(term, jobs)
+        self._jobs.load_jobs(term, jobs.items)
+        self._jobs.load_progress(term, progress.items)
+        self._jobs.load_states(term, jobs.items)
         term.loaded = True
         log_event(
             "jobs_loaded",
@@ -138,7 +137,7 @@
             jobs=len(term.record_by_id),
             took_s=round(self.now.mono - began, 3),
         )
-        self.start(self._jobs.watch(term, revision))
+        self.start(self._jobs.watch(term, jobs.revision))
         self.start(self._workers.monitor(term))
         self.start(self._advisors.poll_entries(term))
 
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -6,8 +6,8 @@
 
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
-from ..runtime.role import STORE, UPSTREAM, CallFailed
-from ..store.messages import ReadRange
+from ..runtime.role import UPSTREAM
+from ..store.range_reader import RangePart, read_range
 from ..upstream.tasks import Refusal, SyncWorker, WorkerAddress, WorkerReport
 from .dispatch import COMMAND_TIMEOUT_S
 from .reports import apply_report
@@ -23,8 +23,6 @@
 
 __all__ = ["WorkerMonitor"]
 
-READ_TIMEOUT_S = 1.0
-RETRY_DELAY_S = 0.1
 DIRECTORY_POLL_INTERVAL_S = 0.5
 # Workers whose store leases expired during a store outage are listed again after
 # about two seconds; until then no worker counts as missing.
@@ -54,33 +52,17 @@
     def monitor(self, term: OwnerTerm) -> Flow:
         """Poll the worker directory while the term lasts."""
         healthy_since = self._host.now.mono
+        parts = [RangePart(self._directory.prefix)]
         while not term.has_ended:
-            result = yield from self._read_directory(term)
-            if result is None:
-                healthy_since = float("inf")
-                yield Sleep(RETRY_DELAY_S)
-                continue
-            healthy_since = min(healthy_since, self._host.now.mono)
-            self._apply_directory(term, result, healthy_since)
+            listed = yield from read_range(self._host, parts, lambda: term.has_ended)
+            if term.has_ended:
+                return
+            if listed.failures:
+                healthy_since = self._host.now.mono
+            self._apply_directory(term, listed.items, healthy_since)
             self._host.plan_and_commit()
             yield Sleep(DIRECTORY_POLL_INTERVAL_S)
 
-    def _read_directory(self, term: OwnerTerm) -> Flow:
-        """Return all directory items, or ``None`` after a failure."""
-        items: list[KeyValue] = []
-        after = ""
-        while not term.has_ended:
-            operation = ReadRange(self._directory.prefix, after)
-            result = yield Call(STORE, operation, READ_TIMEOUT_S)
-            if isinstance(result, CallFailed):
-                log_event("directory_read_failed", reason=result.reason)
-                return None
-            items += result.entries
-            if not result.truncated or not result.entries:
-                break
-            after = result.entries[-1].key
-        return items
-
     def _apply_directory(
         self, term: OwnerTerm, items: list[KeyValue], healthy_since: float
     ) -> None:
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -25,6 +25,8 @@
 FORMAT = 1
 JOBS_PREFIX = "lagoonpulley/jobs/"
 PROGRESS_PREFIX = "lagoonpulley/progress/"
+# Characters of the job ids that callers may choose.
+JOB_ID_CHARACTERS = "0123456789abcdefABCDEF"
 SUBMISSION = "submission"
 FINAL = "final"
 CANCEL = "cancel"
--- /dev/null
+++ b/tests/store/test_range_reader.py
@@ -0,0 +1,151 @@
+"""Tests of reading a prefix in parts, against the store stand-in."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonpulley.model.verdict import Ran
+from lagoonpulley.runtime.flows import Call, Sleep
+from lagoonpulley.runtime.role import CallFailed, Now
+from lagoonpulley.standin.store import StoreState
+from lagoonpulley.store.messages import Transaction, Write
+from lagoonpulley.store.range_reader import (
+    MAX_CALLS_IN_FLIGHT,
+    MAX_TIMEOUT_S,
+    RangePart,
+    read_range,
+    split_by_first_character,
+)
+
+HEX = "0123456789abcdefABCDEF"
+PREFIX = "jobs/"
+
+
+class Reading:
+    """Runs a read against a store; each batch of calls takes a given time."""
+
+    def __init__(self, parts, took_s=0.01):
+        self.store = StoreState()
+        self.clock = SimpleNamespace(now=Now(0.0, 0.0))
+        self.took_s = took_s
+        self.parts = parts
+        self.batches = []
+        # Returns a failure, or None if the store answers the call.
+        self.failure_of = lambda call: None
+
+    def put(self, key, value="value"):
+        self.store.apply(Transaction(puts=(Write(key, value),)), 0.0)
+
+    def run(self, has_ended=lambda: False):
+        flow = read_range(self.clock, self.parts, has_ended)
+        results = None
+        while True:
+            try:
+                yielded = flow.send(results)
+            except StopIteration as stopped:
+                return stopped.value
+            results = None
+            if isinstance(yielded, Sleep):
+                self._advance(yielded.duration_s)
+                continue
+            self.batches.append(yielded)
+            results = [self._answer(call) for call in yielded]
+            self._advance(self.took_s)
+
+    def _answer(self, call: Call):
+        failed = self.failure_of(call)
+        return failed or self.store.apply(call.operation, 0.0)
+
+    def _advance(self, seconds):
+        self.clock.now = Now(self.clock.now.mono + seconds, 0.0)
+
+
+@pytest.fixture
+def reading():
+    return Reading(split_by_first_character(PREFIX, HEX))
+
+
+def test_every_key_is_read_whatever_follows_the_prefix(reading):
+    rng = random.Random(1)
+    ids = [f"{rng.getrandbits(64):016x}" for _ in range(2000)]
+    ids += ["", " ", "~", "g0", "Zz", ":", "_", "!", "\x7f", "é", "f~", "\U0010ffff"]
+    keys = {PREFIX + job_id + "/submission" for job_id in ids}
+    for key in keys | {"jobs", "jobs0"}:
+        reading.put(key)
+    assert set(reading.run().item_by_key) == keys
+
+
+def test_part_of_several_pages_is_read_to_its_end():
+    reading = Reading([RangePart(PREFIX)])
+    for number in range(1200):
+        reading.put(f"{PREFIX}{number:06}")
+    assert len(reading.run().items) == 1200
+    assert len(reading.batches) == 3
+
+
+def test_revision_is_the_lowest_of_all_pages(reading):
+    reading.put(PREFIX + "a")
+    lowest = reading.store.revision
+    reading.failure_of = lambda call: reading.put("other")
+    read = reading.run()
+    assert read.revision == lowest + 1
+    assert reading.store.revision > read.revision
+
+
+def test_part_that_was_read_is_not_read_again_after_failures(reading):
+    for character in HEX:
+        reading.put(PREFIX + character)
+    rng = random.Random(1)
+    failed = CallFailed(Ran.MAYBE, "no answer")
+    answered = []
+
+    def fail_some(call):
+        if rng.random() < 0.5:
+            return failed
+        answered.append(call.operation)
+        return None
+
+    reading.failure_of = fail_some
+    read = reading.run()
+    assert len(read.items) == len(HEX)
+    assert len(answered) == len(set(answered)) == len(reading.parts)
+    assert read.failures == sum(map(len, reading.batches)) - len(answered)
+
+
+def test_call_that_used_up_its_timeout_gets_a_longer_one():
+    reading = Reading([RangePart(PREFIX)], took_s=MAX_TIMEOUT_S)
+    failed = CallFailed(Ran.MAYBE, "timeout")
+    reading.failure_of = lambda call: failed if len(reading.batches) < 6 else None
+    reading.run()
+    timeouts = [call.timeout_s for batch in reading.batches for call in batch]
+    assert timeouts == [1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
+
+
+def test_call_that_failed_early_keeps_its_timeout():
+    reading = Reading([RangePart(PREFIX)], took_s=0.1)
+    failed = CallFailed(Ran.NO, "connection refused")
+    reading.failure_of = lambda call: failed if len(reading.batches) < 4 else None
+    reading.run()
+    timeouts = [call.timeout_s for batch in reading.batches for call in batch]
+    assert timeouts == [1.0] * 4
+
+
+@pytest.mark.parametrize(("took_s", "most"), [(0.01, MAX_CALLS_IN_FLIGHT), (0.5, 2)])
+def test_number_of_calls_in_flight_is_bounded(took_s, most):
+    reading = Reading(split_by_first_character(PREFIX, HEX), took_s)
+    reading.run()
+    assert max(map(len, reading.batches)) == most
+
+
+def test_slow_calls_are_made_one_at_a_time():
+    reading = Reading(split_by_first_character(PREFIX, HEX), took_s=0.5)
+    reading.run()
+    assert {len(batch) for batch in reading.batches[1:]} == {1}
+
+
+def test_read_stops_when_it_is_no_longer_needed(reading):
+    reading.run(has_ended=lambda: len(reading.batches) >= 2)
+    assert len(reading.batches) == 2
