Let reads take as long as their answer keeps arriving

The entry then counted the store as away, and asked another entry to relay the read over the same link.

A call may have a total timeout. Its other timeout then limits how long nothing arrives, so that a silent connection is found as soon as before. Reads of a prefix and the watch of the jobs use it. A failure after part of an answer no longer counts the store as away and is not relayed.

An entry that relays a call now waits as long as the calling entry does, which gRPC tells it, in place of 0.8 s. Other calls of entries end at the caller's deadline, too.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -39,6 +39,8 @@
 RETRY_DELAY_S = 0.05
 WATCH_WAIT_S = 1.0
 WATCH_TIMEOUT_S = 1.5
+# The first answer contains all changes since the jobs were read.
+WATCH_TOTAL_TIMEOUT_S = 10.0
 # Final states are kept slightly longer than the retention promised to callers.
 RETENTION_SLACK_S = 10.0
 MAX_JOBS_PER_DELETE = 12
@@ -180,7 +182,7 @@
         watched = self._watched = _WatchProgress()
         while not term.has_ended:
             watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
-            result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
+            result = yield Call(STORE, watch, WATCH_TIMEOUT_S, WATCH_TOTAL_TIMEOUT_S)
             if isinstance(result, CallFailed):
                 log_event("jobs_watch_failed", reason=result.reason)
                 yield Sleep(RETRY_DELAY_S)
--- a/src/lagoonpulley/peers/port.py
+++ b/src/lagoonpulley/peers/port.py
@@ -151,10 +151,11 @@
         request_id = f"peer:{self._incoming_count}"
         future: asyncio.Future[Any] = self._loop.create_future()
         self._future_by_request_id[request_id] = future
-        request = Request(request_id, PEERS, message, INCOMING_TIMEOUT_S)
+        timeout_s = _remaining_s(stream)
+        request = Request(request_id, PEERS, message, timeout_s)
         self._deliver(method.role, request)
         try:
-            result = await asyncio.wait_for(future, INCOMING_TIMEOUT_S)
+            result = await asyncio.wait_for(future, timeout_s)
         except TimeoutError:
             raise GRPCError(Status.DEADLINE_EXCEEDED) from None
         finally:
@@ -175,6 +176,13 @@
             await asyncio.wait_for(self._server.wait_closed(), CONNECT_TIMEOUT_S)
 
 
+def _remaining_s(stream: Stream[Any, Any]) -> float:
+    """Return for how many more seconds the calling entry waits for the answer."""
+    if stream.deadline is None:
+        return INCOMING_TIMEOUT_S
+    return min(INCOMING_TIMEOUT_S, stream.deadline.time_remaining())
+
+
 class _Service:
     """The gRPC service, which passes each call to the port."""
 
--- a/src/lagoonpulley/peers/store_relay.py
+++ b/src/lagoonpulley/peers/store_relay.py
@@ -24,7 +24,7 @@
 MAX_RELAYS_PER_CALL = 2
 # Added to the timeout of the relayed call itself for the hop to the other entry.
 RELAY_OVERHEAD_S = 0.2
-RELAYED_TIMEOUT_S = 0.8
+MIN_RELAYED_TIMEOUT_S = 0.1
 PROBE_INTERVAL_S = 0.3
 PROBE_TIMEOUT_S = 0.5
 # After a relayed call fails, calls that follow within this time fail at once; each of
@@ -85,8 +85,8 @@
             refused = StoreAnswer(reason="the store is away from here as well")
             self.answer(request, refused)
             return
-        wait_s = getattr(request.operation, "wait_s", 0.0)
-        result = yield Call(STORE, request.operation, RELAYED_TIMEOUT_S + wait_s)
+        timeout_s = max(MIN_RELAYED_TIMEOUT_S, request.timeout_s - RELAY_OVERHEAD_S)
+        result = yield Call(STORE, request.operation, timeout_s)
         if isinstance(result, CallFailed):
             self.answer(request, StoreAnswer(None, result.ran, result.reason))
         else:
--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..model.verdict import Ran
@@ -50,7 +51,8 @@
         """Start one operation; the reply follows when it completes."""
         operation = message.operation
         call = self._codec.encode(operation, message.timeout_s)
-
+        if message.total_timeout_s is not None:
+            call = replace(call, total_timeout_s=message.total_timeout_s)
         started_at = time.monotonic()
 
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
--- a/src/lagoonpulley/platform/store.py
+++ b/src/lagoonpulley/platform/store.py
@@ -112,7 +112,7 @@
     ) -> StoreResult | CallFailed:
         """Return the result of an operation, decoded from its HTTP answer."""
         if isinstance(outcome, HttpFailure):
-            return CallFailed(outcome.ran, outcome.reason)
+            return CallFailed(outcome.ran, outcome.reason, outcome.partial)
         if outcome.status in NOT_EXECUTED_STATUSES:
             return CallFailed(Ran.NO, f"store answered {outcome.status}")
         status = _to_store_status(outcome.status)
--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -34,13 +34,18 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
-    """One HTTP request; ``timeout_s`` is its total timeout in seconds."""
+    """One HTTP request; timeouts are in seconds.
+
+    Without a ``total_timeout_s``, ``timeout_s`` limits the whole request. With one,
+    ``timeout_s`` limits how long no part of the response body arrives.
+    """
 
     method: str
     url: str
     body: bytes
     timeout_s: float
     headers: tuple[str, ...] = ("Content-Type: application/json",)
+    total_timeout_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +60,13 @@
 class HttpFailure:
     """A request without a complete response.
 
-    ``ran`` says whether the server may have received the request.
+    ``ran`` says whether the server may have received the request, ``partial`` whether
+    part of the response body arrived.
     """
 
     ran: Ran
     reason: str
+    partial: bool = False
 
 
 HttpOutcome = HttpAnswer | HttpFailure
@@ -68,11 +75,24 @@
 
 @dataclass(slots=True)
 class _Transfer:
-    """A request in flight and the buffer for its response body."""
+    """A request in flight and the buffer for its response body.
+
+    ``received_bytes`` is the length of the body when it was last seen to grow, at the
+    monotonic time ``progress_at``.
+    """
 
     call: HttpCall
     complete: Completion
     buffer: io.BytesIO
+    progress_at: float
+    received_bytes: int = 0
+
+    def silent_at(self, now: float) -> float:
+        """Return when the request times out if nothing more arrives."""
+        if self.buffer.tell() != self.received_bytes:
+            self.received_bytes = self.buffer.tell()
+            self.progress_at = now
+        return self.progress_at + self.call.timeout_s
 
 
 class CurlLoop:
@@ -95,6 +115,9 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CACHED_CONNECTIONS)
         self._timer_at: float | None = None
         self._transfer_by_handle: dict[pycurl.Curl, _Transfer] = {}
+        # The transfers with a total timeout, which may not be silent for too long.
+        self._watched_by_handle: dict[pycurl.Curl, _Transfer] = {}
+        self._silence_check_at: float | None = None
         self._spare_handles: list[pycurl.Curl] = []
         self._closing = False
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
@@ -131,12 +154,15 @@
             self._start_submitted()
             self._fire_timer()
             self._finish_transfers()
+            self._stop_silent_transfers()
         self._shut_down()
 
     def _wait_s(self) -> float:
-        if self._timer_at is None:
+        times = (self._timer_at, self._silence_check_at)
+        due = [at for at in times if at is not None]
+        if not due:
             return IDLE_WAIT_S
-        return max(0.0, min(IDLE_WAIT_S, self._timer_at - time.monotonic()))
+        return max(0.0, min(IDLE_WAIT_S, min(due) - time.monotonic()))
 
     def _on_ready(self, descriptor: int, mask: int) -> None:
         if descriptor == self._wake_reader.fileno():
@@ -177,12 +203,18 @@
         handle.setopt(pycurl.TCP_NODELAY, 1)
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
-        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
+        limit_s = call.timeout_s
+        if call.total_timeout_s is not None:
+            limit_s = max(limit_s, call.total_timeout_s)
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(limit_s * 1000)))
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
         handle.setopt(pycurl.WRITEDATA, buffer)
         if call.body:
             handle.setopt(pycurl.POSTFIELDS, call.body)
-        self._transfer_by_handle[handle] = _Transfer(call, complete, buffer)
+        transfer = _Transfer(call, complete, buffer, progress_at=time.monotonic())
+        self._transfer_by_handle[handle] = transfer
+        if call.total_timeout_s is not None:
+            self._watched_by_handle[handle] = transfer
         self._multi.add_handle(handle)
 
     def _on_socket(self, event: int, descriptor: int, _multi: object, _data: object):
@@ -225,19 +257,33 @@
             if not remaining:
                 return
 
+    def _stop_silent_transfers(self) -> None:
+        now = time.monotonic()
+        self._silence_check_at = None
+        for handle, transfer in list(self._watched_by_handle.items()):
+            silent_at = transfer.silent_at(now)
+            if silent_at <= now:
+                reason = f"no data for {transfer.call.timeout_s:.1f} s"
+                code = pycurl.E_OPERATION_TIMEDOUT
+                self._finish(handle, self._failure_of(handle, code, reason))
+                continue
+            if self._silence_check_at is None or silent_at < self._silence_check_at:
+                self._silence_check_at = silent_at
+
     def _answer_of(self, handle: pycurl.Curl) -> HttpAnswer:
         body = self._transfer_by_handle[handle].buffer.getvalue()
         return HttpAnswer(handle.getinfo(pycurl.RESPONSE_CODE), body)
 
-    @staticmethod
-    def _failure_of(handle: pycurl.Curl, code: int, message: str) -> HttpFailure:
+    def _failure_of(self, handle: pycurl.Curl, code: int, message: str) -> HttpFailure:
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
         if code in _NOT_SENT_ERRORS or not sent:
             return HttpFailure(Ran.NO, message)
-        return HttpFailure(Ran.MAYBE, message)
+        partial = self._transfer_by_handle[handle].buffer.tell() > 0
+        return HttpFailure(Ran.MAYBE, message, partial)
 
     def _finish(self, handle: pycurl.Curl, outcome: HttpOutcome) -> None:
         transfer = self._transfer_by_handle.pop(handle)
+        self._watched_by_handle.pop(handle, None)
         self._multi.remove_handle(handle)
         handle.reset()
         self._spare_handles.append(handle)
@@ -248,6 +294,7 @@
             self._multi.remove_handle(handle)
             handle.close()
         self._transfer_by_handle.clear()
+        self._watched_by_handle.clear()
         for handle in self._spare_handles:
             handle.close()
         self._multi.close()
--- a/src/lagoonpulley/runtime/flows.py
+++ b/src/lagoonpulley/runtime/flows.py
@@ -16,12 +16,14 @@
 class Call:
     """A call to another role or port whose result a flow waits for.
 
-    ``timeout_s`` is in seconds. Only ports enforce it; roles do not.
+    The timeouts are in seconds, see :class:`~.role.Request`. Only ports enforce them;
+    roles do not.
     """
 
     to: str
     operation: Any
     timeout_s: float
+    total_timeout_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +117,13 @@
         for index, call in enumerate(calls):
             request_id = self._next_request_id()
             self._pending_by_request_id[request_id] = (pending, index)
-            request = Request(request_id, self.name, call.operation, call.timeout_s)
+            request = Request(
+                request_id,
+                self.name,
+                call.operation,
+                call.timeout_s,
+                call.total_timeout_s,
+            )
             self.emit(call.to, request)
 
     def _resume_sleeping(self) -> None:
--- a/src/lagoonpulley/runtime/role.py
+++ b/src/lagoonpulley/runtime/role.py
@@ -49,13 +49,15 @@
     """An operation that requires exactly one :class:`Reply`.
 
     ``timeout_s`` is the timeout in seconds, after which a port replies with
-    :class:`CallFailed`.
+    :class:`CallFailed`. With a ``total_timeout_s``, the call may take up to that time,
+    and ``timeout_s`` limits how long no part of the answer arrives.
     """
 
     request_id: str
     reply_to: str
     operation: Any
     timeout_s: float
+    total_timeout_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,11 +72,13 @@
 class CallFailed:
     """Result of a call that was not sent or got no valid answer.
 
-    ``ran`` says whether the call may have taken effect.
+    ``ran`` says whether the call may have taken effect. ``partial`` means that part of
+    an answer arrived, so the other side was reachable.
     """
 
     ran: Any
     reason: str
+    partial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/store/range_reader.py
+++ b/src/lagoonpulley/store/range_reader.py
@@ -19,8 +19,10 @@
 
 __all__ = ["RangePart", "RangeRead", "read_range", "split_by_first_character"]
 
+# Of calls during which nothing arrives, or which another entry relays.
 INITIAL_TIMEOUT_S = 1.0
 MAX_TIMEOUT_S = 8.0
+TOTAL_TIMEOUT_S = 10.0
 RETRY_DELAY_S = 0.05
 INITIAL_CALLS_IN_FLIGHT = 2
 MAX_CALLS_IN_FLIGHT = 16
@@ -105,7 +107,8 @@
         ]
         sent_at = timekeeper.now.mono
         results = yield [
-            Call(STORE, ReadRange(part.prefix, part.after), timeout_s) for part in batch
+            Call(STORE, ReadRange(part.prefix, part.after), timeout_s, TOTAL_TIMEOUT_S)
+            for part in batch
         ]
         took_s = timekeeper.now.mono - sent_at
         failures_before = read.failures
--- a/src/lagoonpulley/store/route.py
+++ b/src/lagoonpulley/store/route.py
@@ -59,6 +59,10 @@
             :class:`RelayCall` if the call failed and is safe to retry.
         """
         answered = not isinstance(result, CallFailed)
+        if not answered and result.partial:
+            # The store is reachable, and the answer would cross the same slow link if
+            # another entry relayed it.
+            return request.reply_to, Reply(request.request_id, result)
         self._store_health.record_direct_result(answered)
         if answered:
             self._store_health.record_result(answered=True)
--- a/tests/store/test_route.py
+++ b/tests/store/test_route.py
@@ -26,6 +26,7 @@
 CHANGE = Transaction()
 NOT_RUN = CallFailed(Ran.NO, "busy")
 NO_ANSWER = CallFailed(Ran.MAYBE, "timeout")
+PART_OF_ANSWER = CallFailed(Ran.MAYBE, "timeout", partial=True)
 ANSWER = StoreResult(StoreStatus.OK)
 
 
@@ -94,3 +95,13 @@
     assert store_health.is_unreachable()
     route.route_result(request(READ), ANSWER)
     assert not store_health.is_unreachable()
+
+
+def test_call_whose_answer_arrived_in_part_does_not_count_the_store_as_away(
+    route, store_health
+):
+    for _ in range(4):
+        to, message = route.route_result(request(READ), PART_OF_ANSWER)
+        assert (to, message) == ("owner", Reply("id", PART_OF_ANSWER))
+    assert not store_health.is_directly_unreachable()
+    assert not store_health.is_unreachable()
