Store each entry's capacity in its document

Callers saw nothing yet: elections could not tell a small entry from a large one. Decode the limits of the settings file once, and register processors and link with the entry.

--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -11,7 +11,7 @@
 from ..intake.readiness import EntryReadiness
 from ..intake.role import IntakeRole
 from ..owner.advisor_role import AdvisorRole
-from ..owner.entries import EntryDocument
+from ..owner.entries import EntryCapacity, EntryDocument
 from ..owner.messages import Resign
 from ..owner.role import OwnerRole
 from ..owner.session import SessionRole
@@ -136,6 +136,9 @@
             life=uuid.uuid4().hex,
             peer_address=self._peers.address,
             data_centre=settings.data_centre,
+            capacity=EntryCapacity.from_limits(
+                settings.processors_milli, settings.link_mbps
+            ),
         )
         owner = OwnerRole(
             OwnerSettings(
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -16,6 +16,7 @@
 
 SETTINGS_VARIABLE = "LAGOONPULLEY_SETTINGS"
 MS_PER_S = 1000
+MILLI_PER_PROCESSOR = 1000
 
 
 class _Listen(BaseModel):
@@ -44,6 +45,14 @@
     address: str = ""
 
 
+class _Limits(BaseModel):
+    """Limits of the process; ``cores`` multiplies the speed of its processor share."""
+
+    cpu_share: float = Field(0.0, alias="cpuShare", ge=0, allow_inf_nan=False)
+    cores: int = Field(1, ge=0)
+    link_mbps: float = Field(0.0, alias="linkMbps", ge=0, allow_inf_nan=False)
+
+
 class _File(BaseModel):
     node: str
     zone: str
@@ -52,6 +61,7 @@
     port_range: tuple[int, int] = Field(alias="portRange")
     platform: _Platform
     bounds: _Bounds = Field(default_factory=_Bounds)
+    limits: _Limits | None = None
     advice: str = ""
     cloud: _Cloud | None = None
 
@@ -64,7 +74,8 @@
     the longest time that a worker keeps its tasks running without a lease extension,
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
     start, ``retention_s`` how long a final state is kept, and ``stop_deadline_s`` the
-    longest time of a drain.
+    longest time of a drain. ``processors_milli`` is in thousandths of a processor and
+    ``link_mbps`` in Mbit/s; 0 means unknown.
     """
 
     entry_id: str
@@ -82,6 +93,8 @@
     retention_s: float
     stop_deadline_s: float
     shortest_session_s: float
+    processors_milli: int
+    link_mbps: float
 
 
 def read_settings(path: str | None = None) -> Result[PlatformSettings, str]:
@@ -106,6 +119,7 @@
 
 def _to_settings(file: _File) -> PlatformSettings:
     bounds = file.bounds
+    limits = file.limits or _Limits()
     return PlatformSettings(
         entry_id=file.node,
         data_centre=file.zone,
@@ -122,4 +136,6 @@
         retention_s=float(bounds.status_s),
         stop_deadline_s=bounds.grace_s,
         shortest_session_s=file.platform.ttl_min_ms / MS_PER_S,
+        processors_milli=round(limits.cpu_share * limits.cores * MILLI_PER_PROCESSOR),
+        link_mbps=limits.link_mbps,
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -20,3 +20,17 @@
 
 def test_settings_missing_file(tmp_path):
     assert "No such file" in read_settings(str(tmp_path / "none")).error
+
+
+def test_settings_without_limits_leave_the_capacity_unknown(settings_file):
+    settings = read_settings(str(settings_file)).ok
+    assert settings.processors_milli == 0
+    assert settings.link_mbps == 0
+
+
+def test_settings_limits_give_the_capacity(settings_file):
+    limits = "limits: {cpuShare: 0.717, cores: 3, linkMbps: 200.0, memoryMb: 300}\n"
+    settings_file.write_text(settings_file.read_text() + limits)
+    settings = read_settings(str(settings_file)).ok
+    assert settings.processors_milli == 2151
+    assert settings.link_mbps == 200.0
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -15,7 +15,7 @@
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.model.verdict import Ran
 from lagoonpulley.owner.advisor_role import AdvisorRole
-from lagoonpulley.owner.entries import EntryDocument
+from lagoonpulley.owner.entries import EntryCapacity, EntryDocument
 from lagoonpulley.owner.role import OwnerRole
 from lagoonpulley.owner.session import SessionRole
 from lagoonpulley.owner.settings import OwnerSettings
@@ -59,6 +59,8 @@
 CAPACITY = Resources(16000, 65536, 0)
 POLICY_KEY = "test/policy"
 WORKERS_PREFIX = "test/workers/"
+STRONG = EntryCapacity(processors_milli=2000, link_mbps=200.0)
+WEAK = EntryCapacity(processors_milli=500, link_mbps=10.0)
 
 
 class JsonPolicy:
@@ -128,7 +130,10 @@
 
 
 class StepWorld:
-    """Entries, workers and the store of a small simulated cell."""
+    """Entries, workers and the store of a small simulated cell.
+
+    The capacity of an entry that is not in ``capacity_by_name`` is unknown.
+    """
 
     def __init__(self, entries: int = 2, workers: int = 3, seed: int = 1) -> None:
         self.clock = Clock()
@@ -153,6 +158,7 @@
         self.failing_workers: set[str] = set()
         self.silent_starts: set[str] = set()
         self.entry_by_name: dict[str, StepEntry] = {}
+        self.capacity_by_name: dict[str, EntryCapacity] = {}
         # How many of the next direct calls to the advisor fail.
         self.advice_failures = 0
         # Workers for which the advisor gives no permit.
@@ -207,6 +213,7 @@
             life=str(self.incarnation_count),
             peer_address=name,
             data_centre="a",
+            capacity=self.capacity_by_name.get(name),
         )
         store_health = StoreHealthTracker(lambda: self.clock.now)
         rng = random.Random(self.incarnation_count)
