Let stronger entries try first in an election

Callers saw starts stop after a takeover under load: any entry could become the owner, also one with a fraction of the processor time and link of others.

Cause: candidates were told apart only by a random delay.

Change: a candidate reads the registered entries once for each vacancy, while its random delay runs. If live entries have twice its processors or link, and no less of the other, it waits 0.3 s and then reads the owner record again. Candidates without a stronger entry wait no longer than before, unless the read takes longer than that delay. 'elected' names the capacity and counts the stronger entries that did not win.

--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -16,6 +16,7 @@
     Get,
     GrantLease,
     KeyValue,
+    ReadRange,
     RenewLease,
     RevokeLease,
     StoreStatus,
@@ -23,7 +24,7 @@
     WatchPrefix,
     Write,
 )
-from .entries import ENTRIES_PREFIX, EntryDocument
+from .entries import ENTRIES_PREFIX, EntryDocument, stronger_entries
 from .journal import HEAD_KEY
 from .messages import Deposed, Elected, Resign, SessionExtended, StoodDown
 
@@ -39,6 +40,9 @@
 RETRY_DELAY_S = 0.15
 # Candidates delay their attempts at random, so that they do not all try at once.
 ELECTION_JITTER_S = 0.1
+# How long a candidate lets stronger entries try first, once for each vacancy.
+HEAD_START_S = 0.3
+ENTRIES_TIMEOUT_S = 0.3
 
 
 @dataclass(slots=True)
@@ -70,6 +74,9 @@
         self._session: _Session | None = None
         self._is_owner = False
         self._token = 0
+        # Lives of the stronger entries that had a head start; ``None`` before this
+        # candidate has looked for them.
+        self._stronger_lives: frozenset[str] | None = None
         self._resigned = False
         self._running = False
 
@@ -139,6 +146,7 @@
                 yield from self._attempt_election()
                 continue
             self._check_owner_record(result.entry)
+            self._stronger_lives = None
             yield from self._watch(result.revision)
 
     def _check_owner_record(self, item: KeyValue) -> None:
@@ -159,10 +167,21 @@
             return
         self._is_owner = True
         self._token = revision
-        log_event("elected", token=revision, entry=self._document.name)
+        self._log_elected(revision)
         self.emit(self._owner_role, Elected(revision, revision))
         self._report_session(session)
 
+    def _log_elected(self, revision: int) -> None:
+        capacity = self._document.capacity
+        log_event(
+            "elected",
+            token=revision,
+            entry=self._document.name,
+            processors_milli=capacity.processors_milli if capacity else 0,
+            link_mbps=capacity.link_mbps if capacity else 0.0,
+            stronger_entries=len(self._stronger_lives or ()),
+        )
+
     def _watch(self, revision: int) -> Flow:
         """Wait until the owner record may have changed."""
         while not self._resigned:
@@ -176,9 +195,14 @@
             revision = max(revision, result.revision)
 
     def _attempt_election(self) -> Flow:
-        yield Sleep(self._rng.random() * ELECTION_JITTER_S)
-        session = self._session
-        if session is None or session.ends_at <= self.now.mono:
+        jitter_ends_at = self.now.mono + self._rng.random() * ELECTION_JITTER_S
+        if (yield from self._gave_head_start()):
+            return
+        yield Sleep(max(0.0, jitter_ends_at - self.now.mono))
+        if (yield from self._gave_head_start()):
+            return
+        session = self._valid_session()
+        if session is None:
             yield Sleep(RETRY_DELAY_S)
             return
         head = yield Call(STORE, Get(HEAD_KEY), CALL_TIMEOUT_S)
@@ -200,6 +224,37 @@
         elif result.ok:
             self._become_owner(result.revision)
 
+    def _valid_session(self) -> _Session | None:
+        """Return the session unless it may have expired."""
+        session = self._session
+        if session is None or session.ends_at <= self.now.mono:
+            return None
+        return session
+
+    def _gave_head_start(self) -> Flow:
+        """Wait once for each vacancy if there are stronger live entries.
+
+        Does nothing before the session is open, because the entries of a cell that
+        starts are registered together.
+
+        :returns: whether the flow has waited.
+        """
+        capacity = self._document.capacity
+        known = self._stronger_lives is not None
+        if known or capacity is None or self._valid_session() is None:
+            return False
+        self._stronger_lives = frozenset()
+        read = ReadRange(ENTRIES_PREFIX)
+        result = yield Call(STORE, read, ENTRIES_TIMEOUT_S)
+        if isinstance(result, CallFailed):
+            return False
+        stronger = stronger_entries(result.entries, self._document.name, capacity)
+        if not stronger:
+            return False
+        self._stronger_lives = frozenset(document.life for document in stronger)
+        yield Sleep(HEAD_START_S)
+        return True
+
     def _is_mine(self, item: KeyValue) -> bool:
         try:
             document = EntryDocument.model_validate_json(item.value)
