--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -17,6 +17,7 @@
 SETTINGS_VARIABLE = "LAGOONPULLEY_SETTINGS"
 MS_PER_S = 1000
 BYTES_PER_MEGABIT = 125_000
+MILLI_PER_PROCESSOR = 1000
 
 
 class _Listen(BaseModel):
@@ -43,14 +44,18 @@
     reads_per_s: float | None = Field(None, alias="readsPerS")
 
 
-class _Limits(BaseModel):
-    link_mbps: float | None = Field(None, alias="linkMbps")
-
-
 class _Cloud(BaseModel):
     address: str = ""
 
 
+class _Limits(BaseModel):
+    """Limits of the process; ``cores`` multiplies the speed of its processor share."""
+
+    cpu_share: float = Field(0.0, alias="cpuShare", ge=0, allow_inf_nan=False)
+    cores: int = Field(1, ge=0)
+    link_mbps: float = Field(0.0, alias="linkMbps", ge=0, allow_inf_nan=False)
+
+
 class _File(BaseModel):
     node: str
     zone: str
@@ -59,7 +64,7 @@
     port_range: tuple[int, int] = Field(alias="portRange")
     platform: _Platform
     bounds: _Bounds = Field(default_factory=_Bounds)
-    limits: _Limits = Field(default_factory=_Limits)
+    limits: _Limits | None = None
     advice: str = ""
     cloud: _Cloud | None = None
 
@@ -73,7 +78,8 @@
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
     start, ``retention_s`` how long a final state is kept, and ``stop_deadline_s`` the
     longest time of a drain. The rates of store calls are those that all entries
-    together may make; they and the entry's own link are ``None`` if unknown.
+    together may make; ``None`` means unknown. ``processors_milli`` is in thousandths
+    of a processor and ``link_mbps`` in Mbit/s; 0 means unknown.
     """
 
     entry_id: str
@@ -93,7 +99,13 @@
     shortest_session_s: float
     store_writes_per_s: float | None
     store_reads_per_s: float | None
-    link_bytes_per_s: float | None
+    processors_milli: int
+    link_mbps: float
+
+    @property
+    def link_bytes_per_s(self) -> float | None:
+        """Bandwidth of the entry's link in bytes per second, ``None`` if unknown."""
+        return self.link_mbps * BYTES_PER_MEGABIT or None
 
 
 def read_settings(path: str | None = None) -> Result[PlatformSettings, str]:
@@ -118,7 +130,7 @@
 
 def _to_settings(file: _File) -> PlatformSettings:
     bounds = file.bounds
-    link_mbps = file.limits.link_mbps
+    limits = file.limits or _Limits()
     return PlatformSettings(
         entry_id=file.node,
         data_centre=file.zone,
@@ -137,5 +149,6 @@
         shortest_session_s=file.platform.ttl_min_ms / MS_PER_S,
         store_writes_per_s=file.platform.writes_per_s,
         store_reads_per_s=file.platform.reads_per_s,
-        link_bytes_per_s=link_mbps and link_mbps * BYTES_PER_MEGABIT,
+        processors_milli=round(limits.cpu_share * limits.cores * MILLI_PER_PROCESSOR),
+        link_mbps=limits.link_mbps,
     )
