Reread the jobs one at a time while the watch is silent

On a loaded link the rereads themselves kept the watch late. A watch that reported steadily also counted as silent while commits overlapped, since the time of the first unreported commit was kept until every commit was reported.

owner/watch_progress.py keeps the time of each commit. One reread runs at a time, with a pause of at least 0.2 s and of four times its duration. Silence is 0.1 s, or twice the lag with which the watch reported changes lately, at most 1 s. Rereads read ids of hexadecimal digits only.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
@@ -24,6 +23,7 @@
     decode_progress,
     decode_submission,
 )
+from .watch_progress import WatchProgress
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -44,40 +44,6 @@
 # Final states are kept slightly longer than the retention promised to callers.
 RETENTION_SLACK_S = 10.0
 MAX_JOBS_PER_DELETE = 12
-# A working watch reports this owner's own commits within milliseconds. One that does
-# not is presumed to miss other changes as well.
-MAX_WATCH_LAG_S = 0.1
-REREAD_INTERVAL_S = 0.2
-
-
-@dataclass(slots=True, eq=False)
-class _WatchProgress:
-    """Revision that the watch has reached, beside this owner's latest commit.
-
-    ``first_unseen_at`` is when the first commit was made that the watch has not
-    reported, ``read_at`` when all jobs were last read again because the watch lagged.
-    Times are monotonic seconds.
-    """
-
-    seen_revision: int = 0
-    committed_revision: int = 0
-    first_unseen_at: float = 0.0
-    read_at: float = float("-inf")
-
-    def record_commit(self, revision: int, now: float) -> None:
-        """Record a commit of this owner."""
-        if self.committed_revision <= self.seen_revision:
-            self.first_unseen_at = now
-        self.committed_revision = max(self.committed_revision, revision)
-
-    def is_lagging(self, now: float) -> bool:
-        """Return whether the watch lags and the last reread is long enough ago."""
-        if (
-            self.committed_revision <= self.seen_revision
-            or now - self.first_unseen_at < MAX_WATCH_LAG_S
-        ):
-            return False
-        return now - self.read_at >= REREAD_INTERVAL_S
 
 
 class JobWatcher:
@@ -89,7 +55,7 @@
     def __init__(self, host: FlowHost, retention_s: float) -> None:
         self._host = host
         self._retention_s = retention_s
-        self._watched = _WatchProgress()
+        self._watched = WatchProgress()
 
     def read_jobs(self, term: OwnerTerm) -> Flow:
         """Read all documents of jobs except their progress.
@@ -179,7 +145,7 @@
 
         Reads all jobs again if the store no longer has the history since then.
         """
-        watched = self._watched = _WatchProgress()
+        watched = self._watched = WatchProgress()
         while not term.has_ended:
             watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
             result = yield Call(STORE, watch, WATCH_TIMEOUT_S, WATCH_TOTAL_TIMEOUT_S)
@@ -196,7 +162,8 @@
                 self._host.plan_and_commit()
                 continue
             revision = max(revision, result.revision)
-            watched.seen_revision = revision
+            has_changes = bool(result.entries)
+            watched.record_watch(revision, has_changes, self._host.now.mono)
             for item in result.entries:
                 self._apply_change(term, item)
             self._host.plan_and_commit()
@@ -207,18 +174,21 @@
             self._watched.record_commit(revision, self._host.now.mono)
 
     def check_watch(self, term: OwnerTerm) -> None:
-        """Read all jobs again while the watch misses commits that it should report."""
-        if self._watched.is_lagging(self._host.now.mono):
-            self._watched.read_at = self._host.now.mono
+        """Read the jobs again while the watch misses commits that it should report."""
+        if self._watched.needs_reread(self._host.now.mono):
             self._host.start(self._reread_jobs(term, self._watched))
 
-    def _reread_jobs(self, term: OwnerTerm, watched: _WatchProgress) -> Flow:
+    def _reread_jobs(self, term: OwnerTerm, watched: WatchProgress) -> Flow:
+        """Read the jobs again, but for ids that callers cannot choose."""
+        watched.begin_reread(self._host.now.mono)
         log_event(
             "jobs_watch_silent",
             committed=watched.committed_revision,
             seen=watched.seen_revision,
         )
-        jobs = yield from self.read_jobs(term)
+        parts = [RangePart(JOBS_PREFIX + first) for first in JOB_ID_CHARACTERS]
+        jobs = yield from read_range(self._host, parts, lambda: term.has_ended)
+        watched.end_reread(self._host.now.mono)
         for item in jobs.items:
             self._apply_change(term, item)
         self._host.plan_and_commit()
--- /dev/null
+++ b/src/lagoonpulley/owner/watch_progress.py
@@ -0,0 +1,82 @@
+"""Judges from the owner's own commits whether the watch of the jobs is silent."""
+
+from __future__ import annotations
+
+from collections import deque
+
+__all__ = ["WatchProgress"]
+
+# A working watch reports this owner's own commits within milliseconds, or about as
+# late as it did before. One that does not is presumed to miss other changes as well.
+MIN_SILENCE_S = 0.1
+MAX_SILENCE_S = 1.0
+SILENCE_PER_USUAL_LAG = 2.0
+# Weight of the latest lag in the usual one, if it is the smaller.
+LAG_WEIGHT = 0.25
+# After a reread, the pause is at least the first and this multiple of its duration.
+MIN_REREAD_PAUSE_S = 0.2
+PAUSE_PER_REREAD_TIME = 4.0
+
+
+class WatchProgress:
+    """The commits of this owner that the watch has not reported yet.
+
+    Times are monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self.seen_revision = 0
+        self._unseen: deque[tuple[int, float]] = deque()
+        self._usual_lag_s = 0.0
+        self._reread_began_at: float | None = None
+        self._next_reread_at = float("-inf")
+
+    @property
+    def committed_revision(self) -> int:
+        """The revision of the latest commit."""
+        return self._unseen[-1][0] if self._unseen else self.seen_revision
+
+    def record_commit(self, revision: int, now: float) -> None:
+        """Record a commit that a working watch will report."""
+        if revision > self.committed_revision:
+            self._unseen.append((revision, now))
+
+    def record_watch(self, revision: int, has_changes: bool, now: float) -> None:
+        """Record an answer of the watch.
+
+        :param revision: the revision that the watch has reached.
+        :param has_changes: whether the answer reports changes.
+        """
+        self.seen_revision = max(self.seen_revision, revision)
+        lag_s = 0.0
+        while self._unseen and self._unseen[0][0] <= self.seen_revision:
+            _, committed_at = self._unseen.popleft()
+            lag_s = max(lag_s, now - committed_at)
+        if has_changes and lag_s > self._usual_lag_s:
+            self._usual_lag_s = lag_s
+        elif has_changes:
+            self._usual_lag_s += LAG_WEIGHT * (lag_s - self._usual_lag_s)
+
+    def needs_reread(self, now: float) -> bool:
+        """Return whether the watch is silent and a reread is due."""
+        if not self._unseen or self._reread_began_at is not None:
+            return False
+        silence_s = max(MIN_SILENCE_S, SILENCE_PER_USUAL_LAG * self._usual_lag_s)
+        _, committed_at = self._unseen[0]
+        if now - committed_at < min(MAX_SILENCE_S, silence_s):
+            return False
+        return now >= self._next_reread_at
+
+    def begin_reread(self, now: float) -> None:
+        """Record that a reread began; none is due until it has ended."""
+        self._reread_began_at = now
+
+    def end_reread(self, now: float) -> None:
+        """Record that the reread ended.
+
+        The pause grows with its duration, so that rereads leave most of a slow link to
+        other calls.
+        """
+        pause_s = PAUSE_PER_REREAD_TIME * (now - self._reread_began_at)
+        self._next_reread_at = now + max(MIN_REREAD_PAUSE_S, pause_s)
+        self._reread_began_at = None
--- a/tests/owner/test_takeover.py
+++ b/tests/owner/test_takeover.py
@@ -5,11 +5,12 @@
 import random
 
 import pytest
-from tests.support.steps import WORKERS_PREFIX, StepWorld, step
+from tests.support.steps import WORKERS_PREFIX, StepWorld, size_of_answer, step
 
 from lagoonpulley.owner.role import OwnerRole
-from lagoonpulley.store.messages import Transaction
+from lagoonpulley.store.messages import ReadRange, Transaction
 from lagoonpulley.workload.documents import (
+    JOBS_PREFIX,
     FinalDocument,
     JobKeys,
     encode_submission,
@@ -147,3 +148,35 @@
     term = world.owner().owner._term
     assert set(open_ids) <= set(term.record_by_id)
     assert len(term.ended_at_by_job_id) == 6000
+
+
+def count_bytes_of_job_reads(world):
+    """Record the size of each answer to a read of the jobs; returns the list."""
+    apply = world.store.apply
+    sizes = []
+
+    def apply_and_count(operation, now):
+        result = apply(operation, now)
+        is_read = isinstance(operation, ReadRange)
+        if is_read and operation.prefix.startswith(JOBS_PREFIX):
+            sizes.append(size_of_answer(result))
+        return result
+
+    world.store.apply = apply_and_count
+    return sizes
+
+
+def test_silent_watch_on_slow_link_leaves_most_of_it_to_other_calls():
+    world = StepWorld(entries=1)
+    store_jobs(world, open_count=0, final_count=3000)
+    world.run_until(lambda: _is_loaded(world), 5.0)
+    world.run(1.0)
+    bytes_per_s = world.owner().store_bytes_per_s = 1_250_000
+    # The watch reports the submission, but not the commit of the final state.
+    world.submit("a" * 16, step(), payload="seconds=1")
+    world.delivers_watch_events = False
+    world.submit("b" * 16, step(), payload="seconds=1")
+    world.run_until(lambda: world.final_state("b" * 16) == "completed", 9.0)
+    sizes = count_bytes_of_job_reads(world)
+    world.run(10.0)
+    assert 0 < sum(sizes) < 0.3 * 10.0 * bytes_per_s
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -400,7 +400,7 @@
         the connection.
         """
         starts_at = max(self.clock.mono + 0.002, entry.store_link_free_at)
-        arrives_at = starts_at + _size(result) / entry.store_bytes_per_s
+        arrives_at = starts_at + size_of_answer(result) / entry.store_bytes_per_s
         silent_at = sent_at + request.timeout_s
         times_out_at = silent_at
         if request.total_timeout_s is not None and starts_at < silent_at:
@@ -543,7 +543,7 @@
         self.clock.after(0.5, lambda: self._reply(entry, request, answer))
 
 
-def _size(result: Any) -> int:
+def size_of_answer(result: Any) -> int:
     """Return the approximate size in bytes of the store's answer on the wire."""
     items = getattr(result, "entries", ())
     values = sum(len(item.key) + len(item.value) * 4 // 3 for item in items)
