Check each task size once per round against the freed workers

Callers saw late starts once many steps waited: the owner's planning rounds took more than a core. Each round checked every waiting step against every worker that had been freed since the last round, so the effort grew with steps times workers.

Capacity is only claimed within a round, so a size that fits on no freed worker is now remembered until the end of the round.

--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -56,18 +56,29 @@
         return count
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class Changes:
-    """Workers with capacity to check again, and teams that released resources."""
+    """Workers with capacity to check again, and teams that released resources.
+
+    Valid for one planning round, in which capacity is claimed but not released.
+    """
 
     freed: tuple[CellWorker, ...]
     teams_with_releases: set[str]
+    _misfits: set[Resources] = field(default_factory=set)
 
     def may_fit(self, request: Resources) -> bool:
-        """Return whether a task of this size fits on one of the freed workers."""
-        return any(
-            worker.accepting and request.fits_in(worker.free) for worker in self.freed
-        )
+        """Return whether a task of this size fits on one of the freed workers.
+
+        A size that did not fit is not checked again, as no capacity is released.
+        """
+        if request in self._misfits:
+            return False
+        for worker in self.freed:
+            if worker.accepting and request.fits_in(worker.free):
+                return True
+        self._misfits.add(request)
+        return False
 
 
 class Cell:
--- /dev/null
+++ b/tests/planning/test_effort.py
@@ -0,0 +1,94 @@
+"""Effort of a planning round as the backlog and the number of workers grow."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonpulley.model.resources import Resources
+from lagoonpulley.planning.cell import Cell, Claim
+from lagoonpulley.planning.permits import PermitTable
+from lagoonpulley.planning.planner import Demand, Planner
+from lagoonpulley.policy.values import Queue
+from lagoonpulley.upstream.directory import WorkerInfo
+from lagoonpulley.upstream.tasks import TaskRef
+from lagoonpulley.workload.record import JobRecord
+from lagoonpulley.workload.spec import JobSpec, StepKey, StepSpec, TaskKey
+
+WORKERS = 40
+DEMANDS = 200
+QUEUE = Queue("reviews", "", "/reviews/", "service")
+BUSY = Resources(16_000, 4096)
+
+
+class NoAdvice:
+    def reserve(self, cost_s, now):
+        return None
+
+
+@pytest.fixture
+def full_cell():
+    """Return a cell without free capacity."""
+    cell = Cell()
+    for number in range(WORKERS):
+        worker_id = f"w{number}"
+        info = WorkerInfo(worker_id, "service", worker_id, "a", BUSY, (), "", 1)
+        cell.put_worker(info)
+        cell.set_accepting(worker_id, True)
+        cell.claim(worker_id, Claim(make_ref(number), "north", BUSY, BUSY))
+    return cell
+
+
+def make_ref(number):
+    return TaskRef(f"busy-{number}", TaskKey(0, 0, 0), 1)
+
+
+def make_demand(number, processors_milli):
+    step = StepSpec(1, Resources(processors_milli, 512), 1.0)
+    spec = JobSpec(f"{number:016x}", "reviews", "north", "", (step,), 0.0)
+    return Demand(JobRecord.from_spec(spec), StepKey(0, 0), QUEUE, float(number))
+
+
+def plan(cell, demands, now):
+    planner = Planner(cell, PermitTable(), {}, now, NoAdvice())
+    return planner.plan(demands, 64).starts
+
+
+def count_fit_checks(monkeypatch):
+    checks = []
+    original = Resources.fits_in
+
+    def fits_in(self, available):
+        checks.append(self)
+        return original(self, available)
+
+    monkeypatch.setattr(Resources, "fits_in", fits_in)
+    return checks
+
+
+def release_all(cell):
+    for number in range(WORKERS):
+        cell.release(f"w{number}", make_ref(number))
+        cell.claim(f"w{number}", Claim(make_ref(number), "north", BUSY, BUSY))
+
+
+def test_round_checks_each_size_once_for_each_freed_worker(full_cell, monkeypatch):
+    demands = [make_demand(number, 1000 + number % 2) for number in range(DEMANDS)]
+    plan(full_cell, demands, 1.0)
+    release_all(full_cell)
+    checks = count_fit_checks(monkeypatch)
+    assert not plan(full_cell, demands, 2.0)
+    assert len(checks) <= 2 * WORKERS
+
+
+def test_smaller_demand_starts_after_a_larger_one_did_not_fit(full_cell):
+    demands = [make_demand(number, 16_000) for number in range(4)]
+    demands += [make_demand(number, 2000) for number in range(4, 8)]
+    plan(full_cell, demands, 1.0)
+    full_cell.release("w7", make_ref(7))
+    half = Resources(12_000, 512)
+    full_cell.claim("w7", Claim(make_ref(7), "north", half, half))
+    starts = plan(full_cell, demands, 2.0)
+    assert [start.record.spec.id for start in starts] == [
+        demands[4].record.spec.id,
+        demands[5].record.spec.id,
+    ]
