Sort the workers once per step instead of scanning them per task

Choosing a worker for each task of a step scanned all workers with room, so a step of 25 tasks on 176 workers took 4,400 comparisons.

A worker that is the best fit stays the best fit after a task is placed on it, so the workers are sorted once per step and filled in that order.

test_packing_checks_each_worker_once_and_each_task_at_most_twice failed on the code before.

--- a/src/lagoonpulley/planning/packing.py
+++ b/src/lagoonpulley/planning/packing.py
@@ -112,39 +112,43 @@
     ) -> None:
         self._step = step
         self._request = step.capacity_request
-        self._free_by_worker_id: dict[str, Resources] = {}
         self._count_by_worker_id = dict(task_counts.count_by_worker_id)
-        self._workers = []
+        # Sorted so that the best fit is last. Placing a task on the best fit leaves it
+        # the best fit for the next task, for as long as it has room.
+        self._candidates = self._fitting(workers, reserved_by_worker_id)
+        self._candidates.reverse()
+
+    def _fitting(
+        self, workers: Iterable[CellWorker], reserved_by_worker_id: dict[str, Resources]
+    ) -> list[tuple[CellWorker, Resources]]:
+        """Return the workers with room and their free capacity, best fit first."""
+        found = []
         for worker in workers:
             free = worker.free
             reserved = reserved_by_worker_id.get(worker.info.id)
             if reserved is not None:
                 free = free.minus(reserved)
-            if not self._request.fits_in(free):
-                continue
-            self._free_by_worker_id[worker.info.id] = free
-            self._workers.append(worker)
+            if self._request.fits_in(free):
+                found.append((worker, free))
+        found.sort(key=self._sort_key)
+        return found
 
     def place_next(self) -> CellWorker | None:
         """Place one task by best fit; return its worker, or ``None`` if none fits."""
-        best: CellWorker | None = None
-        best_key: tuple[bool, int, int] | None = None
-        for worker in self._workers:
-            free = self._free_by_worker_id[worker.info.id]
+        while self._candidates:
+            worker, free = self._candidates.pop()
             if not self._request.fits_in(free) or not self._is_below_task_limit(worker):
                 continue
-            key = self._sort_key(worker, free)
-            if best_key is None or key < best_key:
-                best, best_key = worker, key
-        if best is not None:
-            worker_id = best.info.id
-            free = self._free_by_worker_id[worker_id]
-            self._free_by_worker_id[worker_id] = free.minus(self._request)
-            count = self._count_by_worker_id.get(worker_id, 0)
-            self._count_by_worker_id[worker_id] = count + 1
-        return best
-
-    def _sort_key(self, worker: CellWorker, free: Resources) -> tuple[bool, int, int]:
+            self._candidates.append((worker, free.minus(self._request)))
+            count = self._count_by_worker_id.get(worker.info.id, 0)
+            self._count_by_worker_id[worker.info.id] = count + 1
+            return worker
+        return None
+
+    def _sort_key(
+        self, candidate: tuple[CellWorker, Resources]
+    ) -> tuple[bool, int, int]:
+        worker, free = candidate
         off_rack = bool(self._step.data_rack) and (
             self._step.data_rack not in worker.info.labels
         )
--- a/tests/planning/test_effort.py
+++ b/tests/planning/test_effort.py
@@ -6,6 +6,7 @@
 
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.planning.cell import Cell, Claim
+from lagoonpulley.planning.packing import StepTaskCounts, pack_tasks
 from lagoonpulley.planning.permits import PermitTable
 from lagoonpulley.planning.planner import Demand, Planner
 from lagoonpulley.policy.values import Queue
@@ -92,3 +93,17 @@
         demands[4].record.spec.id,
         demands[5].record.spec.id,
     ]
+
+
+def test_packing_checks_each_worker_once_and_each_task_at_most_twice(monkeypatch):
+    cell = Cell()
+    for number in range(WORKERS):
+        info = WorkerInfo(f"w{number}", "service", "", "a", BUSY, (), "", 1)
+        cell.put_worker(info)
+    tasks = 3 * WORKERS
+    step = StepSpec(tasks, Resources(5000, 512), 1.0)
+    checks = count_fit_checks(monkeypatch)
+    workers = list(cell.worker_by_id.values())
+    chosen = pack_tasks(step, workers, tasks, StepTaskCounts({}), {})
+    assert len(chosen) == tasks
+    assert len(checks) <= WORKERS + 2 * tasks
