Keep each worker's free capacity instead of computing it at each look

Every look at a worker during planning subtracted its claims from its capacity, for all workers and each step, although few workers change between rounds.

The free capacity is now stored and computed when a claim or the worker's description changes.

test_round_computes_free_capacity_only_of_workers_that_change failed on the code before.

--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -33,19 +33,32 @@
 class CellWorker:
     """One worker, its capacity and the claims on it.
 
-    ``avoid_until`` is in monotonic seconds.
+    ``free`` is the capacity that no run has claimed. ``avoid_until`` is in monotonic
+    seconds.
     """
 
     info: WorkerInfo
     accepting: bool = False
     avoid_until: float = 0.0
     used: Resources = ZERO
+    free: Resources = field(init=False)
     claim_by_ref: dict[TaskRef, Claim] = field(default_factory=dict)
 
-    @property
-    def free(self) -> Resources:
-        """Capacity that no run has claimed."""
-        return self.info.capacity.minus(self.used)
+    def __post_init__(self) -> None:
+        self._refresh_free()
+
+    def set_info(self, info: WorkerInfo) -> None:
+        """Replace the description, which may change the capacity."""
+        self.info = info
+        self._refresh_free()
+
+    def set_used(self, used: Resources) -> None:
+        """Set the resources that runs have claimed."""
+        self.used = used
+        self._refresh_free()
+
+    def _refresh_free(self) -> None:
+        self.free = self.info.capacity.minus(self.used)
 
     def count_of(self, job_id: str, step_key: StepKey) -> int:
         """Return how many tasks of a step have a claim here."""
@@ -121,9 +134,8 @@
         worker = self.worker_by_id.get(info.id)
         if worker is None:
             worker = self.worker_by_id[info.id] = CellWorker(info)
-        has_changed = worker.info != info
-        worker.info = info
-        if has_changed:
+        if worker.info != info:
+            worker.set_info(info)
             self._freed_by_id[info.id] = worker
         return worker
 
@@ -155,7 +167,7 @@
         if claim.ref in worker.claim_by_ref:
             return
         worker.claim_by_ref[claim.ref] = claim
-        worker.used = worker.used.plus(claim.capacity_request)
+        worker.set_used(worker.used.plus(claim.capacity_request))
         self._add_to_team_usage(claim.team, claim.request)
 
     def release(self, worker_id: str, ref: TaskRef) -> None:
@@ -164,7 +176,7 @@
         claim = worker.claim_by_ref.pop(ref, None) if worker else None
         if worker is None or claim is None:
             return
-        worker.used = worker.used.minus(claim.capacity_request)
+        worker.set_used(worker.used.minus(claim.capacity_request))
         self._freed_by_id[worker_id] = worker
         self._release_from_team(claim)
 
--- a/tests/planning/test_effort.py
+++ b/tests/planning/test_effort.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from lagoonpulley.model.resources import Resources
@@ -55,15 +57,20 @@
 
 
 def count_fit_checks(monkeypatch):
-    checks = []
-    original = Resources.fits_in
+    return count_calls(monkeypatch, "fits_in")
+
 
-    def fits_in(self, available):
-        checks.append(self)
-        return original(self, available)
+def count_calls(monkeypatch, name):
+    """Return a list that gets one item for each call of a method of resources."""
+    calls = []
+    original = getattr(Resources, name)
 
-    monkeypatch.setattr(Resources, "fits_in", fits_in)
-    return checks
+    def counted(self, other):
+        calls.append(self)
+        return original(self, other)
+
+    monkeypatch.setattr(Resources, name, counted)
+    return calls
 
 
 def release_all(cell):
@@ -107,3 +114,26 @@
     chosen = pack_tasks(step, workers, tasks, StepTaskCounts({}), {})
     assert len(chosen) == tasks
     assert len(checks) <= WORKERS + 2 * tasks
+
+
+def test_round_computes_free_capacity_only_of_workers_that_change(
+    full_cell, monkeypatch
+):
+    plan(full_cell, [make_demand(0, 1000)], 1.0)
+    subtractions = count_calls(monkeypatch, "minus")
+    full_cell.release("w0", make_ref(0))
+    assert len(plan(full_cell, [make_demand(0, 1000)], 2.0)) == 1
+    assert len(subtractions) < WORKERS / 4
+
+
+def test_free_capacity_follows_claims_and_the_description():
+    cell = Cell()
+    info = WorkerInfo("w0", "service", "w0", "a", BUSY, (), "", 1)
+    worker = cell.put_worker(info)
+    small = Resources(1000, 512)
+    cell.claim("w0", Claim(make_ref(0), "north", small, small))
+    assert worker.free == BUSY.minus(small)
+    cell.put_worker(replace(info, capacity=small))
+    assert worker.free == Resources()
+    cell.release("w0", make_ref(0))
+    assert worker.free == small
