Insert a changed job into the sorted backlog instead of sorting it again

Each start and each end of a task made the next round sort all waiting steps again and compute the sort key of each, at up to 50 rounds a second.

The list now stays sorted: a job's old demands are removed and its new ones inserted by bisection, and a demand computes its key once.

--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
@@ -13,21 +14,26 @@
 __all__ = ["Backlog"]
 
 
+_order_of = attrgetter("order")
+
+
 class Backlog:
-    """Demands by job; the sorted list is cached until a demand changes."""
+    """Demands by job, and a list of all that stays sorted as they change."""
 
     def __init__(self) -> None:
         self._demands_by_job_id: dict[str, list[Demand]] = {}
-        self._in_order: list[Demand] | None = None
+        self._in_order: list[Demand] = []
         self._reserved_gangs: list[tuple[str, tuple[int, int]]] = []
 
     def replace(self, job_id: str, demands: list[Demand]) -> None:
         """Set the demands of a job."""
+        for demand in self._demands_by_job_id.pop(job_id, ()):
+            index = bisect_left(self._in_order, demand.order, key=_order_of)
+            del self._in_order[index]
+        for demand in demands:
+            insort(self._in_order, demand, key=_order_of)
         if demands:
             self._demands_by_job_id[job_id] = demands
-        elif self._demands_by_job_id.pop(job_id, None) is None:
-            return
-        self._in_order = None
 
     def unblock(self, job_id: str) -> None:
         """Make the next planning round consider all demands of a job."""
@@ -49,13 +55,5 @@
         return True
 
     def in_order(self) -> list[Demand]:
-        """Return all demands, most urgent first."""
-        if self._in_order is None:
-            found = [
-                demand
-                for demands in self._demands_by_job_id.values()
-                for demand in demands
-            ]
-            found.sort(key=attrgetter("order"))
-            self._in_order = found
+        """Return all demands, most urgent first; the list changes with the backlog."""
         return self._in_order
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
@@ -16,6 +16,7 @@
     from ..model.resources import Resources
     from ..policy.values import Queue, TeamLimits
     from ..workload.record import JobRecord
+    from ..workload.spec import StepSpec
     from .cell import Cell, CellWorker, Changes
     from .permits import PermitTable, StepPermits
 
@@ -57,7 +58,9 @@
     """A step with pending tasks whose dependencies are done.
 
     ``due_at`` is when the job should be complete, in seconds of the wall clock.
-    ``lacks_capacity_since`` is in monotonic seconds.
+    ``lacks_capacity_since`` is in monotonic seconds. ``order`` is the sort key among
+    all demands; the lowest is served first. ``request`` is what one task counts
+    against a worker's capacity.
     """
 
     record: JobRecord
@@ -66,11 +69,15 @@
     due_at: float
     block_reason: BlockReason = BlockReason.NONE
     lacks_capacity_since: float | None = None
+    order: tuple[int, float, str, StepKey] = field(init=False)
+    step: StepSpec = field(init=False)
+    request: Resources = field(init=False)
 
-    @property
-    def order(self) -> tuple[int, float, str, StepKey]:
-        """Sort key among all demands; the lowest is served first."""
-        return (self.queue.priority, self.due_at, self.record.spec.id, self.key)
+    def __post_init__(self) -> None:
+        job_id = self.record.spec.id
+        self.order = (self.queue.priority, self.due_at, job_id, self.key)
+        self.step = self.record.step_of(self.key)
+        self.request = self.step.capacity_request
 
     @property
     def avoided_worker_ids(self) -> set[str]:
@@ -89,11 +96,11 @@
         """Return whether the cause that blocked the demand may be gone."""
         match self.block_reason:
             case BlockReason.CAPACITY | BlockReason.RESERVED:
-                if self.avoided_worker_ids and self.has_lacked_capacity_for(
-                    AVOID_FAILED_WORKERS_S, now
-                ):
+                if changes.may_fit(self.request):
                     return True
-                return changes.may_fit(self.record.step_of(self.key).capacity_request)
+                return bool(self.avoided_worker_ids) and self.has_lacked_capacity_for(
+                    AVOID_FAILED_WORKERS_S, now
+                )
             case BlockReason.TEAM_LIMIT:
                 return self.record.spec.team in changes.teams_with_releases
             case BlockReason.ADVICE:
