Look up the step of a demand once

Each planning round looked up the step, the size and the avoided workers of every waiting step, also of those that stay blocked.

A demand now holds its step and size, the cheapest reasons are checked first, and reservations are considered for gangs only.

--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -94,18 +94,19 @@
 
     def may_be_unblocked(self, changes: Changes, now: float) -> bool:
         """Return whether the cause that blocked the demand may be gone."""
-        match self.block_reason:
-            case BlockReason.CAPACITY | BlockReason.RESERVED:
-                if changes.may_fit(self.request):
-                    return True
-                return bool(self.avoided_worker_ids) and self.has_lacked_capacity_for(
-                    AVOID_FAILED_WORKERS_S, now
-                )
-            case BlockReason.TEAM_LIMIT:
-                return self.record.spec.team in changes.teams_with_releases
-            case BlockReason.ADVICE:
-                return False
-        return True
+        reason = self.block_reason
+        if reason is BlockReason.NONE:
+            return True
+        if reason is BlockReason.ADVICE:
+            return False
+        if reason is BlockReason.TEAM_LIMIT:
+            return self.record.spec.team in changes.teams_with_releases
+        if changes.may_fit(self.request):
+            return True
+        # Most jobs avoid no worker, which is the cheapest to check.
+        if not self.record.avoided_workers_by_step or not self.avoided_worker_ids:
+            return False
+        return self.has_lacked_capacity_for(AVOID_FAILED_WORKERS_S, now)
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +192,8 @@
         changes = self._cell.pop_changes(self._now)
         for demand in demands:
             if not demand.may_be_unblocked(changes, self._now):
-                self._reserve_for_gang(demand)
+                if demand.step.gang:
+                    self._reserve_for_gang(demand)
                 continue
             if started >= max_starts:
                 # The changes are already consumed, so unblock it for the next round.
@@ -199,13 +201,14 @@
                 continue
             demand.block_reason = BlockReason.NONE
             started += self._start_waiting(demand)
-            self._reserve_for_gang(demand)
+            if demand.step.gang:
+                self._reserve_for_gang(demand)
         return Plan(tuple(self._starts), tuple(self._advice_requests))
 
     def _reserve_for_gang(self, demand: Demand) -> None:
         """Reserve capacity for a gang that has lacked it for a while."""
-        step = demand.record.step_of(demand.key)
-        if demand.block_reason is not BlockReason.CAPACITY or not step.gang:
+        step = demand.step
+        if demand.block_reason is not BlockReason.CAPACITY:
             return
         if not demand.has_lacked_capacity_for(RESERVE_AFTER_S, self._now):
             return
@@ -226,7 +229,7 @@
         if demand.queue.advice is not None:
             permits = self._permits.for_step(demand.record.spec.id, demand.key)
             worker_ids = permits.allowed_ids
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         service = demand.queue.service
         workers = eligible_workers(self._cell, service, step, self._now, worker_ids)
         avoided = demand.avoided_worker_ids
@@ -240,7 +243,7 @@
 
     def _start_waiting(self, demand: Demand) -> int:
         """Start the waiting tasks that fit; return the number of started tasks."""
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         waiting = demand.record.waiting_of(demand.key)
         if not waiting or (step.gang and len(waiting) < step.count):
             return 0
@@ -285,7 +288,7 @@
 
     def _set_block_reason(self, demand: Demand) -> None:
         """Set why a demand could not be served."""
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         needed = step.count if step.gang else 1
         team = demand.record.spec.team
         allowed = self._count_within_limit(team, step.request, needed)
@@ -315,7 +318,7 @@
     ) -> None:
         if permits.request_pending or permits.next_request_at > self._now:
             return
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         service = demand.queue.service
         workers = eligible_workers(self._cell, service, step, self._now, None)
         unknown = [
--- a/tests/planning/test_effort.py
+++ b/tests/planning/test_effort.py
@@ -137,3 +137,19 @@
     assert worker.free == Resources()
     cell.release("w0", make_ref(0))
     assert worker.free == small
+
+
+def test_round_does_not_look_up_the_steps_of_blocked_demands(full_cell, monkeypatch):
+    demands = [make_demand(number, 1000) for number in range(DEMANDS)]
+    plan(full_cell, demands, 1.0)
+    release_all(full_cell)
+    looked_up = []
+    original = JobRecord.step_of
+
+    def step_of(self, key):
+        looked_up.append(key)
+        return original(self, key)
+
+    monkeypatch.setattr(JobRecord, "step_of", step_of)
+    assert not plan(full_cell, demands, 2.0)
+    assert not looked_up
