Hand over ownership to a much stronger entry

Cause: an owner kept the ownership until its session ended.

Change: the owner looks at the entries that it polls every second anyway, now from the beginning of its term. When an entry with twice its processors or link has been registered for 3 s and the term has lasted 5 s, the owner steps down as it does when it is fenced. An entry that was registered at the election and did not win is considered only after 15 s, so that ownership does not flap. The session is no longer renewed after its lease was revoked.

--- a/benchmarks/step_fuzz.py
+++ b/benchmarks/step_fuzz.py
@@ -2,6 +2,8 @@
 
 ``python -m benchmarks.step_fuzz --histories 2000 --processes 3 --first-seed 1``
 
+With ``--unequal``, one entry is stronger than the others.
+
 Each seed runs a batch of histories. A failure is printed as the sequence of operations
 that leads to it; its seed reproduces it.
 """
@@ -10,24 +12,29 @@
 
 import argparse
 import contextlib
+import functools
 import io
 import multiprocessing
 
 from hypothesis import Phase, seed
 from hypothesis.stateful import run_state_machine_as_test
-from tests.support.step_history import StepHistory, history_settings
+from tests.support.step_history import (
+    StepHistory,
+    UnequalEntriesHistory,
+    history_settings,
+)
 
 from .fuzz import silence_logs
 
 HISTORIES_PER_SEED = 100
 
 
-def run_seed(seed_number: int) -> tuple[int, str]:
+def run_seed(history: type[StepHistory], seed_number: int) -> tuple[int, str]:
     """Run the batch of histories of a seed.
 
     Returns the seed and a description of the failure, empty if the batch passed.
     """
-    machine = seed(seed_number)(type("Seeded", (StepHistory,), {}))
+    machine = seed(seed_number)(type("Seeded", (history,), {}))
     batch_settings = history_settings(
         HISTORIES_PER_SEED, phases=[Phase.generate], print_blob=False
     )
@@ -50,12 +57,15 @@
     parser.add_argument("--histories", type=int, default=2000)
     parser.add_argument("--processes", type=int, default=3)
     parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--unequal", action="store_true")
     options = parser.parse_args()
+    history = UnequalEntriesHistory if options.unequal else StepHistory
+    run = functools.partial(run_seed, history)
     batches = -(-options.histories // HISTORIES_PER_SEED)
     seeds = range(options.first_seed, options.first_seed + batches)
     failed_seed_count = 0
     with multiprocessing.Pool(options.processes, initializer=silence_logs) as pool:
-        for seed_number, failure in pool.imap_unordered(run_seed, seeds):
+        for seed_number, failure in pool.imap_unordered(run, seeds):
             if failure:
                 failed_seed_count += 1
                 print(f"seed {seed_number}: {failure}")
--- a/src/lagoonpulley/owner/advisors.py
+++ b/src/lagoonpulley/owner/advisors.py
@@ -18,11 +18,16 @@
 from .entries import ENTRIES_PREFIX, addresses_of
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..planning.planner import AdviceRequest
     from ..runtime.flows import FlowRole
+    from ..store.messages import KeyValue
     from .settings import OwnerSettings
     from .term import OwnerTerm
 
+    EntriesObserver = Callable[[OwnerTerm, tuple[KeyValue, ...]], None]
+
 __all__ = ["AdvisorBalancer"]
 
 ENTRIES_POLL_INTERVAL_S = 1.0
@@ -47,8 +52,11 @@
         self._address_by_name: dict[str, str] = {settings.entry_id: ""}
         self._busy_until_by_name: dict[str, float] = {}
 
-    def poll_entries(self, term: OwnerTerm) -> Flow:
-        """Poll the list of entries while the term lasts."""
+    def poll_entries(self, term: OwnerTerm, observe: EntriesObserver) -> Flow:
+        """Poll the list of entries while the term lasts.
+
+        :param observe: called with each list.
+        """
         while not term.has_ended:
             call = Call(STORE, ReadRange(ENTRIES_PREFIX), READ_TIMEOUT_S)
             result = yield call
@@ -57,6 +65,7 @@
                 continue
             others = addresses_of(result.entries, self._own_name)
             self._address_by_name = {self._own_name: ""} | others
+            observe(term, result.entries)
             yield Sleep(ENTRIES_POLL_INTERVAL_S)
 
     def reserve(self, cost_s: float, now: float) -> str | None:
--- a/src/lagoonpulley/owner/messages.py
+++ b/src/lagoonpulley/owner/messages.py
@@ -12,11 +12,13 @@
     """This entry has won the election and is the owner.
 
     ``token`` is its fencing token, higher than that of every earlier owner;
-    ``head_revision`` is the store revision of the journal's head.
+    ``head_revision`` is the store revision of the journal's head. ``passed_over_lives``
+    are the lives of registered stronger entries that had a head start and did not win.
     """
 
     token: int
     head_revision: int
+    passed_over_lives: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -14,6 +14,7 @@
 from ..workload.documents import JOBS_PREFIX, PROGRESS_PREFIX
 from .advisors import AdvisorBalancer
 from .dispatch import Dispatcher
+from .handover import HandoverMonitor
 from .jobs import JobWatcher
 from .journal import Journal
 from .messages import Deposed, Elected, SessionExtended, StoodDown
@@ -26,7 +27,7 @@
     from ..planning.planner import AdviceRequest, Start
     from ..policy.values import Policy
     from ..store.health import StoreHealth
-    from ..store.messages import Transaction
+    from ..store.messages import KeyValue, Transaction
     from ..upstream.directory import DirectoryDecoder
     from .settings import OwnerSettings
 
@@ -63,6 +64,7 @@
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
         self._pending = PendingCounts()
         self._advisors = AdvisorBalancer(self, settings)
+        self._handover = HandoverMonitor(settings)
         self._next_check_at = 0.0
         self._next_round_at = 0.0
         self._wake_requested = False
@@ -103,7 +105,9 @@
         )
         term.now = self.now
         self._term = term
+        self._handover.begin_term(elected.passed_over_lives, self.now.mono)
         log_event("ownership_began", token=elected.token)
+        self.start(self._advisors.poll_entries(term, self._consider_handover))
         self.start(self._take_over(term))
 
     def step_down(self, reason: str) -> None:
@@ -112,6 +116,23 @@
             self.emit(SessionRole.name, StoodDown(self._term.token))
         self._end_term(reason)
 
+    def _consider_handover(
+        self, term: OwnerTerm, entries: tuple[KeyValue, ...]
+    ) -> None:
+        """Step down if a much stronger entry is ready, also while the jobs load."""
+        if term.has_ended:
+            return
+        successor = self._handover.find_successor(entries, self.now.mono)
+        if successor is None:
+            return
+        log_event(
+            "ownership_handed_over",
+            token=term.token,
+            successor=successor.name,
+            loaded=term.loaded,
+        )
+        self.step_down("a stronger entry takes over")
+
     def _end_term(self, reason: str) -> None:
         if self._term is None:
             return
@@ -140,7 +161,6 @@
         )
         self.start(self._jobs.watch(term, revision))
         self.start(self._workers.monitor(term))
-        self.start(self._advisors.poll_entries(term))
 
     def _tick(self) -> None:
         term = self._term
--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -102,6 +102,9 @@
             yield Sleep(RENEWAL_INTERVAL_S)
             if self._resigned:
                 return
+            if self._session is not session:
+                # The owner role has stepped down meanwhile.
+                continue
             sent_at = self.now.mono
             renew = RenewLease(session.lease_id)
             result = yield Call(STORE, renew, CALL_TIMEOUT_S)
@@ -168,7 +171,9 @@
         self._is_owner = True
         self._token = revision
         self._log_elected(revision)
-        self.emit(self._owner_role, Elected(revision, revision))
+        passed_over_lives = self._stronger_lives or frozenset()
+        elected = Elected(revision, revision, passed_over_lives)
+        self.emit(self._owner_role, elected)
         self._report_session(session)
 
     def _log_elected(self, revision: int) -> None:
--- a/src/lagoonpulley/owner/settings.py
+++ b/src/lagoonpulley/owner/settings.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .entries import EntryCapacity
 
 __all__ = ["OwnerSettings"]
 
@@ -13,10 +17,12 @@
 
     ``longest_worker_lease_s`` is the longest lease that a worker may be granted,
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
-    start, and ``retention_s`` how long a final state is kept.
+    start, and ``retention_s`` how long a final state is kept. ``capacity`` is that of
+    this entry, or ``None`` if it is unknown.
     """
 
     entry_id: str
     longest_worker_lease_s: float
     early_s: float = 0.0
     retention_s: float = 120.0
+    capacity: EntryCapacity | None = None
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -131,14 +131,15 @@
 
     def _add_roles(self) -> None:
         settings = self._settings
+        capacity = EntryCapacity.from_limits(
+            settings.processors_milli, settings.link_mbps
+        )
         document = EntryDocument(
             name=settings.entry_id,
             life=uuid.uuid4().hex,
             peer_address=self._peers.address,
             data_centre=settings.data_centre,
-            capacity=EntryCapacity.from_limits(
-                settings.processors_milli, settings.link_mbps
-            ),
+            capacity=capacity,
         )
         owner = OwnerRole(
             OwnerSettings(
@@ -146,6 +147,7 @@
                 longest_worker_lease_s=settings.longest_worker_lease_s,
                 early_s=settings.early_s,
                 retention_s=settings.retention_s,
+                capacity=capacity,
             ),
             PlatformDirectory(),
             self._store_health,
--- a/tests/owner/test_histories.py
+++ b/tests/owner/test_histories.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from tests.support.step_history import StepHistory, history_settings
+from tests.support.step_history import (
+    StepHistory,
+    UnequalEntriesHistory,
+    history_settings,
+)
 
 TestStepHistories = StepHistory.TestCase
 TestStepHistories.settings = history_settings(20, derandomize=True)
+
+TestUnequalEntriesHistories = UnequalEntriesHistory.TestCase
+TestUnequalEntriesHistories.settings = history_settings(20, derandomize=True)
--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -15,12 +15,12 @@
 from lagoonpulley.intake.messages import OutcomeKind
 
 from .step_invariants import check_all
-from .steps import StepWorld, step
+from .steps import STRONG, WEAK, StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.workload.spec import JobSpec
 
-__all__ = ["StepHistory", "history_settings"]
+__all__ = ["StepHistory", "UnequalEntriesHistory", "history_settings"]
 
 ENTRIES = ("e0", "e1", "e2")
 WORKERS = ("w0", "w1", "w2")
@@ -230,3 +230,21 @@
         for execution in executions:
             late_s = execution.started_at - cancelled_at
             assert late_s <= CANCEL_BOUND_S, f"{job_id} started after its cancellation"
+
+
+class UnequalEntriesHistory(StepHistory):
+    """Histories with one strong entry, to which weak owners hand over."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        for name in ENTRIES:
+            self.world.capacity_by_name[name] = STRONG if name == "e0" else WEAK
+            self.restart_entry(name)
+        self.world.run(7.0)
+
+    @rule(tenths=st.integers(50, 90))
+    def replace_strong_entry(self, tenths):
+        self.world.kill(self.world.entry_by_name["e0"])
+        self.world.run(2.0)
+        self.world.start_entry("e0")
+        self.world.run(tenths / 10)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -215,6 +215,7 @@
             data_centre="a",
             capacity=self.capacity_by_name.get(name),
         )
+        settings = OwnerSettings(name, LEASE_S, capacity=document.capacity)
         store_health = StoreHealthTracker(lambda: self.clock.now)
         rng = random.Random(self.incarnation_count)
         roles = (
@@ -223,7 +224,7 @@
             SessionRole(document, "owner", rng),
             IntakeRole(store_health),
             AdvisorRole(),
-            OwnerRole(OwnerSettings(name, LEASE_S), JsonDirectory(), store_health),
+            OwnerRole(settings, JsonDirectory(), store_health),
         )
         role_by_name = {role.name: role for role in roles}
         entry = StepEntry(name, role_by_name, store_health, StoreRoute(store_health))
