--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -143,14 +143,15 @@
 
     def _add_roles(self) -> None:
         settings = self._settings
+        capacity = EntryCapacity.from_limits(
+            settings.processors_milli, settings.link_mbps
+        )
         document = EntryDocument(
             name=settings.entry_id,
             life=uuid.uuid4().hex,
             peer_address=self._peers.address,
             data_centre=settings.data_centre,
-            capacity=EntryCapacity.from_limits(
-                settings.processors_milli, settings.link_mbps
-            ),
+            capacity=capacity,
         )
         owner = OwnerRole(
             OwnerSettings(
@@ -161,6 +162,7 @@
                 store_writes_per_s=settings.store_writes_per_s,
                 store_reads_per_s=settings.store_reads_per_s,
                 link_bytes_per_s=settings.link_bytes_per_s,
+                capacity=capacity,
             ),
             PlatformDirectory(),
             self._store_health,
