--- a/src/lagoonpulley/intake/messages.py
+++ b/src/lagoonpulley/intake/messages.py
@@ -73,10 +73,12 @@
     """Outcome of an operation.
 
     ``state`` is set by :class:`ReadState` and by :class:`CancelJob` of a job that is
-    final already, ``pending`` by :class:`ReadPending`.
+    final already, ``pending`` by :class:`ReadPending`. ``retry_after_s`` applies to
+    ``REFUSED``.
     """
 
     kind: OutcomeKind
     reason: str = ""
     state: JobState | None = None
     pending: int = 0
+    retry_after_s: int = 1
--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -7,7 +7,7 @@
 
 from ..model.verdict import Ran
 from ..observability.events import log_event
-from ..observability.prometheus import observe_request
+from ..observability.prometheus import count_refused_submission, observe_request
 from ..owner.pending import PENDING_KEY
 from ..policy.messages import POLICY_ROLE, PolicySeen
 from ..runtime.flows import Call, Flow, FlowRole
@@ -31,6 +31,7 @@
     encode_submission,
 )
 from ..workload.record import JobState
+from .admission import Admission, AdmissionRefusal
 from .messages import (
     CancelJob,
     IntakeOperation,
@@ -40,6 +41,7 @@
     ReadState,
     SubmitJob,
 )
+from .owner_follower import OwnerFollower
 
 if TYPE_CHECKING:
     from ..store.health import StoreHealth
@@ -64,11 +66,17 @@
     def __init__(self, health: StoreHealth) -> None:
         super().__init__("intake")
         self._health = health
+        self._admission = Admission()
+        self._owner_follower = OwnerFollower(self, self._admission)
+        self._running = False
 
     def receive(self, message: Any) -> None:
-        """Start a flow for each request."""
+        """Follow the owner from the first tick on; start a flow for each request."""
         if isinstance(message, Request):
             self.start(self._serve(message))
+        elif not self._running:
+            self._running = True
+            self.start(self._owner_follower.follow())
 
     def _serve(self, request: Request) -> Flow:
         """Perform a request; refuse it at once while the store is unreachable."""
@@ -103,6 +111,9 @@
         return Outcome(OutcomeKind.REFUSED, "no such operation")
 
     def _submit(self, request: Request, operation: SubmitJob) -> Flow:
+        refusal = self._admission.refusal(self.now.mono)
+        if refusal is not None:
+            return (yield from self._refuse_unless_stored(operation, refusal))
         spec = operation.spec
         keys = JobKeys(spec.id)
         change = Transaction(
@@ -127,6 +138,22 @@
         )
         return outcome
 
+    def _refuse_unless_stored(
+        self, operation: SubmitJob, refusal: AdmissionRefusal
+    ) -> Flow:
+        """Refuse a submission; confirm it if an earlier request has stored the job."""
+        keys = JobKeys(operation.spec.id)
+        found = yield Call(STORE, ReadRange(keys.prefix), READ_TIMEOUT_S)
+        if not isinstance(found, CallFailed):
+            for item in found.entries:
+                if item.key in (keys.submission, keys.final):
+                    team = operation.spec.team
+                    return _outcome_of_duplicate(_team_of(keys, item), team)
+        count_refused_submission(refusal.reason)
+        return Outcome(
+            OutcomeKind.REFUSED, refusal.reason, retry_after_s=refusal.retry_after_s
+        )
+
     def _submit_outcome(
         self, operation: SubmitJob, result: StoreResult | CallFailed
     ) -> Outcome:
--- a/src/lagoonpulley/observability/prometheus.py
+++ b/src/lagoonpulley/observability/prometheus.py
@@ -7,6 +7,7 @@
 __all__ = [
     "REGISTRY",
     "count_event",
+    "count_refused_submission",
     "metrics_text",
     "observe_request",
     "observe_start_wait",
@@ -24,6 +25,12 @@
     ["event"],
     registry=REGISTRY,
 )
+_refused_submissions = Counter(
+    "lagoonpulley_refused_submissions",
+    "Submissions refused because their jobs could not be started soon, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 _requests = Histogram(
     "lagoonpulley_request_seconds",
     "Time to carry out a caller's request, by kind and outcome.",
@@ -52,6 +59,11 @@
     _events.labels(event).inc()
 
 
+def count_refused_submission(reason: str) -> None:
+    """Count one submission that admission refused."""
+    _refused_submissions.labels(reason).inc()
+
+
 def observe_request(kind: str, outcome: str, duration_s: float) -> None:
     """Record the latency of a caller's request."""
     _requests.labels(kind, outcome).observe(duration_s)
--- a/src/lagoonpulley/owner/entries.py
+++ b/src/lagoonpulley/owner/entries.py
@@ -19,12 +19,17 @@
 
 
 class EntryDocument(BaseModel):
-    """Description of an entry; ``life`` identifies the incarnation of its process."""
+    """Description of an entry; ``life`` identifies the incarnation of its process.
+
+    ``writes_status`` is missing in documents of builds whose owners write no
+    :class:`~.status.OwnerStatus`.
+    """
 
     name: str
     life: str
     peer_address: str
     data_centre: str
+    writes_status: bool = False
 
 
 def addresses_of(entries: Iterable[KeyValue], own_name: str) -> dict[str, str]:
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -19,6 +19,7 @@
 from .messages import Deposed, Elected, SessionExtended, StoodDown
 from .pending import PendingCounts
 from .session import SessionRole
+from .status import OwnerStatusWriter
 from .term import OwnerTerm
 from .workers import WorkerMonitor
 
@@ -62,6 +63,7 @@
         self._dispatcher = Dispatcher(self)
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
         self._pending = PendingCounts()
+        self._status = OwnerStatusWriter()
         self._advisors = AdvisorBalancer(self, settings)
         self._next_check_at = 0.0
         self._next_round_at = 0.0
@@ -155,6 +157,7 @@
         term.needs_planning = True
         self._log_waiting_steps(term)
         self._pending.write_if_due(term, self.now)
+        self._status.write_if_due(term, self.now)
         self._jobs.check_watch(term)
         self._jobs.delete_expired(term)
 
--- /dev/null
+++ b/src/lagoonpulley/owner/status.py
@@ -0,0 +1,47 @@
+"""Status of the working owner, stored for all entries to read."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import BaseModel
+
+if TYPE_CHECKING:
+    from ..runtime.role import Now
+    from .term import OwnerTerm
+
+__all__ = ["STATUS_KEY", "OwnerStatus", "OwnerStatusWriter"]
+
+# Not below the owner record's key: elections watch that key as a prefix.
+STATUS_KEY = "lagoonpulley/status"
+WRITE_INTERVAL_S = 1.0
+
+
+class OwnerStatus(BaseModel):
+    """Heartbeat of an owner that has loaded all jobs and may start tasks.
+
+    ``number`` rises with each write under one ``token``.
+    """
+
+    token: int
+    number: int
+
+
+class OwnerStatusWriter:
+    """Writes the status once a second while the owner can start tasks.
+
+    It is written by the journal, so an owner whose commits fail sends no heartbeat.
+    """
+
+    def __init__(self) -> None:
+        self._next_at = 0.0
+        self._number = 0
+
+    def write_if_due(self, term: OwnerTerm, now: Now) -> None:
+        """Enqueue the next heartbeat if one is due."""
+        if now.mono < self._next_at or not term.may_plan():
+            return
+        self._next_at = now.mono + WRITE_INTERVAL_S
+        self._number += 1
+        status = OwnerStatus(token=term.token, number=self._number)
+        term.journal.enqueue_value(STATUS_KEY, status.model_dump_json())
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -136,6 +136,7 @@
             life=uuid.uuid4().hex,
             peer_address=self._peers.address,
             data_centre=settings.data_centre,
+            writes_status=True,
         )
         owner = OwnerRole(
             OwnerSettings(
--- a/src/lagoonpulley/platform/gateway.py
+++ b/src/lagoonpulley/platform/gateway.py
@@ -35,7 +35,7 @@
 MAX_BODY_BYTES = 262_144
 DEFAULT_TIMEOUT_S = 3.0
 MAX_TIMEOUT_S = 10.0
-RETRY_AFTER_S = "1"
+RETRY_AFTER_S = 1
 METRICS_PATH = "/metrics"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
 # A request is retried when the policy changes between its check and its execution.
@@ -177,7 +177,7 @@
 
 def _to_response(outcome: Outcome, request: Request) -> Response:
     if outcome.kind is OutcomeKind.REFUSED:
-        return _refusal(outcome.reason)
+        return _refusal(outcome.reason, outcome.retry_after_s)
     status = _STATUS_BY_KIND[outcome.kind]
     if outcome.kind is not OutcomeKind.DONE:
         return Response(status=status)
@@ -189,6 +189,10 @@
     return Response(body, status=status, content_type="application/json")
 
 
-def _refusal(reason: str) -> Response:
-    """Return an answer for a request that was not and will not be executed."""
-    return Response(reason, status=503, headers={"Retry-After": RETRY_AFTER_S})
+def _refusal(reason: str, retry_after_s: int = RETRY_AFTER_S) -> Response:
+    """Return an answer for a request that was not and will not be executed.
+
+    :param retry_after_s: when the caller should try again, in whole seconds.
+    """
+    headers = {"Retry-After": str(retry_after_s)}
+    return Response(reason, status=503, headers=headers)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -39,6 +39,7 @@
 DOCUMENTED_METRICS = (
     "lagoonpulley_events_total",
     "lagoonpulley_request_seconds",
+    "lagoonpulley_refused_submissions_total",
     "lagoonpulley_store_call_seconds",
     "lagoonpulley_start_wait_seconds",
 )
--- /dev/null
+++ b/tests/platform/test_gateway.py
@@ -0,0 +1,54 @@
+"""Answers of the platform's gateway for outcomes of the intake role."""
+
+from __future__ import annotations
+
+import pytest
+from werkzeug.test import Client
+
+from lagoonpulley.intake.messages import Outcome, OutcomeKind
+from lagoonpulley.intake.readiness import EntryReadiness
+from lagoonpulley.platform.gateway import PlatformGateway
+from lagoonpulley.policy.messages import PolicyChanged
+from lagoonpulley.policy.values import Policy, Queue
+from lagoonpulley.runtime.role import Now
+from lagoonpulley.store.health import StoreHealthTracker
+
+POLICY = Policy(
+    version=1,
+    key="policy",
+    revision=1,
+    queue_by_name={"reviews": Queue("reviews", "localhost", "/reviews/", "service")},
+    service_by_name={},
+    team_by_name={},
+    team_by_api_key={"north": "north"},
+)
+PATH = "/reviews/" + "a" * 16
+CALLER = {"X-Api-Key": "north"}
+
+
+class FixedOutcome:
+    """A runtime whose calls all have the same outcome."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+    def call(self, to, operation, timeout_s, request_id):
+        return self.outcome
+
+
+def now():
+    return Now(0.0, 0.0)
+
+
+def client_of(runtime):
+    readiness = EntryReadiness(StoreHealthTracker(now))
+    readiness.submit(PolicyChanged(POLICY))
+    return Client(PlatformGateway(runtime, readiness, now))
+
+
+@pytest.mark.parametrize("retry_after_s", [1, 2, 5])
+def test_refusal_says_when_to_retry(retry_after_s):
+    outcome = Outcome(OutcomeKind.REFUSED, "no owner", retry_after_s=retry_after_s)
+    response = client_of(FixedOutcome(outcome)).get(PATH, headers=CALLER)
+    assert response.status_code == 503
+    assert response.headers["Retry-After"] == str(retry_after_s)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -37,7 +37,7 @@
 from lagoonpulley.standin.store import StoreState
 from lagoonpulley.standin.task_worker import TaskWorkerState
 from lagoonpulley.store.health import StoreHealthTracker
-from lagoonpulley.store.messages import Transaction, WatchPrefix, Write
+from lagoonpulley.store.messages import ReadRange, Transaction, WatchPrefix, Write
 from lagoonpulley.store.route import STORE_RELAY, RelayCall, StoreRoute
 from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.upstream.tasks import (
@@ -138,6 +138,8 @@
         # Probability that a store operation is applied but not answered.
         self.lose_answers = 0.0
         self.delivers_watch_events = True
+        # Prefixes whose pages do not arrive before a read times out.
+        self.unreadable_prefixes: set[str] = set()
         self.incarnation_count = 0
         self.request_count = 0
         self.last_spec: JobSpec | None = None
@@ -207,6 +209,7 @@
             life=str(self.incarnation_count),
             peer_address=name,
             data_centre="a",
+            writes_status=True,
         )
         store_health = StoreHealthTracker(lambda: self.clock.now)
         rng = random.Random(self.incarnation_count)
@@ -361,7 +364,7 @@
             self.clock.after(0.005, lambda: self._reply_store(entry, request, failed))
             return
         until = self.clock.mono + getattr(request.operation, "wait_s", 0.0)
-        lost = self.random.random() < self.lose_answers
+        lost = self.random.random() < self.lose_answers or self._times_out(request)
 
         def perform() -> None:
             result = self.store.apply(request.operation, self.clock.mono)
@@ -384,6 +387,11 @@
             )
         self.clock.after(0.003, perform)
 
+    def _times_out(self, request: Request) -> bool:
+        operation = request.operation
+        is_read = isinstance(operation, ReadRange)
+        return is_read and operation.prefix in self.unreadable_prefixes
+
     def _call_worker(self, entry: StepEntry, request: Request) -> None:
         command = request.operation
         if isinstance(command, AskAdvice) and self.advice_failures:
