Use the default timeout for "Deadline-Ms: nan"

Callers saw a 504 at once: min and max pass nan on, and a wait of nan raises TimeoutError. A value that is not a number now counts as an invalid header.

test_timeout_follows_the_deadline_header[nan] failed before ([nan] == [3.0]); the other cases of it passed.

--- a/src/lagoonpulley/platform/gateway.py
+++ b/src/lagoonpulley/platform/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import re
 import time
 from typing import TYPE_CHECKING, Any, Protocol
@@ -172,6 +173,8 @@
         timeout_s = float(request.headers.get("Deadline-Ms", "")) / MS_PER_S
     except ValueError:
         return DEFAULT_TIMEOUT_S
+    if math.isnan(timeout_s):
+        return DEFAULT_TIMEOUT_S
     return min(max(timeout_s, 0.0), MAX_TIMEOUT_S)
 
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -7,7 +7,11 @@
 
 from lagoonpulley.intake.messages import Outcome, OutcomeKind
 from lagoonpulley.intake.readiness import EntryReadiness
-from lagoonpulley.platform.gateway import PlatformGateway
+from lagoonpulley.platform.gateway import (
+    DEFAULT_TIMEOUT_S,
+    MAX_TIMEOUT_S,
+    PlatformGateway,
+)
 from lagoonpulley.policy.messages import PolicyChanged
 from lagoonpulley.policy.values import Policy, Queue
 from lagoonpulley.runtime.role import Now
@@ -31,8 +35,10 @@
 
     def __init__(self, outcome):
         self.outcome = outcome
+        self.timeouts_s = []
 
     def call(self, to, operation, timeout_s, request_id):
+        self.timeouts_s.append(timeout_s)
         return self.outcome
 
 
@@ -52,3 +58,23 @@
     response = client_of(FixedOutcome(outcome)).get(PATH, headers=CALLER)
     assert response.status_code == 503
     assert response.headers["Retry-After"] == str(retry_after_s)
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "timeout_s"),
+    [
+        ("nan", DEFAULT_TIMEOUT_S),
+        ("none", DEFAULT_TIMEOUT_S),
+        ("", DEFAULT_TIMEOUT_S),
+        ("inf", MAX_TIMEOUT_S),
+        ("-inf", 0.0),
+        ("-1", 0.0),
+        ("1500", 1.5),
+        ("60000", MAX_TIMEOUT_S),
+    ],
+)
+def test_timeout_follows_the_deadline_header(deadline_ms, timeout_s):
+    runtime = FixedOutcome(Outcome(OutcomeKind.DONE))
+    headers = {**CALLER, "Deadline-Ms": deadline_ms}
+    assert client_of(runtime).get(PATH, headers=headers).status_code == 200
+    assert runtime.timeouts_s == [timeout_s]
