--- a/src/lagoonpulley/owner/entries.py
+++ b/src/lagoonpulley/owner/entries.py
@@ -61,6 +61,8 @@
 
     ``capacity`` is ``None`` if the entry does not know it, or an earlier release that
     does not store it.
+    ``writes_status`` is missing in documents of builds whose owners write no
+    :class:`~.status.OwnerStatus`.
     """
 
     name: str
@@ -68,6 +70,7 @@
     peer_address: str
     data_centre: str
     capacity: EntryCapacity | None = None
+    writes_status: bool = False
 
 
 def addresses_of(entries: Iterable[KeyValue], own_name: str) -> dict[str, str]:
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -21,6 +21,7 @@
 from .messages import Deposed, Elected, SessionExtended, StoodDown
 from .pending import PendingCounts
 from .session import SessionRole
+from .status import OwnerStatusWriter
 from .term import OwnerTerm
 from .workers import WorkerMonitor
 
@@ -66,6 +67,7 @@
         self._dispatcher = Dispatcher(self)
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
         self._pending = PendingCounts()
+        self._status = OwnerStatusWriter()
         self._advisors = AdvisorBalancer(self, settings)
         self._load_log = OwnerLoadLog(settings, load or NoLoad())
         self._handover = HandoverMonitor(settings)
@@ -182,6 +184,7 @@
         term.needs_planning = True
         self._log_waiting_steps(term)
         self._pending.write_if_due(term, self.now)
+        self._status.write_if_due(term, self.now)
         self._jobs.check_watch(term)
         self._jobs.delete_expired(term)
 
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -152,6 +152,7 @@
             peer_address=self._peers.address,
             data_centre=settings.data_centre,
             capacity=capacity,
+            writes_status=True,
         )
         owner = OwnerRole(
             OwnerSettings(
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -37,7 +37,7 @@
 from lagoonpulley.standin.store import StoreState
 from lagoonpulley.standin.task_worker import TaskWorkerState
 from lagoonpulley.store.health import StoreHealthTracker
-from lagoonpulley.store.messages import Transaction, WatchPrefix, Write
+from lagoonpulley.store.messages import ReadRange, Transaction, WatchPrefix, Write
 from lagoonpulley.store.route import STORE_RELAY, RelayCall, StoreRoute
 from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.upstream.tasks import (
@@ -151,6 +151,8 @@
         # Probability that a store operation is applied but not answered.
         self.lose_answers = 0.0
         self.delivers_watch_events = True
+        # Prefixes whose pages do not arrive before a read times out.
+        self.unreadable_prefixes: set[str] = set()
         self.incarnation_count = 0
         self.request_count = 0
         self.last_spec: JobSpec | None = None
@@ -222,6 +224,7 @@
             peer_address=name,
             data_centre="a",
             capacity=self.capacity_by_name.get(name),
+            writes_status=True,
         )
         settings = OwnerSettings(name, LEASE_S, capacity=document.capacity)
         store_health = StoreHealthTracker(lambda: self.clock.now)
@@ -378,7 +381,7 @@
             return
         until = self.clock.mono + getattr(request.operation, "wait_s", 0.0)
         sent_at = self.clock.mono
-        lost = self.random.random() < self.lose_answers
+        lost = self.random.random() < self.lose_answers or self._times_out(request)
 
         def perform() -> None:
             result = self.store.apply(request.operation, self.clock.mono)
@@ -422,6 +425,11 @@
         failed = CallFailed(Ran.MAYBE, "timed out before the answer was here", partial)
         self.clock.at(times_out_at, lambda: self._reply_store(entry, request, failed))
 
+    def _times_out(self, request: Request) -> bool:
+        operation = request.operation
+        is_read = isinstance(operation, ReadRange)
+        return is_read and operation.prefix in self.unreadable_prefixes
+
     def _call_worker(self, entry: StepEntry, request: Request) -> None:
         command = request.operation
         if isinstance(command, AskAdvice) and self.advice_failures:
