--- a/src/lagoonpulley/owner/load.py
+++ b/src/lagoonpulley/owner/load.py
@@ -72,6 +72,7 @@
             "owner_load",
             token=term.token,
             interval_s=round(interval.duration_s, 3),
+            processor_share=round(interval.processor_s / interval.duration_s, 3),
             **_role_fields(interval),
             **call_fields(interval),
             **self._rate_fields(interval),
--- a/src/lagoonpulley/runtime/entry_load.py
+++ b/src/lagoonpulley/runtime/entry_load.py
@@ -57,6 +57,7 @@
         interval_s=round(interval.duration_s, 3),
         behind=behind,
         busy_share=share_by_role(interval),
+        processor_share=round(interval.processor_s / interval.duration_s, 3),
         **call_fields(interval),
     )
 
--- a/src/lagoonpulley/runtime/load.py
+++ b/src/lagoonpulley/runtime/load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from ..observability.prometheus import CallCounters
@@ -52,9 +54,13 @@
 
 
 class LoadInterval(NamedTuple):
-    """Load of a process during ``duration_s`` seconds."""
+    """Load of a process during ``duration_s`` seconds.
+
+    ``processor_s`` is the processor time that all its threads used, in seconds.
+    """
 
     duration_s: float
+    processor_s: float
     role_by_name: dict[str, RoleLoad]
     calls_by_port: dict[str, dict[str, CallLoad]]
 
@@ -86,7 +92,7 @@
 
     def read(self, at: float) -> LoadInterval:
         """See :class:`LoadSource`."""
-        return LoadInterval(0.0, {}, {})
+        return LoadInterval(0.0, 0.0, {}, {})
 
 
 class PortMeter:
@@ -119,9 +125,13 @@
 
 
 class LoadMeter:
-    """Meters of all roles and ports of a process."""
+    """Meters of all roles and ports of a process.
+
+    :param processor_time: returns the processor time of the process in seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, processor_time: Callable[[], float] = time.process_time) -> None:
+        self.processor_time = processor_time
         self.role_by_name: dict[str, RoleMeter] = {}
         self.port_by_name: dict[str, PortMeter] = {}
         self.readers = 0
@@ -156,6 +166,7 @@
         self._meter = meter
         self._index = index
         self._read_at: float | None = None
+        self._processor_time_s = 0.0
         self._kinds_by_role: dict[str, dict[str, KindLoad]] = {}
         self._calls_by_port: dict[str, dict[str, CallLoad]] = {}
 
@@ -163,8 +174,12 @@
         """See :class:`LoadSource`."""
         duration_s = 0.0 if self._read_at is None else at - self._read_at
         self._read_at = at
+        processor_time_s = self._meter.processor_time()
+        processor_s = processor_time_s - self._processor_time_s
+        self._processor_time_s = processor_time_s
         return LoadInterval(
             duration_s,
+            processor_s,
             {name: self._read_role(name) for name in self._meter.role_by_name},
             {name: self._read_port(name) for name in self._meter.port_by_name},
         )
--- a/tests/owner/test_load.py
+++ b/tests/owner/test_load.py
@@ -36,7 +36,10 @@
         owner = RoleLoad(50, 0.5 * duration_s, 0.3, 7, kinds)
         session = RoleLoad(5, 0.0, 0.4, 0, {})
         return LoadInterval(
-            duration_s, {"owner": owner, "session": session}, {"store": operations}
+            duration_s,
+            duration_s / 4,
+            {"owner": owner, "session": session},
+            {"store": operations},
         )
 
 
@@ -79,6 +82,7 @@
     event = events.named("owner_load")[-1]
     interval_s = event["interval_s"]
     assert event["token"] == world.owner().owner._term.token
+    assert event["processor_share"] == 0.25
     assert event["busy_share"] == 0.5
     assert (event["max_delay_s"], event["roles_max_delay_s"]) == (0.3, 0.4)
     assert event["queued"] == 7
--- a/tests/runtime/test_entry_load.py
+++ b/tests/runtime/test_entry_load.py
@@ -15,7 +15,8 @@
 
 
 def test_entry_load_is_logged_only_after_an_interval_with_a_role_behind():
-    load = LoadMeter()
+    processor_times = iter((0.0, 1.0, 2.0, 3.0))
+    load = LoadMeter(lambda: next(processor_times))
     role = load.add_role("subject")
     idle = load.add_role("idle")
     log = EntryLoadLog(load.add_reader())
@@ -37,6 +38,7 @@
     assert event["interval_s"] == 5.0
     assert event["behind"] == {"subject": {"delay_s": 1.0, "queued": 0, "messages": 1}}
     assert event["busy_share"] == {"subject": 0.2, "idle": 0.0}
+    assert event["processor_share"] == 0.2
     assert event["store_calls_per_s"] == 0.2
     assert event["store_sent_bytes_per_s"] == 20
     assert event["store_received_bytes_per_s"] == 200
--- a/tests/runtime/test_load.py
+++ b/tests/runtime/test_load.py
@@ -14,7 +14,8 @@
 
 
 def test_interval_holds_only_what_happened_in_it():
-    load = LoadMeter()
+    processor_times = iter((3.0, 3.5, 4.5))
+    load = LoadMeter(lambda: next(processor_times))
     role = load.add_role("subject")
     port = load.add_port("store")
     reader = load.add_reader()
@@ -27,6 +28,7 @@
     port.record("Transaction", 300, 40)
     interval = reader.read(3.0)
     assert interval.duration_s == 2.0
+    assert interval.processor_s == 1.0
     subject = interval.role_by_name["subject"]
     assert subject.by_kind == {"reply:Get": KindLoad(1, 0.125)}
     assert (subject.messages, subject.busy_s) == (1, 0.125)
