Visit only workers without a sync in flight after each commit

After each commit the owner checked every worker for a due sync, about 30,000 checks a second at 176 workers, although nearly all have a long poll in flight.

The term now keeps the workers without a sync in flight, and a commit visits only these, in the order in which they became known, as before.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -279,7 +279,6 @@
                 self.step_down("another owner has changed the journal's head")
                 return
             self._jobs.check_watch(term)
-            for worker in list(term.worker_by_id.values()):
-                self._workers.sync(term, worker)
+            self._workers.sync_idle(term)
             self.plan_and_commit()
             return
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -38,6 +38,8 @@
     """Jobs, workers and tracked runs under one fencing token.
 
     Flows may outlive their term, so they check ``has_ended`` after every call.
+    ``idle_worker_by_id`` holds the workers without a sync in flight. ``known_workers``
+    counts the workers that became known during the term.
     """
 
     token: int
@@ -49,6 +51,8 @@
     worker_failures: WorkerFailureTracker = field(default_factory=WorkerFailureTracker)
     record_by_id: dict[str, JobRecord] = field(default_factory=dict)
     worker_by_id: dict[str, WorkerState] = field(default_factory=dict)
+    idle_worker_by_id: dict[str, WorkerState] = field(default_factory=dict)
+    known_workers: int = 0
     backlog: Backlog = field(default_factory=Backlog)
     repeating_by_id: dict[str, JobRecord] = field(default_factory=dict)
     queue_by_name: dict[str, Queue] = field(default_factory=dict)
@@ -230,6 +234,7 @@
         self.worker_failures.forget(worker.info.id)
         self.end_all_runs(worker, reason)
         self.worker_by_id.pop(worker.info.id, None)
+        self.idle_worker_by_id.pop(worker.info.id, None)
         self.cell.remove_worker(worker.info.id)
 
     def end_previous_incarnation(self, worker: WorkerState) -> None:
@@ -254,10 +259,31 @@
         # An earlier owner may have extended leases until now.
         leases_expire_at = self.now.mono + self.max_lease_s * 1.05 + 0.5
         worker = WorkerState(info, self.max_lease_s, leases_expire_at)
+        previous = self.worker_by_id.get(info.id)
+        if previous is None:
+            self.known_workers += 1
+        worker.position = previous.position if previous else self.known_workers
         self.worker_by_id[info.id] = worker
+        self.idle_worker_by_id[info.id] = worker
         self.cell.put_worker(info)
         return worker
 
+    def begin_sync(self, worker: WorkerState) -> None:
+        """Record that a sync with a worker is in flight."""
+        worker.syncing = True
+        self.idle_worker_by_id.pop(worker.info.id, None)
+
+    def end_sync(self, worker: WorkerState) -> bool:
+        """Record the end of a sync; return whether the worker is still known.
+
+        A worker that restarted meanwhile has another state.
+        """
+        worker.syncing = False
+        if self.worker_by_id.get(worker.info.id) is not worker:
+            return False
+        self.idle_worker_by_id[worker.info.id] = worker
+        return True
+
     def _worker_of_run(self, worker_id: str, born: int) -> WorkerState:
         """Return the worker of a stored run, adding it if it is not listed."""
         worker = self.worker_by_id.get(worker_id)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -60,12 +60,14 @@
     runs. ``leases_expire_at`` is when every lease on the worker has certainly expired
     if nothing more reaches it, in monotonic seconds. ``processed`` and
     ``acknowledged`` are numbers of ended runs in the worker's own numbering; an end is
-    acknowledged only after the commit that records it.
+    acknowledged only after the commit that records it. ``position`` orders workers by
+    when they first became known.
     """
 
     info: WorkerInfo
     max_lease_s: float
     leases_expire_at: float
+    position: int = 0
     fenced: bool = False
     clock_ms: int | None = None
     clock_at: float = 0.0
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
 from typing import TYPE_CHECKING, Any
 
 from ..observability.events import log_event
@@ -120,13 +121,19 @@
             log_event("worker_gone", worker=worker.info.id)
             term.remove_worker(worker, "worker is gone")
 
+    def sync_idle(self, term: OwnerTerm) -> None:
+        """Start a sync with each worker for which one is due."""
+        idle = sorted(term.idle_worker_by_id.values(), key=attrgetter("position"))
+        for worker in idle:
+            self.sync(term, worker)
+
     def sync(self, term: OwnerTerm, worker: WorkerState) -> None:
         """Start a sync with a worker unless one is in flight or none is due."""
         if term.has_ended or worker.syncing or not worker.info.address:
             return
         if self._host.now.mono < worker.next_sync_at:
             return
-        worker.syncing = True
+        term.begin_sync(worker)
         self._host.start(self._sync_once(term, worker))
 
     def _sync_once(self, term: OwnerTerm, worker: WorkerState) -> Flow:
@@ -148,8 +155,8 @@
         )
         timeout_s = wait_s + COMMAND_TIMEOUT_S
         result = yield Call(UPSTREAM, command, timeout_s)
-        worker.syncing = False
-        if term.has_ended or term.worker_by_id.get(worker.info.id) is not worker:
+        is_known = term.end_sync(worker)
+        if term.has_ended or not is_known:
             return
         if isinstance(result, WorkerReport):
             self._apply_report(term, worker, result, sent_at)
