Bound a commit to what a slow link carries within its timeout

A commit held up to 400 kB of progress documents, 533 kB in base64. On a link of 2 to 5 Mbit/s that takes longer than the commit's timeout of 0.8 s, and a commit that timed out is sent again unchanged, so no later start or end would become durable.

A commit now takes no further record once it holds 64 kB. A record that is larger by itself is still sent whole, in a commit of its own at the latest. The stored format is unchanged.

--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -18,7 +18,9 @@
 # The store accepts 32 rows per transaction; the head needs two of them and each record
 # up to four.
 MAX_COMMIT_ROWS = 30
-MAX_COMMIT_BYTES = 400_000
+# Progress documents in one transaction. Encoded in base64 they reach the store within
+# the timeout of a commit on a link of 2 Mbit/s that carries other traffic as well.
+MAX_COMMIT_BYTES = 64_000
 
 Callback = Callable[[], None]
 
@@ -89,7 +91,7 @@
         for job_id in list(self._record_by_id):
             if (
                 len(puts) + len(deletes) + 4 > MAX_COMMIT_ROWS
-                or size > MAX_COMMIT_BYTES
+                or size >= MAX_COMMIT_BYTES
             ):
                 break
             record = self._record_by_id.pop(job_id)
