Keep the rest of a page when one stored value is not ASCII

One value with non-ASCII characters in place of base64 raised ValueError, and the whole page of the store became a failed call, at each repetition. Such a value is now replaced as other values that are not text are, and its decoder rejects that item alone.

The test failed on the code before.

--- a/src/lagoonpulley/platform/store.py
+++ b/src/lagoonpulley/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -50,13 +49,11 @@
     tombstone: bool = False
 
     def to_key_value(self) -> KeyValue:
-        """Return the item with its value decoded from base64 of UTF-8 text.
-
-        :raises ValueError: when the encoded value contains non-ASCII characters.
-        """
+        """Return the item with its value decoded from base64 of UTF-8 text."""
         try:
             value = base64.b64decode(self.value, validate=True).decode()
-        except (binascii.Error, UnicodeDecodeError):
+        except ValueError:
+            # Invalid base64, non-ASCII characters in it, or bytes that are not UTF-8.
             # Other clients may store values that are not text. Decoders reject the
             # replacement as an invalid document.
             value = "\0"
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -20,6 +20,7 @@
 from lagoonpulley.store.messages import (
     Get,
     KeyValue,
+    ReadRange,
     StoreStatus,
     Transaction,
     WatchPrefix,
@@ -90,6 +91,19 @@
     assert result.entry.value == "\0"
 
 
+@pytest.mark.parametrize("value", ["\u00e9", "YQ=", "/w=="])
+def test_store_value_that_is_not_base64_of_text_spares_the_rest_of_its_page(
+    store, value
+):
+    items = [
+        {"key": "p/1", "value": value, "revision": 3},
+        {"key": "p/2", "value": "dGV4dA==", "revision": 4},
+    ]
+    body = json.dumps({"items": items, "storeRevision": 9}).encode()
+    result = store.decode(ReadRange("p/"), HttpAnswer(200, body))
+    assert [entry.value for entry in result.entries] == ["\0", "text"]
+
+
 def test_start_command_is_encoded_for_the_worker(workers):
     call = workers.encode(START, 1.0)
     assert call.url == "http://10.0.0.1:80/api/run-start"
