Accept a worker's report that names an unknown kind of end

A kind of end that this build does not know raised ValueError. The whole report was dropped, and again at each repetition, so no end on that worker was seen any more.

An unknown kind now counts as a failure of the task: the number of attempts stays bounded, which it would not if the run counted as lost.

The test failed on the code before.

--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -181,6 +181,14 @@
     return TaskRef(job_id, TaskKey(*map(int, parts)), run)
 
 
+def _parse_end_kind(kind: str) -> EndKind:
+    """Return the kind of end; an unknown one counts as a failure of the task."""
+    try:
+        return EndKind(kind)
+    except ValueError:
+        return EndKind.FAILED
+
+
 def _to_report(body: _Body) -> WorkerReport | CallFailed:
     running = []
     for row in body.running:
@@ -196,7 +204,7 @@
         ref = _parse_ref(name, run)
         if ref is None:
             continue
-        ended.append(Ended(number, ref, EndKind(kind), checkpoint))
+        ended.append(Ended(number, ref, _parse_end_kind(kind), checkpoint))
     return WorkerReport(
         int(body.clock_ms or 0), body.born, tuple(running), tuple(ended)
     )
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -33,6 +33,7 @@
     TaskRef,
     WorkerAddress,
 )
+from lagoonpulley.workload.record import EndKind
 from lagoonpulley.workload.spec import TaskKey
 
 TO = WorkerAddress("i-1", "10.0.0.1:80")
@@ -146,6 +147,15 @@
     assert report.ended[0].number == 58
 
 
+def test_worker_report_with_an_unknown_kind_of_end_is_decoded(workers):
+    first, second = ("a" * 16 + f".0.1.{index}" for index in (17, 18))
+    finished = [[58, first, 1, "expired", ""], [59, second, 1, "done", ""]]
+    body = {"clockMs": 482113, "born": 12, "finished": finished}
+    report = workers.decode(SYNC, HttpAnswer(200, json.dumps(body).encode()))
+    assert [ended.number for ended in report.ended] == [58, 59]
+    assert [ended.kind for ended in report.ended] == [EndKind.FAILED, EndKind.DONE]
+
+
 @pytest.mark.parametrize(
     "change",
     [
