--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -20,6 +20,7 @@
 from lagoonpulley.store.messages import (
     Get,
     KeyValue,
+    ReadRange,
     StoreStatus,
     Transaction,
     WatchPrefix,
@@ -32,6 +33,7 @@
     TaskRef,
     WorkerAddress,
 )
+from lagoonpulley.workload.record import EndKind
 from lagoonpulley.workload.spec import TaskKey
 
 TO = WorkerAddress("i-1", "10.0.0.1:80")
@@ -90,6 +92,19 @@
     assert result.entry.value == "\0"
 
 
+@pytest.mark.parametrize("value", ["\u00e9", "YQ=", "/w=="])
+def test_store_value_that_is_not_base64_of_text_spares_the_rest_of_its_page(
+    store, value
+):
+    items = [
+        {"key": "p/1", "value": value, "revision": 3},
+        {"key": "p/2", "value": "dGV4dA==", "revision": 4},
+    ]
+    body = json.dumps({"items": items, "storeRevision": 9}).encode()
+    result = store.decode(ReadRange("p/"), HttpAnswer(200, body))
+    assert [entry.value for entry in result.entries] == ["\0", "text"]
+
+
 def test_start_command_is_encoded_for_the_worker(workers):
     call = workers.encode(START, 1.0)
     assert call.url == "http://10.0.0.1:80/api/run-start"
@@ -132,6 +147,15 @@
     assert report.ended[0].number == 58
 
 
+def test_worker_report_with_an_unknown_kind_of_end_is_decoded(workers):
+    first, second = ("a" * 16 + f".0.1.{index}" for index in (17, 18))
+    finished = [[58, first, 1, "expired", ""], [59, second, 1, "done", ""]]
+    body = {"clockMs": 482113, "born": 12, "finished": finished}
+    report = workers.decode(SYNC, HttpAnswer(200, json.dumps(body).encode()))
+    assert [ended.number for ended in report.ended] == [58, 59]
+    assert [ended.kind for ended in report.ended] == [EndKind.FAILED, EndKind.DONE]
+
+
 @pytest.mark.parametrize(
     "change",
     [
