--- a/src/lagoonpulley/intake/admission.py
+++ b/src/lagoonpulley/intake/admission.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from math import ceil
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    import random
+
     from ..owner.status import OwnerStatus
 
-__all__ = ["Admission", "AdmissionRefusal"]
+__all__ = ["Admission", "Restriction"]
 
 # A takeover takes up to 1.0 s until the session expires and normally 0.3 to 1.5 s
 # until all jobs are loaded; the owner's heartbeats are 1.0 s apart.
@@ -20,32 +23,54 @@
 # lost answer stays below it.
 MAX_READ_GAP_S = 2.0
 TAKEOVER_S = 1.5
+# The share of refused submissions rises from 0 to 1 between these delays of the owner.
+MIN_START_DELAY_S = 1.0
+MAX_START_DELAY_S = 3.0
+# A working owner's heartbeat does not mention a submission sooner than this.
+STATUS_AGE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
-class AdmissionRefusal:
-    """Why a submission is refused, and after how many seconds a retry makes sense."""
+class Restriction:
+    """Why a share of all submissions is refused, and when to try again."""
 
     reason: str
+    share: float
     retry_after_s: int
 
 
 class Admission:
-    """Refuses submissions while no owner is known to work.
+    """Refuses submissions while no owner is known to work, or while it is behind.
 
     Absence is proved only by successive successful reads of the store without a new
     heartbeat. An entry that has just started, or could not read for a while, admits
     everything. So does one that finds an owner of a build without heartbeats.
 
+    An owner is behind when it is slow to start jobs, or does not yet know jobs that
+    this entry stored some time ago. A stale read does not prove the latter.
+
     All times are monotonic seconds.
+
+    :param rng: chooses the submissions that are refused while the owner is behind.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._last_heartbeat = (0, 0)
         self._absent_since: float | None = None
         self._read_at = float("-inf")
-
-    def record_read(self, status: OwnerStatus | None, now: float) -> None:
+        self._suspected_delay_s = 0.0
+        self._proved_delay_s = 0.0
+        # Revision and time of submissions that the owner is not known to know.
+        self._unknown_to_owner: deque[tuple[int, float]] = deque()
+
+    def record_stored(self, revision: int, now: float) -> None:
+        """Record that this entry has stored a submission."""
+        self._unknown_to_owner.append((revision, now))
+
+    def record_read(
+        self, status: OwnerStatus | None, now: float, is_stale: bool
+    ) -> None:
         """Record the status that a read found, ``None`` if there is none."""
         heartbeat = (status.token, status.number) if status else (0, 0)
         was_interrupted = now - self._read_at > MAX_READ_GAP_S
@@ -54,13 +79,19 @@
             self._absent_since = now
         self._last_heartbeat = max(heartbeat, self._last_heartbeat)
         self._read_at = now
+        self._suspected_delay_s = self._start_delay_s(status, now)
+        if not is_stale or self._suspected_delay_s <= MIN_START_DELAY_S:
+            self._proved_delay_s = self._suspected_delay_s
 
     def record_owner_without_heartbeats(self, now: float) -> None:
         """Record that the owner runs a build that writes no status."""
         self._absent_since = now
+        self._unknown_to_owner.clear()
 
-    def is_heartbeat_late(self, now: float) -> bool:
-        """Return whether the owner may be absent."""
+    def needs_consistent_read(self, now: float) -> bool:
+        """Return whether a stale read is not enough to decide."""
+        if self._suspected_delay_s > MIN_START_DELAY_S:
+            return True
         return self.absence_s(now) >= LATE_HEARTBEAT_S
 
     def absence_s(self, now: float) -> float:
@@ -69,8 +100,34 @@
             return 0.0
         return now - self._absent_since
 
-    def refusal(self, now: float) -> AdmissionRefusal | None:
-        """Return why a submission must be refused now, or ``None`` to admit it."""
-        if self.absence_s(now) < MAX_OWNER_ABSENCE_S:
+    def restriction(self, now: float) -> Restriction | None:
+        """Return which share of submissions is refused now; ``None`` if none is."""
+        if now - self._read_at > MAX_READ_GAP_S:
             return None
-        return AdmissionRefusal("no owner is working", ceil(TAKEOVER_S))
+        if self.absence_s(now) >= MAX_OWNER_ABSENCE_S:
+            return Restriction("no owner is working", 1.0, ceil(TAKEOVER_S))
+        delay_s = self._proved_delay_s
+        if delay_s <= MIN_START_DELAY_S:
+            return None
+        share = (delay_s - MIN_START_DELAY_S) / (MAX_START_DELAY_S - MIN_START_DELAY_S)
+        retry_after_s = ceil(min(delay_s, MAX_START_DELAY_S))
+        return Restriction("the owner is behind", min(share, 1.0), retry_after_s)
+
+    def refusal(self, now: float) -> Restriction | None:
+        """Return why this submission must be refused, or ``None`` to admit it."""
+        restriction = self.restriction(now)
+        if restriction is None or self._rng.random() >= restriction.share:
+            return None
+        return restriction
+
+    def _start_delay_s(self, status: OwnerStatus | None, now: float) -> float:
+        """Return for how long new jobs wait for the owner, as its status shows."""
+        if status is None or self.absence_s(now) >= LATE_HEARTBEAT_S:
+            return 0.0
+        unknown = self._unknown_to_owner
+        while unknown and unknown[0][0] <= status.known_revision:
+            unknown.popleft()
+        if not unknown:
+            return status.start_delay_s
+        unknown_for_s = now - unknown[0][1] - STATUS_AGE_S
+        return max(status.start_delay_s, unknown_for_s)
--- a/src/lagoonpulley/intake/owner_follower.py
+++ b/src/lagoonpulley/intake/owner_follower.py
@@ -27,7 +27,7 @@
 class OwnerFollower:
     """Reads the owner's status at intervals into an :class:`Admission`.
 
-    Reads are stale, which is cheap, while heartbeats arrive in time.
+    Reads are stale, which is cheap, while nothing suggests a refusal.
     """
 
     def __init__(self, role: FlowRole, admission: Admission) -> None:
@@ -38,7 +38,7 @@
     def follow(self) -> Flow:
         """Read the status until the process ends."""
         while True:
-            if self._admission.is_heartbeat_late(self._role.now.mono):
+            if self._admission.needs_consistent_read(self._role.now.mono):
                 yield from self._read_consistently()
             else:
                 yield from self._read_stale()
@@ -51,34 +51,35 @@
         if isinstance(result, CallFailed) or not result.ok:
             return
         found = [item for item in result.entries if item.key == STATUS_KEY]
-        self._record(found[0] if found else None)
+        self._record(found[0] if found else None, is_stale=True)
 
     def _read_consistently(self) -> Flow:
-        """Read the status and the owner record while a heartbeat is late."""
+        """Read the status and the owner record when a stale read is not enough."""
         status, owner = yield [
             Call(STORE, Get(STATUS_KEY), READ_TIMEOUT_S),
             Call(STORE, Get(OWNER_KEY), READ_TIMEOUT_S),
         ]
         if isinstance(status, CallFailed) or isinstance(owner, CallFailed):
             return
-        self._record(status.entry)
+        self._record(status.entry, is_stale=False)
         if owner.entry is not None and not _writes_status(owner.entry):
             self._admission.record_owner_without_heartbeats(self._role.now.mono)
 
-    def _record(self, item: KeyValue | None) -> None:
+    def _record(self, item: KeyValue | None, is_stale: bool) -> None:
         status = _decode_status(item) if item is not None else None
-        self._admission.record_read(status, self._role.now.mono)
+        self._admission.record_read(status, self._role.now.mono, is_stale)
 
     def _log_change(self) -> None:
         now = self._role.now.mono
-        refusal = self._admission.refusal(now)
-        reason = refusal.reason if refusal else ""
+        restriction = self._admission.restriction(now)
+        reason = restriction.reason if restriction else ""
         if reason == self._closed_reason:
             return
         event = "admission_closed" if reason else "admission_open"
         log_event(
             event,
             reason=reason or self._closed_reason,
+            share=round(restriction.share, 3) if restriction else 0.0,
             absence_s=round(self._admission.absence_s(now), 3),
         )
         self._closed_reason = reason
--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -31,7 +31,7 @@
     encode_submission,
 )
 from ..workload.record import JobState
-from .admission import Admission, AdmissionRefusal
+from .admission import Admission, Restriction
 from .messages import (
     CancelJob,
     IntakeOperation,
@@ -44,6 +44,8 @@
 from .owner_follower import OwnerFollower
 
 if TYPE_CHECKING:
+    import random
+
     from ..store.health import StoreHealth
 
 __all__ = ["IntakeRole"]
@@ -59,14 +61,16 @@
     """Accepts, cancels and reads jobs.
 
     Conditions in the store transaction detect duplicate submissions.
+
+    :param rng: see :class:`~.admission.Admission`.
     """
 
     name = "intake"
 
-    def __init__(self, health: StoreHealth) -> None:
+    def __init__(self, health: StoreHealth, rng: random.Random) -> None:
         super().__init__("intake")
         self._health = health
-        self._admission = Admission()
+        self._admission = Admission(rng)
         self._owner_follower = OwnerFollower(self, self._admission)
         self._running = False
 
@@ -128,6 +132,8 @@
         outcome = self._submit_outcome(operation, result)
         if outcome.kind is not OutcomeKind.DONE:
             return outcome
+        if result.ok:
+            self._admission.record_stored(result.revision, self.now.mono)
         log_event(
             "job_submitted",
             job=spec.id,
@@ -138,9 +144,7 @@
         )
         return outcome
 
-    def _refuse_unless_stored(
-        self, operation: SubmitJob, refusal: AdmissionRefusal
-    ) -> Flow:
+    def _refuse_unless_stored(self, operation: SubmitJob, refusal: Restriction) -> Flow:
         """Refuse a submission; confirm it if an earlier request has stored the job."""
         keys = JobKeys(operation.spec.id)
         found = yield Call(STORE, ReadRange(keys.prefix), READ_TIMEOUT_S)
--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -86,6 +86,8 @@
         self._host = host
         self._retention_s = retention_s
         self._watched = _WatchProgress()
+        # Every job stored up to this revision is known.
+        self.known_revision = 0
 
     def read_all(self, term: OwnerTerm, prefix: str) -> Flow:
         """Read every key under a prefix, page by page.
@@ -166,7 +168,9 @@
         Reads all jobs again if the store no longer has the history since then.
         """
         watched = self._watched = _WatchProgress()
+        self.known_revision = revision
         while not term.has_ended:
+            self.known_revision = max(self.known_revision, revision)
             watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
             result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
             if isinstance(result, CallFailed):
@@ -203,9 +207,11 @@
             committed=watched.committed_revision,
             seen=watched.seen_revision,
         )
-        _, items = yield from self.read_all(term, JOBS_PREFIX)
+        revision, items = yield from self.read_all(term, JOBS_PREFIX)
         for item in items:
             self._apply_change(term, item)
+        if not term.has_ended:
+            self.known_revision = max(self.known_revision, revision)
         self._host.plan_and_commit()
 
     def _apply_change(self, term: OwnerTerm, item: KeyValue) -> None:
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -19,6 +19,7 @@
 from .messages import Deposed, Elected, SessionExtended, StoodDown
 from .pending import PendingCounts
 from .session import SessionRole
+from .start_backlog import StartBacklog
 from .status import OwnerStatusWriter
 from .term import OwnerTerm
 from .workers import WorkerMonitor
@@ -64,6 +65,7 @@
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
         self._pending = PendingCounts()
         self._status = OwnerStatusWriter()
+        self._start_backlog = StartBacklog(0.0)
         self._advisors = AdvisorBalancer(self, settings)
         self._next_check_at = 0.0
         self._next_round_at = 0.0
@@ -105,6 +107,7 @@
         )
         term.now = self.now
         self._term = term
+        self._start_backlog = StartBacklog(self.now.mono)
         log_event("ownership_began", token=elected.token)
         self.start(self._take_over(term))
 
@@ -157,7 +160,9 @@
         term.needs_planning = True
         self._log_waiting_steps(term)
         self._pending.write_if_due(term, self.now)
-        self._status.write_if_due(term, self.now)
+        self._status.write_if_due(
+            term, self._start_backlog, self._jobs.known_revision, self.now
+        )
         self._jobs.check_watch(term)
         self._jobs.delete_expired(term)
 
@@ -243,7 +248,12 @@
                 waited_s=round(waited_s, 3),
             )
         term.refresh_demands(record)
-        term.journal.enqueue(record, lambda: self._dispatcher.start_all(term, start))
+        self._start_backlog.record_placement(record.spec.id, self.now.mono)
+        term.journal.enqueue(record, lambda: self._start_committed(term, start))
+
+    def _start_committed(self, term: OwnerTerm, start: Start) -> None:
+        self._start_backlog.record_commit(start.record.spec.id)
+        self._dispatcher.start_all(term, start)
 
     def _request_advice(self, term: OwnerTerm, request: AdviceRequest) -> Flow:
         """Request advice for a step and apply the answer."""
--- a/src/lagoonpulley/owner/status.py
+++ b/src/lagoonpulley/owner/status.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from ..runtime.role import Now
+    from .start_backlog import StartBacklog
     from .term import OwnerTerm
 
 __all__ = ["STATUS_KEY", "OwnerStatus", "OwnerStatusWriter"]
@@ -20,11 +21,15 @@
 class OwnerStatus(BaseModel):
     """Heartbeat of an owner that has loaded all jobs and may start tasks.
 
-    ``number`` rises with each write under one ``token``.
+    ``number`` rises with each write under one ``token``. The owner knows every job
+    stored up to ``known_revision``. ``start_delay_s`` is for how long a new job waits
+    because the owner is slow, in seconds.
     """
 
     token: int
     number: int
+    known_revision: int
+    start_delay_s: float = 0.0
 
 
 class OwnerStatusWriter:
@@ -37,11 +42,18 @@
         self._next_at = 0.0
         self._number = 0
 
-    def write_if_due(self, term: OwnerTerm, now: Now) -> None:
+    def write_if_due(
+        self, term: OwnerTerm, backlog: StartBacklog, known_revision: int, now: Now
+    ) -> None:
         """Enqueue the next heartbeat if one is due."""
         if now.mono < self._next_at or not term.may_plan():
             return
         self._next_at = now.mono + WRITE_INTERVAL_S
         self._number += 1
-        status = OwnerStatus(token=term.token, number=self._number)
+        status = OwnerStatus(
+            token=term.token,
+            number=self._number,
+            known_revision=known_revision,
+            start_delay_s=round(backlog.measure_delay_s(term, now.mono), 3),
+        )
         term.journal.enqueue_value(STATUS_KEY, status.model_dump_json())
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -153,7 +153,7 @@
             StoreRelayRole(settings.entry_id, self._store_health, rng),
             PolicyRole(PlatformPolicy(), (READINESS_PORT, OwnerRole.name)),
             SessionRole(document, OwnerRole.name, rng),
-            IntakeRole(self._store_health),
+            IntakeRole(self._store_health, rng),
             AdvisorRole(),
             owner,
         ):
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -217,7 +217,7 @@
             StoreRelayRole(name, store_health, rng),
             PolicyRole(JsonPolicy(), ("owner", "standing")),
             SessionRole(document, "owner", rng),
-            IntakeRole(store_health),
+            IntakeRole(store_health, rng),
             AdvisorRole(),
             OwnerRole(OwnerSettings(name, LEASE_S), JsonDirectory(), store_health),
         )
