--- a/tests/intake/test_owner_absence.py
+++ b/tests/intake/test_owner_absence.py
@@ -7,7 +7,9 @@
 import pytest
 from tests.support.steps import StepWorld
 
+from lagoonpulley.intake import owner_follower
 from lagoonpulley.intake.messages import CancelJob, OutcomeKind, ReadPending, ReadState
+from lagoonpulley.observability.prometheus import REGISTRY
 from lagoonpulley.owner.session import OWNER_KEY
 from lagoonpulley.owner.status import STATUS_KEY
 from lagoonpulley.store.messages import Transaction
@@ -128,3 +130,26 @@
     world = StepWorld(entries=3)
     world.run(30.0)
     assert world.submit(JOB).kind is OutcomeKind.DONE
+
+
+def test_changes_of_admission_are_logged_once(world, monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        owner_follower, "log_event", lambda event, **fields: logged.append(event)
+    )
+    world.run(8.0)
+    live = sum(entry.alive for entry in world.entry_by_name.values())
+    assert logged == ["admission_closed"] * live
+    world.unreadable_prefixes.clear()
+    world.run(4.0)
+    assert logged == ["admission_closed"] * live + ["admission_open"] * live
+
+
+def test_refused_submissions_are_counted_by_reason(world):
+    name = "lagoonpulley_refused_submissions_total"
+    labels = {"reason": "no owner is working"}
+    counted = REGISTRY.get_sample_value(name, labels) or 0.0
+    world.run(6.0)
+    world.submit(JOB)
+    world.submit(STORED_JOB, payload="seconds=60")
+    assert REGISTRY.get_sample_value(name, labels) == counted + 1
