--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -56,6 +56,8 @@
         self._host = host
         self._retention_s = retention_s
         self._watched = WatchProgress()
+        # Every job stored up to this revision is known.
+        self.known_revision = 0
 
     def read_jobs(self, term: OwnerTerm) -> Flow:
         """Read all documents of jobs except their progress.
@@ -146,7 +148,9 @@
         Reads all jobs again if the store no longer has the history since then.
         """
         watched = self._watched = WatchProgress()
+        self.known_revision = revision
         while not term.has_ended:
+            self.known_revision = max(self.known_revision, revision)
             watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
             result = yield Call(STORE, watch, WATCH_TIMEOUT_S, WATCH_TOTAL_TIMEOUT_S)
             if isinstance(result, CallFailed):
@@ -191,6 +195,8 @@
         watched.end_reread(self._host.now.mono)
         for item in jobs.items:
             self._apply_change(term, item)
+        if not term.has_ended:
+            self.known_revision = max(self.known_revision, jobs.revision)
         self._host.plan_and_commit()
 
     def _apply_change(self, term: OwnerTerm, item: KeyValue) -> None:
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -233,7 +233,7 @@
             StoreRelayRole(name, store_health, rng),
             PolicyRole(JsonPolicy(), ("owner", "standing")),
             SessionRole(document, "owner", rng),
-            IntakeRole(store_health),
+            IntakeRole(store_health, rng),
             AdvisorRole(),
             OwnerRole(settings, JsonDirectory(), store_health),
         )
