Let the owner's heartbeat pass through its watch of the jobs

Cause: silence was judged from commits below jobs/ only, and an idle owner makes none.

Change: the heartbeat, written once a second, has its key below jobs/.

The new test of test_status.py failed before (no start within 2 s) and passes. test_submissions_are_refused_while_the_owner_does_not_see_them replaced the watch alone; as the owner now reads the jobs again in that case, the test disables that too. Its checks are unchanged.

--- a/src/lagoonpulley/owner/status.py
+++ b/src/lagoonpulley/owner/status.py
@@ -6,6 +6,8 @@
 
 from pydantic import BaseModel
 
+from ..workload.documents import JOBS_PREFIX
+
 if TYPE_CHECKING:
     from ..runtime.role import Now
     from .start_backlog import StartBacklog
@@ -13,8 +15,9 @@
 
 __all__ = ["STATUS_KEY", "OwnerStatus", "OwnerStatusWriter"]
 
-# Not below the owner record's key: elections watch that key as a prefix.
-STATUS_KEY = "lagoonpulley/status"
+# Below the jobs, so that the owner's watch of them reports each heartbeat: an owner
+# without other commits notices in this way that the watch is silent.
+STATUS_KEY = JOBS_PREFIX + "status"
 WRITE_INTERVAL_S = 1.0
 
 
--- a/tests/intake/test_owner_behind.py
+++ b/tests/intake/test_owner_behind.py
@@ -48,6 +48,7 @@
 
     for entry in world.entry_by_name.values():
         monkeypatch.setattr(entry.owner._jobs, "watch", wait_forever)
+        monkeypatch.setattr(entry.owner._jobs, "check_watch", lambda term: None)
     world.kill(world.owner())
     world.run(4.0)
     assert refused(submit_for(world, 1.0)) == []
--- a/tests/owner/test_status.py
+++ b/tests/owner/test_status.py
@@ -43,3 +43,13 @@
 
 def test_status_is_not_seen_by_watches_of_the_owner_record():
     assert not STATUS_KEY.startswith(OWNER_KEY)
+
+
+def test_jobs_stored_while_the_watch_is_silent_start_within_a_heartbeat():
+    world = StepWorld(entries=3)
+    world.run(2.0)
+    world.delivers_watch_events = False
+    job_ids = [letter * 16 for letter in "abc"]
+    for job_id in job_ids:
+        world.submit(job_id, payload="seconds=60")
+    world.run_until(lambda: all(map(world.executions, job_ids)), 2.0)
