Let grpclib alone end an incoming call at its deadline

The wait is 30 s again; the role still gets the remaining time.

There is no test: the two timers race.

--- a/src/lagoonpulley/peers/port.py
+++ b/src/lagoonpulley/peers/port.py
@@ -151,11 +151,11 @@
         request_id = f"peer:{self._incoming_count}"
         future: asyncio.Future[Any] = self._loop.create_future()
         self._future_by_request_id[request_id] = future
-        timeout_s = _remaining_s(stream)
-        request = Request(request_id, PEERS, message, timeout_s)
+        request = Request(request_id, PEERS, message, _remaining_s(stream))
         self._deliver(method.role, request)
         try:
-            result = await asyncio.wait_for(future, timeout_s)
+            # At the caller's deadline, grpclib cancels this call.
+            result = await asyncio.wait_for(future, INCOMING_TIMEOUT_S)
         except TimeoutError:
             raise GRPCError(Status.DEADLINE_EXCEEDED) from None
         finally:
