Keep refused relay calls from extending the backoff

A caller that retries within 0.3 s, as a reader of the jobs does, kept an entry that cannot reach the store from using any relay, without end.

Only a call that was tried through a relay begins the backoff.

test_calls_refused_during_the_backoff_do_not_extend_it failed on the code before.

--- a/src/lagoonpulley/peers/store_relay.py
+++ b/src/lagoonpulley/peers/store_relay.py
@@ -27,8 +27,7 @@
 MIN_RELAYED_TIMEOUT_S = 0.1
 PROBE_INTERVAL_S = 0.3
 PROBE_TIMEOUT_S = 0.5
-# After a relayed call fails, calls that follow within this time fail at once; each of
-# these failures restarts the time.
+# After a relayed call fails, calls that follow within this time fail at once.
 RELAY_BACKOFF_S = 0.3
 
 
@@ -98,7 +97,8 @@
         The next relay is tried only if the call certainly had no effect.
         """
         result: StoreResult | CallFailed = CallFailed(Ran.NO, "the store is away")
-        for address in self._relay_addresses():
+        addresses = self._relay_addresses()
+        for address in addresses:
             result = yield from self._call_relay(address, request)
             if not isinstance(result, CallFailed):
                 self._last_relay = address
@@ -107,7 +107,7 @@
             if result.ran is not Ran.NO:
                 break
         answered = not isinstance(result, CallFailed)
-        if not answered:
+        if addresses and not answered:
             self._relay_backoff_until = self.now.mono + RELAY_BACKOFF_S
         self._store_health.record_result(answered)
         self.answer(request, result)
--- a/tests/peers/test_store_relay.py
+++ b/tests/peers/test_store_relay.py
@@ -6,9 +6,17 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 from tests.support.steps import StepWorld, step
 
+from lagoonpulley.peers.store_relay import RELAY_OVERHEAD_S, StoreRelayRole
+from lagoonpulley.runtime.role import PEERS, STORE, Now, Request
+from lagoonpulley.store.health import StoreHealthTracker
+from lagoonpulley.store.messages import Get
+from lagoonpulley.store.route import STORE_RELAY, RelayCall
+
 
 @pytest.fixture
 def world():
@@ -58,3 +66,28 @@
     world.kill(first)
     world.run(3.0)
     assert world.owner() is not first
+
+
+def test_calls_refused_during_the_backoff_do_not_extend_it(world):
+    entry = world.owner()
+    entry.has_store = entry.has_peers = False
+    world.run(1.0)
+    assert entry.store_health.is_unreachable()
+    entry.has_peers = True
+    for _ in range(20):
+        # Calls come more often than the backoff ends.
+        request = Request("test", "test", Get("key"), 1.0)
+        entry.mailbox.append((STORE_RELAY, RelayCall(request)))
+        world.run(0.1)
+    assert not entry.store_health.is_unreachable()
+
+
+@pytest.mark.parametrize("timeout_s", [0.7, 3.2])
+def test_relayed_call_ends_before_the_calling_entry_gives_up(timeout_s):
+    health = StoreHealthTracker(lambda: Now(0.0, 0.0))
+    role = StoreRelayRole("e0", health, random.Random(1))
+    request = Request("id", PEERS, Get("key"), timeout_s)
+    (send,) = role.handle(request, Now(0.0, 0.0))
+    assert send.to == STORE
+    assert send.message.operation == Get("key")
+    assert send.message.timeout_s == pytest.approx(timeout_s - RELAY_OVERHEAD_S)
