Count the load of a new owner like a reread of the jobs

The pause before the first reread is four times the duration of the load now.

test_no_reread_is_due_soon_after_a_slow_load needs the new parameter.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -55,7 +55,7 @@
     def __init__(self, host: FlowHost, retention_s: float) -> None:
         self._host = host
         self._retention_s = retention_s
-        self._watched = WatchProgress()
+        self._watched = WatchProgress(now=0.0)
 
     def read_jobs(self, term: OwnerTerm) -> Flow:
         """Read all documents of jobs except their progress.
@@ -140,12 +140,14 @@
             term.restore_final(record, document)
             term.enqueue_record(record)
 
-    def watch(self, term: OwnerTerm, revision: int) -> Flow:
-        """Watch for submissions and cancellations after a revision.
+    def watch(self, term: OwnerTerm, jobs: RangeRead) -> Flow:
+        """Watch for submissions and cancellations after all jobs were read.
 
         Reads all jobs again if the store no longer has the history since then.
         """
-        watched = self._watched = WatchProgress()
+        revision = jobs.revision
+        watched = WatchProgress(self._host.now.mono, jobs.took_s)
+        self._watched = watched
         while not term.has_ended:
             watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
             result = yield Call(STORE, watch, WATCH_TIMEOUT_S, WATCH_TOTAL_TIMEOUT_S)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -137,7 +137,7 @@
             jobs=len(term.record_by_id),
             took_s=round(self.now.mono - began, 3),
         )
-        self.start(self._jobs.watch(term, jobs.revision))
+        self.start(self._jobs.watch(term, jobs))
         self.start(self._workers.monitor(term))
         self.start(self._advisors.poll_entries(term))
 
--- a/src/lagoonpulley/owner/watch_progress.py
+++ b/src/lagoonpulley/owner/watch_progress.py
@@ -22,14 +22,17 @@
     """The commits of this owner that the watch has not reported yet.
 
     Times are monotonic seconds.
+
+    :param load_s: duration of the read of all jobs that has just ended. It counts like
+        a reread: repeating it soon would keep a slow link busy.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: float, load_s: float = 0.0) -> None:
         self.seen_revision = 0
         self._unseen: deque[tuple[int, float]] = deque()
         self._usual_lag_s = 0.0
         self._reread_began_at: float | None = None
-        self._next_reread_at = float("-inf")
+        self._next_reread_at = now + PAUSE_PER_REREAD_TIME * load_s
 
     @property
     def committed_revision(self) -> int:
--- a/src/lagoonpulley/store/range_reader.py
+++ b/src/lagoonpulley/store/range_reader.py
@@ -53,11 +53,13 @@
 
     ``revision`` is the lowest revision at which a page was read, 0 before the first
     page. The items are no snapshot: they contain every change up to this revision, and
-    may contain later ones. ``failures`` counts the failed calls.
+    may contain later ones. ``failures`` counts the failed calls, ``took_s`` is the
+    duration of the read in seconds.
     """
 
     revision: int = 0
     failures: int = 0
+    took_s: float = 0.0
     item_by_key: dict[str, KeyValue] = field(default_factory=dict)
 
     @property
@@ -98,6 +100,7 @@
     :returns: a :class:`RangeRead`; it is incomplete if ``has_ended`` returned true.
     """
     read = RangeRead()
+    began = timekeeper.now.mono
     remaining = deque(parts)
     calls_in_flight = INITIAL_CALLS_IN_FLIGHT
     timeout_s = INITIAL_TIMEOUT_S
@@ -129,6 +132,7 @@
             yield Sleep(RETRY_DELAY_S)
             continue
         calls_in_flight = _next_calls_in_flight(calls_in_flight, took_s)
+    read.took_s = timekeeper.now.mono - began
     return read
 
 
--- a/tests/owner/test_watch_progress.py
+++ b/tests/owner/test_watch_progress.py
@@ -9,7 +9,7 @@
 
 @pytest.fixture
 def progress():
-    return WatchProgress()
+    return WatchProgress(now=0.0)
 
 
 def test_unreported_commit_makes_the_watch_silent(progress):
@@ -81,3 +81,10 @@
     progress.end_reread(11.0)
     assert not progress.needs_reread(50.0)
     assert progress.needs_reread(51.1)
+
+
+def test_no_reread_is_due_soon_after_a_slow_load():
+    progress = WatchProgress(now=10.0, load_s=2.0)
+    progress.record_commit(1, now=10.0)
+    assert not progress.needs_reread(17.9)
+    assert progress.needs_reread(18.1)
