--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -169,7 +169,7 @@
             jobs=len(term.record_by_id),
             took_s=round(self.now.mono - began, 3),
         )
-        self.start(self._jobs.watch(term, jobs.revision))
+        self.start(self._jobs.watch(term, jobs))
         self.start(self._workers.monitor(term))
 
     def _tick(self) -> None:
