Check a team's limit before looking for workers

Each release of a team at its limit unblocks all its waiting steps. For each of them the round searched all workers, packed nothing, and only then found that the team's limit allows no start: effort of steps times workers for each end.

The limit is now checked first.

test_round_does_not_look_for_workers_for_a_team_at_its_limit failed on the code before.

--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -255,10 +255,13 @@
                 if permits.request_pending:
                     demand.block_reason = BlockReason.ADVICE
                 return 0
+        if not self._is_within_team_limit(demand):
+            demand.block_reason = BlockReason.TEAM_LIMIT
+            return 0
         workers = self._candidate_workers(demand)
         chosen = self._choose_workers(demand, workers, len(waiting))
         if not chosen:
-            self._set_block_reason(demand)
+            self._set_lacks_capacity(demand)
             return 0
         if permits is not None:
             chosen = self._choose_permitted_workers(
@@ -286,15 +289,15 @@
             return []
         return pack_gang(step, workers, task_counts, reserved)
 
-    def _set_block_reason(self, demand: Demand) -> None:
-        """Set why a demand could not be served."""
+    def _is_within_team_limit(self, demand: Demand) -> bool:
+        """Return whether the team's limit allows one more task, or the whole gang."""
         step = demand.step
         needed = step.count if step.gang else 1
         team = demand.record.spec.team
-        allowed = self._count_within_limit(team, step.request, needed)
-        if allowed < needed:
-            demand.block_reason = BlockReason.TEAM_LIMIT
-            return
+        return self._count_within_limit(team, step.request, needed) >= needed
+
+    def _set_lacks_capacity(self, demand: Demand) -> None:
+        """Record that no worker has room for a demand."""
         if demand.lacks_capacity_since is None:
             demand.lacks_capacity_since = self._now
         demand.block_reason = (
--- a/tests/planning/test_effort.py
+++ b/tests/planning/test_effort.py
@@ -7,11 +7,12 @@
 import pytest
 
 from lagoonpulley.model.resources import Resources
+from lagoonpulley.planning import planner as planner_module
 from lagoonpulley.planning.cell import Cell, Claim
 from lagoonpulley.planning.packing import StepTaskCounts, pack_tasks
 from lagoonpulley.planning.permits import PermitTable
-from lagoonpulley.planning.planner import Demand, Planner
-from lagoonpulley.policy.values import Queue
+from lagoonpulley.planning.planner import BlockReason, Demand, Planner
+from lagoonpulley.policy.values import Queue, TeamLimits
 from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.upstream.tasks import TaskRef
 from lagoonpulley.workload.record import JobRecord
@@ -51,8 +52,8 @@
     return Demand(JobRecord.from_spec(spec), StepKey(0, 0), QUEUE, float(number))
 
 
-def plan(cell, demands, now):
-    planner = Planner(cell, PermitTable(), {}, now, NoAdvice())
+def plan(cell, demands, now, limits_by_team=None):
+    planner = Planner(cell, PermitTable(), limits_by_team or {}, now, NoAdvice())
     return planner.plan(demands, 64).starts
 
 
@@ -153,3 +154,26 @@
     monkeypatch.setattr(JobRecord, "step_of", step_of)
     assert not plan(full_cell, demands, 2.0)
     assert not looked_up
+
+
+def test_round_does_not_look_for_workers_for_a_team_at_its_limit(
+    full_cell, monkeypatch
+):
+    demands = [make_demand(number, 1000) for number in range(DEMANDS)]
+    used = full_cell.team_usage("north")
+    limits_by_team = {"north": TeamLimits("north", 1.0, used)}
+    plan(full_cell, demands, 1.0, limits_by_team)
+    assert {demand.block_reason for demand in demands} == {BlockReason.TEAM_LIMIT}
+    release_all(full_cell)
+    searches = []
+    original = planner_module.eligible_workers
+
+    def eligible_workers(*arguments):
+        searches.append(arguments)
+        return original(*arguments)
+
+    monkeypatch.setattr(planner_module, "eligible_workers", eligible_workers)
+    assert not plan(full_cell, demands, 2.0, limits_by_team)
+    assert not searches
+    full_cell.release("w0", make_ref(0))
+    assert len(plan(full_cell, demands, 3.0, limits_by_team)) == 8
