Split a read of the store only once a page of it is slow

Once a page takes more than 0.5 s, the rest is read by narrower prefixes, from the key that was reached. The directory of workers is not split. The progress is read whole again.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -9,7 +9,7 @@
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import STORE, CallFailed
 from ..store.messages import StoreStatus, Transaction, WatchPrefix
-from ..store.range_reader import RangePart, read_range, split_by_first_character
+from ..store.range_reader import read_range
 from ..workload.documents import (
     CANCEL,
     FINAL,
@@ -77,18 +77,20 @@
 
         :returns: a :class:`RangeRead`, incomplete if the term ends meanwhile.
         """
-        parts = split_by_first_character(JOBS_PREFIX, JOB_ID_CHARACTERS)
-        return read_range(self._host, parts, lambda: term.has_ended)
+        return self._read(term, JOBS_PREFIX)
 
-    def read_progress(self, term: OwnerTerm, jobs: RangeRead) -> Flow:
-        """Read the progress documents of the jobs that were read.
+    def read_progress(self, term: OwnerTerm) -> Flow:
+        """Read all progress documents.
 
         :returns: a :class:`RangeRead`, incomplete if the term ends meanwhile.
         """
-        parsed = [JobKeys.parse(key) for key in jobs.item_by_key]
-        characters = {job[0][:1] for job in parsed if job is not None}
-        parts = [RangePart(PROGRESS_PREFIX + first) for first in sorted(characters)]
-        return read_range(self._host, parts, lambda: term.has_ended)
+        return self._read(term, PROGRESS_PREFIX)
+
+    def _read(self, term: OwnerTerm, prefix: str) -> Flow:
+        def has_ended() -> bool:
+            return term.has_ended
+
+        return read_range(self._host, prefix, has_ended, JOB_ID_CHARACTERS)
 
     def load_jobs(self, term: OwnerTerm, items: Iterable[KeyValue]) -> None:
         """Add the jobs whose submissions are among the items, in order of revision."""
@@ -181,15 +183,13 @@
             self._host.start(self._reread_jobs(term, self._watched))
 
     def _reread_jobs(self, term: OwnerTerm, watched: WatchProgress) -> Flow:
-        """Read the jobs again, but for ids that callers cannot choose."""
         watched.begin_reread(self._host.now.mono)
         log_event(
             "jobs_watch_silent",
             committed=watched.committed_revision,
             seen=watched.seen_revision,
         )
-        parts = [RangePart(JOBS_PREFIX + first) for first in JOB_ID_CHARACTERS]
-        jobs = yield from read_range(self._host, parts, lambda: term.has_ended)
+        jobs = yield from self.read_jobs(term)
         watched.end_reread(self._host.now.mono)
         for item in jobs.items:
             self._apply_change(term, item)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -122,7 +122,7 @@
         """Load every job, then start watching the store and the workers."""
         began = self.now.mono
         jobs = yield from self._jobs.read_jobs(term)
-        progress = yield from self._jobs.read_progress(term, jobs)
+        progress = yield from self._jobs.read_progress(term)
         if term.has_ended:
             return
         if self._policy is not None:
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -7,7 +7,7 @@
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import UPSTREAM
-from ..store.range_reader import RangePart, read_range
+from ..store.range_reader import read_range
 from ..upstream.tasks import Refusal, SyncWorker, WorkerAddress, WorkerReport
 from .dispatch import COMMAND_TIMEOUT_S
 from .reports import apply_report
@@ -52,9 +52,10 @@
     def monitor(self, term: OwnerTerm) -> Flow:
         """Poll the worker directory while the term lasts."""
         healthy_since = self._host.now.mono
-        parts = [RangePart(self._directory.prefix)]
         while not term.has_ended:
-            listed = yield from read_range(self._host, parts, lambda: term.has_ended)
+            listed = yield from read_range(
+                self._host, self._directory.prefix, lambda: term.has_ended
+            )
             if term.has_ended:
                 return
             if listed.failures:
--- a/src/lagoonpulley/store/range_reader.py
+++ b/src/lagoonpulley/store/range_reader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Protocol
 
 from ..observability.events import log_event
@@ -12,13 +12,15 @@
 from .messages import ReadRange
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from ..runtime.role import Now
     from .messages import KeyValue, StoreResult
 
-__all__ = ["RangePart", "RangeRead", "read_range", "split_by_first_character"]
+__all__ = ["RangeRead", "read_range"]
 
+# Of a page of a read that is not split yet.
+WHOLE_TIMEOUT_S = 0.5
 # Of calls during which nothing arrives, or which another entry relays.
 INITIAL_TIMEOUT_S = 1.0
 MAX_TIMEOUT_S = 8.0
@@ -40,11 +42,38 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RangePart:
-    """The keys that begin with ``prefix`` and are greater than ``after``."""
+class _Part:
+    """The keys that begin with ``prefix`` and are greater than ``after``.
+
+    ``split_order`` contains the characters by which to split the part, the likely ones
+    first; a part without any is not split.
+    """
 
     prefix: str
     after: str = ""
+    split_order: str = ""
+
+    def call(self, timeout_s: float) -> Call:
+        """Return the call that reads the first page."""
+        read = ReadRange(self.prefix, self.after)
+        if self.split_order:
+            return Call(STORE, read, WHOLE_TIMEOUT_S)
+        return Call(STORE, read, timeout_s, TOTAL_TIMEOUT_S)
+
+    def split(self) -> list[_Part]:
+        """Return parts with narrower prefixes that cover the same keys.
+
+        Only keys that continue with a control character are not covered.
+        """
+        parts = []
+        for character in self.split_order:
+            prefix = self.prefix + character
+            if self.after.startswith(prefix):
+                parts.append(_Part(prefix, self.after))
+            elif self.after < prefix:
+                parts.append(_Part(prefix))
+        last = self.prefix + PRINTABLE_CHARACTERS[-1]
+        return [*parts, _Part(self.prefix, max(self.after, last))]
 
 
 @dataclass(slots=True)
@@ -67,75 +96,76 @@
         """All items, each key once."""
         return list(self.item_by_key.values())
 
-    def add(self, page: StoreResult) -> None:
-        """Add the items of a page."""
-        if not self.revision or page.revision < self.revision:
-            self.revision = page.revision
-        self.item_by_key.update((item.key, item) for item in page.entries)
-
-
-def split_by_first_character(prefix: str, likely: str) -> list[RangePart]:
-    """Return parts that together cover the keys below a prefix.
-
-    There is a part for each printable ASCII character that may follow the prefix, those
-    of ``likely`` first, and one for all greater characters. Only keys that continue
-    with a control character are not covered.
-    """
-    characters = dict.fromkeys(likely + PRINTABLE_CHARACTERS)
-    parts = [RangePart(prefix + character) for character in characters]
-    return [*parts, RangePart(prefix, after=prefix + PRINTABLE_CHARACTERS[-1])]
+    def add(self, prefix: str, result: StoreResult | CallFailed) -> None:
+        """Add the result of a call."""
+        if isinstance(result, CallFailed):
+            self.failures += 1
+            log_event("store_read_failed", prefix=prefix, reason=result.reason)
+            return
+        if not self.revision or result.revision < self.revision:
+            self.revision = result.revision
+        self.item_by_key.update((item.key, item) for item in result.entries)
 
 
 def read_range(
-    timekeeper: Timekeeper, parts: Iterable[RangePart], has_ended: Callable[[], bool]
+    timekeeper: Timekeeper,
+    prefix: str,
+    has_ended: Callable[[], bool],
+    likely_characters: str = "",
 ) -> Flow:
-    """Read parts until all are complete, a bounded number of calls at a time.
+    """Read all keys below a prefix, a bounded number of calls at a time.
 
-    A page that arrived is not read again. After a call that used up its timeout, calls
-    get a longer one: the answer may have been on its way over a slow link. Fewer calls
-    are in flight while calls take long, so that other traffic on the link is not held
-    up.
+    A page that arrived is not read again. If a page does not arrive soon, the rest is
+    read by narrower prefixes, one for each character that may follow. Fewer calls are
+    in flight while calls take long, and a call that used up its timeout makes later
+    ones have a longer one: answers may be on their way over a slow link, which other
+    calls need as well.
 
     :param has_ended: whether to stop early.
+    :param likely_characters: the characters that usually follow the prefix; without
+        any, the read is not split.
     :returns: a :class:`RangeRead`; it is incomplete if ``has_ended`` returned true.
     """
     read = RangeRead()
     began = timekeeper.now.mono
-    remaining = deque(parts)
+    remaining = deque([_Part(prefix, split_order=_split_order(likely_characters))])
     calls_in_flight = INITIAL_CALLS_IN_FLIGHT
     timeout_s = INITIAL_TIMEOUT_S
     while remaining and not has_ended():
-        batch = [
-            remaining.popleft() for _ in range(min(calls_in_flight, len(remaining)))
-        ]
+        count = min(calls_in_flight, len(remaining))
+        batch = [remaining.popleft() for _ in range(count)]
+        calls = [part.call(timeout_s) for part in batch]
         sent_at = timekeeper.now.mono
-        results = yield [
-            Call(STORE, ReadRange(part.prefix, part.after), timeout_s, TOTAL_TIMEOUT_S)
-            for part in batch
-        ]
+        results = yield calls
         took_s = timekeeper.now.mono - sent_at
         failures_before = read.failures
-        for part, result in zip(batch, results):
-            if isinstance(result, CallFailed):
-                read.failures += 1
-                log_event("store_read_failed", prefix=part.prefix, reason=result.reason)
+        for part, call, result in zip(batch, calls, results):
+            timed_out = isinstance(result, CallFailed) and took_s >= call.timeout_s
+            if timed_out and part.split_order:
+                remaining.extendleft(reversed(part.split()))
+            elif isinstance(result, CallFailed):
                 remaining.appendleft(part)
-                continue
-            read.add(result)
-            if result.truncated and result.entries:
-                rest = RangePart(part.prefix, after=result.entries[-1].key)
+            elif result.truncated and result.entries:
+                rest = replace(part, after=result.entries[-1].key)
                 remaining.appendleft(rest)
-        if read.failures > failures_before:
-            calls_in_flight = 1
-            if took_s >= timeout_s:
-                timeout_s = min(MAX_TIMEOUT_S, 2 * timeout_s)
-            yield Sleep(RETRY_DELAY_S)
+            read.add(part.prefix, result)
+        if read.failures == failures_before:
+            calls_in_flight = _next_calls_in_flight(calls_in_flight, took_s)
             continue
-        calls_in_flight = _next_calls_in_flight(calls_in_flight, took_s)
+        calls_in_flight = 1
+        if took_s >= timeout_s:
+            timeout_s = min(MAX_TIMEOUT_S, 2 * timeout_s)
+        yield Sleep(RETRY_DELAY_S)
     read.took_s = timekeeper.now.mono - began
     return read
 
 
+def _split_order(likely_characters: str) -> str:
+    if not likely_characters:
+        return ""
+    return "".join(dict.fromkeys(likely_characters + PRINTABLE_CHARACTERS))
+
+
 def _next_calls_in_flight(calls_in_flight: int, took_s: float) -> int:
     if took_s > SLOW_CALLS_S:
         return max(1, calls_in_flight // 2)
