--- a/src/lagoonpulley/intake/admission.py
+++ b/src/lagoonpulley/intake/admission.py
@@ -74,11 +74,19 @@
         """Record the status that a read found, ``None`` if there is none."""
         heartbeat = (status.token, status.number) if status else (0, 0)
         was_interrupted = now - self._read_at > MAX_READ_GAP_S
+        is_new = status is not None and heartbeat != self._last_heartbeat
         # A stale read may return an earlier heartbeat than the one before.
-        if heartbeat > self._last_heartbeat or was_interrupted:
+        if is_stale and heartbeat < self._last_heartbeat:
+            is_new = False
+        if is_new:
+            self._last_heartbeat = heartbeat
+        if is_new or was_interrupted:
             self._absent_since = now
-        self._last_heartbeat = max(heartbeat, self._last_heartbeat)
         self._read_at = now
+        if status is None or self.absence_s(now) >= LATE_HEARTBEAT_S:
+            # Until the next heartbeat, the owner is presumed to be as far behind.
+            self._suspected_delay_s = 0.0
+            return
         self._suspected_delay_s = self._start_delay_s(status, now)
         if not is_stale or self._suspected_delay_s <= MIN_START_DELAY_S:
             self._proved_delay_s = self._suspected_delay_s
@@ -120,10 +128,8 @@
             return None
         return restriction
 
-    def _start_delay_s(self, status: OwnerStatus | None, now: float) -> float:
+    def _start_delay_s(self, status: OwnerStatus, now: float) -> float:
         """Return for how long new jobs wait for the owner, as its status shows."""
-        if status is None or self.absence_s(now) >= LATE_HEARTBEAT_S:
-            return 0.0
         unknown = self._unknown_to_owner
         while unknown and unknown[0][0] <= status.known_revision:
             unknown.popleft()
--- a/src/lagoonpulley/intake/owner_follower.py
+++ b/src/lagoonpulley/intake/owner_follower.py
@@ -22,6 +22,8 @@
 
 READ_TIMEOUT_S = 0.8
 READ_INTERVAL_S = 0.5
+# Consistent reads count toward the rate that all entries share.
+CONSISTENT_READ_INTERVAL_S = 0.9
 
 
 class OwnerFollower:
@@ -34,17 +36,27 @@
         self._role = role
         self._admission = admission
         self._closed_reason = ""
+        self._next_consistent_at = float("-inf")
 
     def follow(self) -> Flow:
         """Read the status until the process ends."""
         while True:
-            if self._admission.needs_consistent_read(self._role.now.mono):
+            if self._is_consistent_read_due():
                 yield from self._read_consistently()
             else:
                 yield from self._read_stale()
             self._log_change()
             yield Sleep(READ_INTERVAL_S)
 
+    def _is_consistent_read_due(self) -> bool:
+        now = self._role.now.mono
+        if not self._admission.needs_consistent_read(now):
+            return False
+        if now < self._next_consistent_at:
+            return False
+        self._next_consistent_at = now + CONSISTENT_READ_INTERVAL_S
+        return True
+
     def _read_stale(self) -> Flow:
         read = ReadRange(STATUS_KEY, stale=True)
         result = yield Call(STORE, read, READ_TIMEOUT_S)
--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -148,11 +148,12 @@
         """Refuse a submission; confirm it if an earlier request has stored the job."""
         keys = JobKeys(operation.spec.id)
         found = yield Call(STORE, ReadRange(keys.prefix), READ_TIMEOUT_S)
-        if not isinstance(found, CallFailed):
-            for item in found.entries:
-                if item.key in (keys.submission, keys.final):
-                    team = operation.spec.team
-                    return _outcome_of_duplicate(_team_of(keys, item), team)
+        if isinstance(found, CallFailed):
+            return Outcome(OutcomeKind.UNKNOWN, found.reason)
+        for item in found.entries:
+            if item.key in (keys.submission, keys.final):
+                team = operation.spec.team
+                return _outcome_of_duplicate(_team_of(keys, item), team)
         count_refused_submission(refusal.reason)
         return Outcome(
             OutcomeKind.REFUSED, refusal.reason, retry_after_s=refusal.retry_after_s
--- a/tests/intake/test_admission.py
+++ b/tests/intake/test_admission.py
@@ -78,11 +78,25 @@
 def test_earlier_heartbeat_of_a_stale_read_is_no_new_one():
     admission = new_admission()
     now = read_for(admission, ABSENT_S, status(7))
-    admission.record_read(status(6), now, is_stale=False)
+    admission.record_read(status(6), now, is_stale=True)
     admission.record_read(status(7), now, is_stale=False)
     assert admission.refusal(now) is not None
 
 
+def test_admits_once_a_consistent_read_finds_a_heartbeat_of_a_restored_store():
+    admission = new_admission()
+    now = read_for(admission, ABSENT_S, status(7))
+    admission.record_read(status(6, token=2), now, is_stale=False)
+    assert admission.refusal(now) is None
+
+
+def test_owner_that_is_behind_stays_so_between_late_heartbeats():
+    admission = new_admission()
+    now = read_delays(admission, 60.0, 3)
+    now = read_for(admission, 2.4, status(3, delay_s=60.0), began=now)
+    assert refused_of(admission, now) == 1000
+
+
 def test_admits_when_the_knowledge_is_old():
     admission = new_admission()
     now = read_for(admission, ABSENT_S, status(7))
--- a/tests/intake/test_owner_absence.py
+++ b/tests/intake/test_owner_absence.py
@@ -12,7 +12,7 @@
 from lagoonpulley.observability.prometheus import REGISTRY
 from lagoonpulley.owner.session import OWNER_KEY
 from lagoonpulley.owner.status import STATUS_KEY
-from lagoonpulley.store.messages import Transaction
+from lagoonpulley.store.messages import Get, Transaction
 from lagoonpulley.workload.documents import JOBS_PREFIX, JobKeys
 from lagoonpulley.workload.record import JobState
 
@@ -80,6 +80,29 @@
     assert world.submit(STORED_JOB, team="south").kind is OutcomeKind.OTHER_TEAM
 
 
+def test_submission_that_may_be_stored_is_not_refused(world):
+    world.run(6.0)
+    world.unreadable_prefixes.add(JobKeys(STORED_JOB).prefix)
+    outcome = world.submit(STORED_JOB, payload="seconds=60")
+    assert outcome.kind is OutcomeKind.UNKNOWN
+
+
+def test_consistent_reads_are_paced_when_no_owner_works(world, monkeypatch):
+    world.run(6.0)
+    reads = []
+    apply = world.store.apply
+
+    def apply_and_count(operation, now):
+        if operation == Get(STATUS_KEY):
+            reads.append(operation)
+        return apply(operation, now)
+
+    monkeypatch.setattr(world.store, "apply", apply_and_count)
+    world.run(10.0)
+    live = sum(entry.alive for entry in world.entry_by_name.values())
+    assert 0 < len(reads) <= 11 * live
+
+
 def test_reads_and_cancels_go_on_when_no_owner_works(world):
     world.run(6.0)
     entry = live_entry(world)
