--- a/src/lagoonpulley/intake/admission.py
+++ b/src/lagoonpulley/intake/admission.py
@@ -59,6 +59,9 @@
         self._last_heartbeat = (0, 0)
         self._absent_since: float | None = None
         self._read_at = float("-inf")
+        # A commit that an outage held up delays one heartbeat's jobs, so a delay counts
+        # once two successive heartbeats show it.
+        self._previous_delay_s = 0.0
         self._suspected_delay_s = 0.0
         self._proved_delay_s = 0.0
         # Revision and time of submissions that the owner is not known to know.
@@ -74,6 +77,10 @@
         """Record the status that a read found, ``None`` if there is none."""
         heartbeat = (status.token, status.number) if status else (0, 0)
         was_interrupted = now - self._read_at > MAX_READ_GAP_S
+        if was_interrupted:
+            self._suspected_delay_s = 0.0
+        if heartbeat > self._last_heartbeat:
+            self._previous_delay_s = self._suspected_delay_s
         # A stale read may return an earlier heartbeat than the one before.
         if heartbeat > self._last_heartbeat or was_interrupted:
             self._absent_since = now
@@ -81,7 +88,7 @@
         self._read_at = now
         self._suspected_delay_s = self._start_delay_s(status, now)
         if not is_stale or self._suspected_delay_s <= MIN_START_DELAY_S:
-            self._proved_delay_s = self._suspected_delay_s
+            self._proved_delay_s = min(self._suspected_delay_s, self._previous_delay_s)
 
     def record_owner_without_heartbeats(self, now: float) -> None:
         """Record that the owner runs a build that writes no status."""
--- a/tests/intake/test_admission.py
+++ b/tests/intake/test_admission.py
@@ -175,3 +175,19 @@
         assert admission.restriction(now) is None
     admission.record_read(status(1, token=6, known=9), now + 0.3, is_stale=False)
     assert admission.restriction(now + 0.3) is None
+
+
+def test_delay_that_one_heartbeat_shows_refuses_nothing():
+    admission = new_admission()
+    now = read_delays(admission, 0.0, 3)
+    now = read_delays(admission, 5.0, 1, began=now + 1.0)
+    assert admission.restriction(now) is None
+    now = read_delays(admission, 5.0, 1, began=now + 1.0)
+    assert admission.restriction(now).share == 1.0
+
+
+def test_delay_before_a_gap_between_reads_does_not_count():
+    admission = new_admission()
+    now = read_delays(admission, 5.0, 3)
+    now = read_delays(admission, 5.0, 1, began=now + 10.0)
+    assert admission.restriction(now) is None
