Merge that a delay of the owner counts after two heartbeats

With the review's mends: between late heartbeats the last delay stands, also as the previous one of the next heartbeat. 61 tests of intake pass.

--- a/src/lagoonpulley/intake/admission.py
+++ b/src/lagoonpulley/intake/admission.py
@@ -59,6 +59,9 @@
         self._last_heartbeat = (0, 0)
         self._absent_since: float | None = None
         self._read_at = float("-inf")
+        # A commit that an outage held up delays one heartbeat's jobs, so a delay counts
+        # once two successive heartbeats show it.
+        self._previous_delay_s = 0.0
         self._suspected_delay_s = 0.0
         self._proved_delay_s = 0.0
         # Revision and time of submissions that the owner is not known to know.
@@ -78,18 +81,20 @@
         # A stale read may return an earlier heartbeat than the one before.
         if is_stale and heartbeat < self._last_heartbeat:
             is_new = False
+        if was_interrupted:
+            self._suspected_delay_s = 0.0
         if is_new:
             self._last_heartbeat = heartbeat
+            self._previous_delay_s = self._suspected_delay_s
         if is_new or was_interrupted:
             self._absent_since = now
         self._read_at = now
         if status is None or self.absence_s(now) >= LATE_HEARTBEAT_S:
             # Until the next heartbeat, the owner is presumed to be as far behind.
-            self._suspected_delay_s = 0.0
             return
         self._suspected_delay_s = self._start_delay_s(status, now)
         if not is_stale or self._suspected_delay_s <= MIN_START_DELAY_S:
-            self._proved_delay_s = self._suspected_delay_s
+            self._proved_delay_s = min(self._suspected_delay_s, self._previous_delay_s)
 
     def record_owner_without_heartbeats(self, now: float) -> None:
         """Record that the owner runs a build that writes no status."""
