--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from ..model.verdict import Ran
+from ..observability.events import log_event
 from ..runtime.curl import HttpAnswer, HttpCall, HttpFailure
 from ..runtime.role import CallFailed
 from ..upstream.tasks import (
@@ -186,6 +187,7 @@
     try:
         return EndKind(kind)
     except ValueError:
+        log_event("end_kind_unknown", kind=kind)
         return EndKind.FAILED
 
 
