--- a/src/lagoonpulley/platform/submission.py
+++ b/src/lagoonpulley/platform/submission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, Field, ValidationError, model_validator
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from ..model.resources import Resources
 from ..workload.spec import JobSpec, StepSpec
@@ -16,7 +16,13 @@
 MAX_TASKS = 5000
 
 
-class _Step(BaseModel):
+class _Model(BaseModel):
+    """Base class; infinite numbers are refused, because JSON cannot store them."""
+
+    model_config = ConfigDict(allow_inf_nan=False)
+
+
+class _Step(_Model):
     """A step; ``cpu`` is in thousandths of a core, ``memMb`` in megabytes."""
 
     count: int = Field(1, ge=1, le=MAX_TASKS)
@@ -60,7 +66,7 @@
         )
 
 
-class _Submission(BaseModel):
+class _Submission(_Model):
     """A job; ``startAtMs`` is when its first occurrence is due, in ms since 1970."""
 
     spec: str = ""
--- /dev/null
+++ b/tests/platform/test_submission.py
@@ -0,0 +1,28 @@
+"""Job submissions that the entry must refuse because the owner could not run them."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonpulley.platform.submission import decode_submission_body
+
+
+def decode(more="", step=""):
+    """Decode a body; Python's JSON encoder would not write the numbers under test."""
+    body = '{"spec": "text"' + more + ', "steps": [{"count": 1' + step + "}]}"
+    return decode_submission_body(body.encode(), "a" * 16, "reviews", "north", 1.0)
+
+
+def test_submission_with_finite_numbers_is_decoded():
+    assert decode(', "startAtMs": 5.0', ', "estimateMs": 900').is_ok()
+
+
+@pytest.mark.parametrize("value", ["1e999", "NaN", "Infinity"])
+@pytest.mark.parametrize("field", ["estimateMs", "targetMs"])
+def test_submission_with_a_step_value_that_is_not_finite_is_refused(field, value):
+    assert decode(step=f', "{field}": {value}').is_error()
+
+
+@pytest.mark.parametrize("field", ["startAtMs", "intervalMs"])
+def test_submission_with_a_time_that_is_not_finite_is_refused(field):
+    assert decode(f', "{field}": 1e999').is_error()
