Never begin a term by an own owner record that is out of date

Cause: the entry opened a new session, read its old owner record and took it for an election whose response was lost. The same held for an election that was answered, or read, after its session ended.

Change: the session role remembers the highest token of the terms that ended here and the lease of its last election attempt. An own record that is not above that token, or not of the present session, is removed on condition of its revision (owner_record_removed), and the entry goes on campaigning.

--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -74,6 +74,10 @@
         self._session: _Session | None = None
         self._is_owner = False
         self._token = 0
+        # Highest token of the terms that ended here; no later term may have it.
+        self._ended_token = 0
+        # Lease of the last election attempt.
+        self._election_lease_id = ""
         # Lives of the stronger entries that had a head start; ``None`` before this
         # candidate has looked for them.
         self._stronger_lives: frozenset[str] | None = None
@@ -148,6 +152,9 @@
             if result.entry is None:
                 yield from self._attempt_election()
                 continue
+            if self._is_outdated(result.entry):
+                yield from self._remove_outdated_record(result.entry)
+                continue
             self._check_owner_record(result.entry)
             self._stronger_lives = None
             yield from self._watch(result.revision)
@@ -160,6 +167,31 @@
         else:
             self._depose("another entry is the owner")
 
+    def _is_outdated(self, item: KeyValue) -> bool:
+        """Return whether this entry wrote a record that it may not own by any more.
+
+        Its term has ended, or it hangs on the lease of an earlier session, which this
+        entry no longer renews.
+        """
+        if self._is_owner or not self._is_mine(item):
+            return False
+        session = self._session
+        if session is None or session.lease_id != self._election_lease_id:
+            return True
+        return item.created <= self._ended_token
+
+    def _remove_outdated_record(self, item: KeyValue) -> Flow:
+        """Remove an own record unless it has changed, so that others can be elected."""
+        removal = Transaction(
+            expected=((OWNER_KEY, item.revision),), deletes=(OWNER_KEY,)
+        )
+        result = yield Call(STORE, removal, CALL_TIMEOUT_S)
+        if isinstance(result, CallFailed):
+            yield Sleep(RETRY_DELAY_S)
+            return
+        log_event("owner_record_removed", token=item.created, ok=result.ok)
+        self._stronger_lives = None
+
     def _become_owner(self, revision: int) -> None:
         """Become the owner, with the revision of the owner record as fencing token.
 
@@ -215,6 +247,7 @@
             yield Sleep(RETRY_DELAY_S)
             return
         head_revision = head.entry.revision if head.entry else ABSENT
+        self._election_lease_id = session.lease_id
         change = Transaction(
             expected=((OWNER_KEY, ABSENT), (HEAD_KEY, head_revision)),
             puts=(
@@ -226,7 +259,7 @@
         if isinstance(result, CallFailed):
             # The outcome is unknown; the next read of the owner record shows who won.
             yield Sleep(RETRY_DELAY_S)
-        elif result.ok:
+        elif result.ok and self._session is session:
             self._become_owner(result.revision)
 
     def _valid_session(self) -> _Session | None:
@@ -274,13 +307,17 @@
 
     def _depose(self, reason: str) -> None:
         if self._is_owner:
-            self._is_owner = False
+            self._end_term()
             self.emit(self._owner_role, Deposed(reason))
 
+    def _end_term(self) -> None:
+        self._is_owner = False
+        self._ended_token = max(self._ended_token, self._token)
+
     def _remove_owner_record(self, token: int) -> None:
         """Remove the owner record after the owner role ended the term of ``token``."""
         if self._is_owner and self._token == token:
-            self._is_owner = False
+            self._end_term()
             self._close_session()
 
     def _close_session(self) -> None:
