Repeat a lost revoke of a session's lease

Change: it is sent again until it is answered or the time to live of the lease has passed since the session was closed.

Seen to fail before: test_lost_revoke_of_an_owner_that_steps_down_is_retried and test_lost_revokes_are_not_retried_after_the_lease_has_expired.

--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -327,6 +327,12 @@
             self._session = None
 
     def _revoke_lease(self, lease_id: str) -> Flow:
-        result = yield Call(STORE, RevokeLease(lease_id), CALL_TIMEOUT_S)
-        failed = isinstance(result, CallFailed)
+        """Revoke a lease; repeat the call until it is answered or the lease is over."""
+        expires_at = self.now.mono + SESSION_TTL_S
+        while True:
+            result = yield Call(STORE, RevokeLease(lease_id), CALL_TIMEOUT_S)
+            failed = isinstance(result, CallFailed)
+            if not failed or self.now.mono >= expires_at:
+                break
+            yield Sleep(RETRY_DELAY_S)
         log_event("session_ended", lease=lease_id, answered=not failed)
--- a/tests/owner/test_session.py
+++ b/tests/owner/test_session.py
@@ -202,3 +202,27 @@
     assert elections[0] in world.store._lease_by_id
     assert terms[0][1] != elections[0]
     assert owner_lease_ids(world) == [terms[0][1]]
+
+
+def test_lost_revoke_of_an_owner_that_steps_down_is_retried():
+    world = StepWorld(entries=1)
+    terms = record_terms(world)
+    world.run(2.0)
+    lease_id = terms[0][1]
+    world.store._lease_by_id[lease_id].ttl_s = 60.0
+    world.run(0.5)
+    fail_calls(world, is_revoke, limit=1)
+    world.owner().owner.step_down("test")
+    world.run(1.0)
+    assert lease_id not in world.store._lease_by_id
+
+
+def test_lost_revokes_are_not_retried_after_the_lease_has_expired():
+    world = StepWorld(entries=1)
+    world.run(2.0)
+    lost = fail_calls(world, is_revoke, limit=100)
+    world.owner().owner.step_down("test")
+    world.run(3.0)
+    count = len(lost)
+    world.run(5.0)
+    assert 1 < len(lost) == count
