--- a/tests/owner/test_handover.py
+++ b/tests/owner/test_handover.py
@@ -4,9 +4,14 @@
 
 from tests.support.steps import STRONG, WEAK, StepWorld, step
 
+from lagoonpulley.model.verdict import Ran
 from lagoonpulley.owner import session
-from lagoonpulley.owner.entries import ENTRIES_PREFIX
+from lagoonpulley.owner.entries import ENTRIES_PREFIX, EntryDocument
+from lagoonpulley.owner.handover import MAX_REQUIRED_S, HandoverMonitor
+from lagoonpulley.owner.settings import OwnerSettings
 from lagoonpulley.runtime.flows import Sleep
+from lagoonpulley.runtime.role import CallFailed
+from lagoonpulley.store.messages import KeyValue, RenewLease
 
 WEAK_NAMES = ("w0", "w1", "w2")
 
@@ -107,3 +112,77 @@
     first.owner._term.loaded = False
     start_strong_entry(world)
     world.run_until(lambda: first.owner._term is None, 9.0)
+
+
+def fail_renewals_of_owner(world, entry):
+    """Fail the session renewals of an entry while it is the owner."""
+    call_store = world._call_store
+
+    def call(caller, request):
+        is_renewal = isinstance(request.operation, RenewLease)
+        if not is_renewal or caller is not entry or entry.owner._term is None:
+            call_store(caller, request)
+            return
+        failed = CallFailed(Ran.NO, "the request was lost")
+        # Not by _reply_store, as another entry would then relay the call.
+        world.clock.after(0.05, lambda: world._reply(caller, request, failed))
+
+    world._call_store = call
+
+
+def test_owner_does_not_keep_handing_over_to_an_entry_that_loses_its_sessions():
+    world = make_world(entries=("w0",))
+    weak = world.owner()
+    strong = start_strong_entry(world)
+    fail_renewals_of_owner(world, strong)
+    handed_over_at = []
+    step_down = weak.owner.step_down
+
+    def record_step_down(reason):
+        handed_over_at.append(world.clock.mono)
+        step_down(reason)
+
+    weak.owner.step_down = record_step_down
+    world.run(60.0)
+    # The first after 5 s, then after 15 and 30 s of a term.
+    assert 2 <= len(handed_over_at) <= 3
+    pauses = [b - a for a, b in zip(handed_over_at, handed_over_at[1:])]
+    assert pauses == sorted(pauses)
+    assert pauses[0] >= 15.0
+
+
+def wait_for_handover(monitor, entries, began_at):
+    """Begin a term, and return how long it takes to find a successor."""
+    monitor.begin_term((), began_at)
+    for tenths in range(10_000):
+        if monitor.find_successor(entries, began_at + tenths / 10):
+            return tenths / 10
+    raise AssertionError("no successor")
+
+
+def make_monitor():
+    """Return a monitor of a weak entry, and the registration of a strong one."""
+    monitor = HandoverMonitor(OwnerSettings("w0", 6.0, capacity=WEAK))
+    document = EntryDocument(
+        name="s0", life="1", peer_address="s0", data_centre="a", capacity=STRONG
+    )
+    key = ENTRIES_PREFIX + document.name
+    return monitor, (KeyValue(key, document.model_dump_json(), 1),)
+
+
+def test_wait_for_an_entry_that_does_not_stay_owner_doubles_up_to_a_bound():
+    monitor, entries = make_monitor()
+    now = 0.0
+    waits = []
+    for _ in range(7):
+        waits.append(wait_for_handover(monitor, entries, now))
+        now += waits[-1] + 1.0
+    assert waits == [5.0, 15.0, 30.0, 60.0, 120.0, 240.0, 240.0]
+
+
+def test_entry_that_stayed_owner_for_long_is_handed_over_to_soon_again():
+    monitor, entries = make_monitor()
+    assert wait_for_handover(monitor, entries, 0.0) == 5.0
+    assert wait_for_handover(monitor, entries, 6.0) == 15.0
+    now = 6.0 + 15.0 + MAX_REQUIRED_S + 1.0
+    assert wait_for_handover(monitor, entries, now) == 5.0
