Stop retrying a start once the owner's term has ended

Cause: the retry loop of a start did not look at the end of the term.

Change: no retry is sent once the term has ended.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -84,15 +84,18 @@
             checkpoint=start.checkpoint,
             permit=permits.permit_by_worker_id.get(worker_id, ""),
         )
-        result = yield from self._send_start(tracked, command)
+        result = yield from self._send_start(term, tracked, command)
         if term.has_ended or worker.tracked_by_ref.get(ref) is not tracked:
             return
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
 
-    def _send_start(self, tracked: TrackedRun, command: StartTask) -> Flow:
+    def _send_start(
+        self, term: OwnerTerm, tracked: TrackedRun, command: StartTask
+    ) -> Flow:
         """Send a start with a bounded number of retries; return the result.
 
+        No retry is sent once the term has ended.
         Once an attempt went unanswered, a refusal of a later attempt is inconclusive:
         the run may already have ended, or the first attempt may still take effect.
         """
@@ -108,6 +111,8 @@
             failed = CallFailed(failed.ran.combine(result.ran), result.reason)
             if failed.ran is Ran.NO or tracked.stop_requested or tracked.listed:
                 break
+            if term.has_ended:
+                break
         return failed
 
     def _needs_new_permit(
--- a/tests/owner/test_commands.py
+++ b/tests/owner/test_commands.py
@@ -7,6 +7,7 @@
 from tests.support.steps import StepWorld, step
 
 from lagoonpulley.owner import reports
+from lagoonpulley.upstream.tasks import StartTask
 
 
 @pytest.fixture
@@ -170,3 +171,27 @@
     world.submit("a" * 16, step(), payload="seconds=0.5")
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 2.2)
     assert len(world.executions("a" * 16)) == 2
+
+
+def test_owner_that_stepped_down_sends_no_more_starts():
+    world = StepWorld(entries=1)
+    world.run(7.0)
+    world.late_workers.update(world.worker_by_id)
+    call_worker = world._call_worker
+    sent_tokens = []
+
+    def call(entry, request):
+        if isinstance(request.operation, StartTask):
+            sent_tokens.append(request.operation.token)
+        call_worker(entry, request)
+
+    world._call_worker = call
+    world.submit("a" * 16, step())
+    world.run_until(lambda: sent_tokens, 2.0)
+    owner = world.owner().owner
+    token = owner._term.token
+    owner.step_down("test")
+    world.run(0.01)
+    count = sent_tokens.count(token)
+    world.run(3.0)
+    assert sent_tokens.count(token) == count
