Load the jobs again when the answer of their watch cannot arrive

Callers saw: after a takeover over a slow link no new job was known, for ever. Cause: the first watch reports all changes since the load in one answer, with a total of 10 s. A failed watch was repeated from the same revision, and neither a reread nor a further load moved it on. Change: the watch goes on from the known revision, which a reread advances. If an answer arrived in part, or the watch failed twice while the store answered a small call, the jobs are loaded again in parts. Such loads, also those after the history is gone, pause for twice the duration of the last one. Rereads apply submissions before cancellations, as loads do: a cancellation came first by key and was dropped. A plain failure of the watch still only repeats it.

The stand-in gets an opt-in for a link on which small answers pass large ones, else the session lapses behind the watch's answer.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -8,7 +8,7 @@
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import STORE, CallFailed
-from ..store.messages import StoreStatus, Transaction, WatchPrefix
+from ..store.messages import Get, StoreStatus, Transaction, WatchPrefix
 from ..store.range_reader import read_range
 from ..workload.documents import (
     CANCEL,
@@ -23,6 +23,7 @@
     decode_progress,
     decode_submission,
 )
+from .journal import HEAD_KEY
 from .watch_progress import WatchProgress
 
 if TYPE_CHECKING:
@@ -41,6 +42,10 @@
 WATCH_TIMEOUT_S = 1.5
 # The first answer contains all changes since the jobs were read.
 WATCH_TOTAL_TIMEOUT_S = 10.0
+# A watch that fails this often while the store answers other calls has an answer too
+# long to arrive in time. A single failure may be that of a connection.
+MAX_FAILURES_BESIDE_ANSWERS = 2
+PROBE_TIMEOUT_S = 0.5
 # Final states are kept slightly longer than the retention promised to callers.
 RETENTION_SLACK_S = 10.0
 MAX_JOBS_PER_DELETE = 12
@@ -147,34 +152,58 @@
     def watch(self, term: OwnerTerm, jobs: RangeRead) -> Flow:
         """Watch for submissions and cancellations after all jobs were read.
 
-        Reads all jobs again if the store no longer has the history since then.
+        Loads all jobs again if the store no longer has the history since then, or if
+        an answer with all changes since then does not arrive. A failed watch is
+        otherwise repeated, so that it resumes soon after the store was away.
         """
-        revision = self.known_revision = jobs.revision
+        self.known_revision = jobs.revision
         watched = WatchProgress(self._host.now.mono, jobs.took_s)
         self._watched = watched
+        failures_beside_answers = 0
         while not term.has_ended:
-            self.known_revision = max(self.known_revision, revision)
+            # A reread may have gone further than the watch.
+            revision = self.known_revision
             watch = WatchPrefix(JOBS_PREFIX, revision, WATCH_WAIT_S)
             result = yield Call(STORE, watch, WATCH_TIMEOUT_S, WATCH_TOTAL_TIMEOUT_S)
             if isinstance(result, CallFailed):
                 log_event("jobs_watch_failed", reason=result.reason)
                 yield Sleep(RETRY_DELAY_S)
+                if not result.partial and (yield from self._store_answers()):
+                    failures_beside_answers += 1
+                is_too_long = failures_beside_answers >= MAX_FAILURES_BESIDE_ANSWERS
+                if result.partial or is_too_long:
+                    failures_beside_answers = 0
+                    yield from self._recover(term, watched, revision)
                 continue
+            failures_beside_answers = 0
             if result.status is not StoreStatus.OK:
                 log_event("jobs_history_gone", revision=revision)
-                jobs = yield from self.read_jobs(term)
-                revision = jobs.revision
-                self.load_jobs(term, jobs.items)
-                self.load_states(term, jobs.items)
-                self._host.plan_and_commit()
+                yield from self._recover(term, watched, revision)
                 continue
-            revision = max(revision, result.revision)
+            self.known_revision = max(self.known_revision, result.revision)
             has_changes = bool(result.entries)
-            watched.record_watch(revision, has_changes, self._host.now.mono)
+            watched.record_watch(self.known_revision, has_changes, self._host.now.mono)
             for item in result.entries:
                 self._apply_change(term, item)
             self._host.plan_and_commit()
 
+    def _store_answers(self) -> Flow:
+        """Return whether the store answers a call with a small answer."""
+        result = yield Call(STORE, Get(HEAD_KEY), PROBE_TIMEOUT_S)
+        return not isinstance(result, CallFailed)
+
+    def _recover(self, term: OwnerTerm, watched: WatchProgress, revision: int) -> Flow:
+        """Load the jobs again, so that a watch from ``revision`` is no longer needed.
+
+        Pauses first if the last load ended recently. A load that is complete
+        meanwhile does as well.
+        """
+        while not term.has_ended and self.known_revision <= revision:
+            if watched.may_recover(self._host.now.mono):
+                yield from self._load_again(term, watched)
+                return
+            yield Sleep(RETRY_DELAY_S)
+
     def record_commit(self, change: Transaction, revision: int) -> None:
         """Record a commit that a working watch will report."""
         if any(write.key.startswith(JOBS_PREFIX) for write in change.puts):
@@ -186,18 +215,23 @@
             self._host.start(self._reread_jobs(term, self._watched))
 
     def _reread_jobs(self, term: OwnerTerm, watched: WatchProgress) -> Flow:
-        watched.begin_reread(self._host.now.mono)
         log_event(
             "jobs_watch_silent",
             committed=watched.committed_revision,
             seen=watched.seen_revision,
         )
+        yield from self._load_again(term, watched)
+
+    def _load_again(self, term: OwnerTerm, watched: WatchProgress) -> Flow:
+        watched.begin_reread(self._host.now.mono)
         jobs = yield from self.read_jobs(term)
         watched.end_reread(self._host.now.mono)
-        for item in jobs.items:
-            self._apply_change(term, item)
-        if not term.has_ended:
-            self.known_revision = max(self.known_revision, jobs.revision)
+        if term.has_ended:
+            return
+        # A cancellation may precede its submission among the items.
+        self.load_jobs(term, jobs.items)
+        self.load_states(term, jobs.items)
+        self.known_revision = max(self.known_revision, jobs.revision)
         self._host.plan_and_commit()
 
     def _apply_change(self, term: OwnerTerm, item: KeyValue) -> None:
--- a/src/lagoonpulley/owner/watch_progress.py
+++ b/src/lagoonpulley/owner/watch_progress.py
@@ -16,6 +16,8 @@
 # After a reread, the pause is at least the first and this multiple of its duration.
 MIN_REREAD_PAUSE_S = 0.2
 PAUSE_PER_REREAD_TIME = 4.0
+# The same before a reread without which the watch cannot go on.
+PAUSE_PER_RECOVERY_TIME = 2.0
 
 
 class WatchProgress:
@@ -33,6 +35,7 @@
         self._usual_lag_s = 0.0
         self._reread_began_at: float | None = None
         self._next_reread_at = now + PAUSE_PER_REREAD_TIME * load_s
+        self._next_recovery_at = now
 
     @property
     def committed_revision(self) -> int:
@@ -70,6 +73,13 @@
             return False
         return now >= self._next_reread_at
 
+    def may_recover(self, now: float) -> bool:
+        """Return whether a reread may begin that the watch needs in order to go on.
+
+        The first one may follow the load of all jobs at once.
+        """
+        return self._reread_began_at is None and now >= self._next_recovery_at
+
     def begin_reread(self, now: float) -> None:
         """Record that a reread began; none is due until it has ended."""
         self._reread_began_at = now
@@ -80,6 +90,9 @@
         The pause grows with its duration, so that rereads leave most of a slow link to
         other calls.
         """
-        pause_s = PAUSE_PER_REREAD_TIME * (now - self._reread_began_at)
+        took_s = now - self._reread_began_at
+        pause_s = PAUSE_PER_REREAD_TIME * took_s
         self._next_reread_at = now + max(MIN_REREAD_PAUSE_S, pause_s)
+        pause_s = PAUSE_PER_RECOVERY_TIME * took_s
+        self._next_recovery_at = now + max(MIN_REREAD_PAUSE_S, pause_s)
         self._reread_began_at = None
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -63,6 +63,8 @@
 # an item.
 ANSWER_BYTES = 200
 ITEM_BYTES = 80
+# An answer that passes larger ones on a link that connections share.
+SMALL_ANSWER_BYTES = 4000
 STRONG = EntryCapacity(processors_milli=2000, link_mbps=200.0)
 WEAK = EntryCapacity(processors_milli=500, link_mbps=10.0)
 
@@ -128,6 +130,8 @@
     # They queue for the link in the order in which the store sends them.
     store_bytes_per_s: float = float("inf")
     store_link_free_at: float = 0.0
+    # Whether connections share the link, so that small answers pass large ones.
+    shares_store_link: bool = False
     has_peers: bool = True
     unreachable_workers: set[str] = field(default_factory=set)
 
@@ -410,8 +414,14 @@
         An answer that timed out occupies the link only until then: the entry closes
         the connection.
         """
-        starts_at = max(self.clock.mono + 0.002, entry.store_link_free_at)
-        arrives_at = starts_at + size_of_answer(result) / entry.store_bytes_per_s
+        starts_at = self.clock.mono + 0.002
+        size = size_of_answer(result)
+        if entry.shares_store_link and size <= SMALL_ANSWER_BYTES:
+            arrives_at = starts_at + 2 * size / entry.store_bytes_per_s
+            self.clock.at(arrives_at, lambda: self._reply_store(entry, request, result))
+            return
+        starts_at = max(starts_at, entry.store_link_free_at)
+        arrives_at = starts_at + size / entry.store_bytes_per_s
         silent_at = sent_at + request.timeout_s
         times_out_at = silent_at
         if request.total_timeout_s is not None and starts_at < silent_at:
