--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -7,7 +7,7 @@
 
 from ..model.verdict import Ran
 from ..observability.events import log_event
-from ..observability.prometheus import observe_request
+from ..observability.prometheus import count_refused_submission, observe_request
 from ..owner.pending import PENDING_KEY
 from ..policy.messages import POLICY_ROLE, PolicySeen
 from ..runtime.flows import Call, Flow, FlowRole
@@ -31,6 +31,7 @@
     encode_submission,
 )
 from ..workload.record import JobState
+from .admission import Admission, Restriction
 from .messages import (
     CancelJob,
     IntakeOperation,
@@ -40,8 +41,11 @@
     ReadState,
     SubmitJob,
 )
+from .owner_follower import OwnerFollower
 
 if TYPE_CHECKING:
+    import random
+
     from ..store.health import StoreHealth
 
 __all__ = ["IntakeRole"]
@@ -57,18 +61,26 @@
     """Accepts, cancels and reads jobs.
 
     Conditions in the store transaction detect duplicate submissions.
+
+    :param rng: see :class:`~.admission.Admission`.
     """
 
     name = "intake"
 
-    def __init__(self, health: StoreHealth) -> None:
+    def __init__(self, health: StoreHealth, rng: random.Random) -> None:
         super().__init__("intake")
         self._health = health
+        self._admission = Admission(rng)
+        self._owner_follower = OwnerFollower(self, self._admission)
+        self._running = False
 
     def receive(self, message: Any) -> None:
-        """Start a flow for each request."""
+        """Follow the owner from the first tick on; start a flow for each request."""
         if isinstance(message, Request):
             self.start(self._serve(message))
+        elif not self._running:
+            self._running = True
+            self.start(self._owner_follower.follow())
 
     def _serve(self, request: Request) -> Flow:
         """Perform a request; refuse it at once while the store is unreachable."""
@@ -103,6 +115,9 @@
         return Outcome(OutcomeKind.REFUSED, "no such operation")
 
     def _submit(self, request: Request, operation: SubmitJob) -> Flow:
+        refusal = self._admission.refusal(self.now.mono)
+        if refusal is not None:
+            return (yield from self._refuse_unless_stored(operation, refusal))
         spec = operation.spec
         keys = JobKeys(spec.id)
         change = Transaction(
@@ -117,6 +132,8 @@
         outcome = self._submit_outcome(operation, result)
         if outcome.kind is not OutcomeKind.DONE:
             return outcome
+        if result.ok:
+            self._admission.record_stored(result.revision, self.now.mono)
         log_event(
             "job_submitted",
             job=spec.id,
@@ -127,6 +144,20 @@
         )
         return outcome
 
+    def _refuse_unless_stored(self, operation: SubmitJob, refusal: Restriction) -> Flow:
+        """Refuse a submission; confirm it if an earlier request has stored the job."""
+        keys = JobKeys(operation.spec.id)
+        found = yield Call(STORE, ReadRange(keys.prefix), READ_TIMEOUT_S)
+        if not isinstance(found, CallFailed):
+            for item in found.entries:
+                if item.key in (keys.submission, keys.final):
+                    team = operation.spec.team
+                    return _outcome_of_duplicate(_team_of(keys, item), team)
+        count_refused_submission(refusal.reason)
+        return Outcome(
+            OutcomeKind.REFUSED, refusal.reason, retry_after_s=refusal.retry_after_s
+        )
+
     def _submit_outcome(
         self, operation: SubmitJob, result: StoreResult | CallFailed
     ) -> Outcome:
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -14,12 +14,15 @@
 from ..upstream.tasks import Advice
 from .advisors import AdvisorBalancer
 from .dispatch import Dispatcher
+from .handover import HandoverMonitor
 from .jobs import JobWatcher
 from .journal import Journal
 from .load import OwnerLoadLog
 from .messages import Deposed, Elected, SessionExtended, StoodDown
 from .pending import PendingCounts
 from .session import SessionRole
+from .start_backlog import StartBacklog
+from .status import OwnerStatusWriter
 from .term import OwnerTerm
 from .workers import WorkerMonitor
 
@@ -28,7 +31,7 @@
     from ..policy.values import Policy
     from ..runtime.load import LoadSource
     from ..store.health import StoreHealth
-    from ..store.messages import Transaction
+    from ..store.messages import KeyValue, Transaction
     from ..upstream.directory import DirectoryDecoder
     from .settings import OwnerSettings
 
@@ -65,8 +68,11 @@
         self._dispatcher = Dispatcher(self)
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
         self._pending = PendingCounts()
+        self._status = OwnerStatusWriter()
+        self._start_backlog = StartBacklog(0.0)
         self._advisors = AdvisorBalancer(self, settings)
         self._load_log = OwnerLoadLog(settings, load or NoLoad())
+        self._handover = HandoverMonitor(settings)
         self._next_check_at = 0.0
         self._next_round_at = 0.0
         self._wake_requested = False
@@ -108,7 +114,10 @@
         term.now = self.now
         self._term = term
         self._load_log.begin(self.now.mono)
+        self._handover.begin_term(elected.passed_over_lives, self.now.mono)
+        self._start_backlog = StartBacklog(self.now.mono)
         log_event("ownership_began", token=elected.token)
+        self.start(self._advisors.poll_entries(term, self._consider_handover))
         self.start(self._take_over(term))
 
     def step_down(self, reason: str) -> None:
@@ -117,6 +126,23 @@
             self.emit(SessionRole.name, StoodDown(self._term.token))
         self._end_term(reason)
 
+    def _consider_handover(
+        self, term: OwnerTerm, entries: tuple[KeyValue, ...]
+    ) -> None:
+        """Step down if a much stronger entry is ready, also while the jobs load."""
+        if term.has_ended:
+            return
+        successor = self._handover.find_successor(entries, self.now.mono)
+        if successor is None:
+            return
+        log_event(
+            "ownership_handed_over",
+            token=term.token,
+            successor=successor.name,
+            loaded=term.loaded,
+        )
+        self.step_down("a stronger entry takes over")
+
     def _end_term(self, reason: str) -> None:
         if self._term is None:
             return
@@ -145,7 +171,6 @@
         )
         self.start(self._jobs.watch(term, jobs.revision))
         self.start(self._workers.monitor(term))
-        self.start(self._advisors.poll_entries(term))
 
     def _tick(self) -> None:
         term = self._term
@@ -162,6 +187,9 @@
         term.needs_planning = True
         self._log_waiting_steps(term)
         self._pending.write_if_due(term, self.now)
+        self._status.write_if_due(
+            term, self._start_backlog, self._jobs.known_revision, self.now
+        )
         self._jobs.check_watch(term)
         self._jobs.delete_expired(term)
 
@@ -247,7 +275,12 @@
                 waited_s=round(waited_s, 3),
             )
         term.refresh_demands(record)
-        term.journal.enqueue(record, lambda: self._dispatcher.start_all(term, start))
+        self._start_backlog.record_placement(record.spec.id, self.now.mono)
+        term.journal.enqueue(record, lambda: self._start_committed(term, start))
+
+    def _start_committed(self, term: OwnerTerm, start: Start) -> None:
+        self._start_backlog.record_commit(start.record.spec.id)
+        self._dispatcher.start_all(term, start)
 
     def _request_advice(self, term: OwnerTerm, request: AdviceRequest) -> Flow:
         """Request advice for a step and apply the answer."""
@@ -288,7 +321,6 @@
                 self.step_down("another owner has changed the journal's head")
                 return
             self._jobs.check_watch(term)
-            for worker in list(term.worker_by_id.values()):
-                self._workers.sync(term, worker)
+            self._workers.sync_idle(term)
             self.plan_and_commit()
             return
--- a/src/lagoonpulley/owner/settings.py
+++ b/src/lagoonpulley/owner/settings.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .entries import EntryCapacity
 
 __all__ = ["OwnerSettings"]
 
@@ -15,7 +19,8 @@
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
     start, and ``retention_s`` how long a final state is kept. The rates of store calls
     are those that all entries together may make, and ``link_bytes_per_s`` is the
-    bandwidth of this entry's link; ``None`` if unknown. They are only reported.
+    bandwidth of this entry's link; both are only reported. ``capacity`` is that of this
+    entry. ``None`` means unknown.
     """
 
     entry_id: str
@@ -25,3 +30,4 @@
     store_writes_per_s: float | None = None
     store_reads_per_s: float | None = None
     link_bytes_per_s: float | None = None
+    capacity: EntryCapacity | None = None
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -33,19 +33,32 @@
 class CellWorker:
     """One worker, its capacity and the claims on it.
 
-    ``avoid_until`` is in monotonic seconds.
+    ``free`` is the capacity that no run has claimed. ``avoid_until`` is in monotonic
+    seconds.
     """
 
     info: WorkerInfo
     accepting: bool = False
     avoid_until: float = 0.0
     used: Resources = ZERO
+    free: Resources = field(init=False)
     claim_by_ref: dict[TaskRef, Claim] = field(default_factory=dict)
 
-    @property
-    def free(self) -> Resources:
-        """Capacity that no run has claimed."""
-        return self.info.capacity.minus(self.used)
+    def __post_init__(self) -> None:
+        self._refresh_free()
+
+    def set_info(self, info: WorkerInfo) -> None:
+        """Replace the description, which may change the capacity."""
+        self.info = info
+        self._refresh_free()
+
+    def set_used(self, used: Resources) -> None:
+        """Set the resources that runs have claimed."""
+        self.used = used
+        self._refresh_free()
+
+    def _refresh_free(self) -> None:
+        self.free = self.info.capacity.minus(self.used)
 
     def count_of(self, job_id: str, step_key: StepKey) -> int:
         """Return how many tasks of a step have a claim here."""
@@ -56,18 +69,29 @@
         return count
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class Changes:
-    """Workers with capacity to check again, and teams that released resources."""
+    """Workers with capacity to check again, and teams that released resources.
+
+    Valid for one planning round, in which capacity is claimed but not released.
+    """
 
     freed: tuple[CellWorker, ...]
     teams_with_releases: set[str]
+    _misfits: set[Resources] = field(default_factory=set)
 
     def may_fit(self, request: Resources) -> bool:
-        """Return whether a task of this size fits on one of the freed workers."""
-        return any(
-            worker.accepting and request.fits_in(worker.free) for worker in self.freed
-        )
+        """Return whether a task of this size fits on one of the freed workers.
+
+        A size that did not fit is not checked again, as no capacity is released.
+        """
+        if request in self._misfits:
+            return False
+        for worker in self.freed:
+            if worker.accepting and request.fits_in(worker.free):
+                return True
+        self._misfits.add(request)
+        return False
 
 
 class Cell:
@@ -110,9 +134,8 @@
         worker = self.worker_by_id.get(info.id)
         if worker is None:
             worker = self.worker_by_id[info.id] = CellWorker(info)
-        has_changed = worker.info != info
-        worker.info = info
-        if has_changed:
+        if worker.info != info:
+            worker.set_info(info)
             self._freed_by_id[info.id] = worker
         return worker
 
@@ -144,7 +167,7 @@
         if claim.ref in worker.claim_by_ref:
             return
         worker.claim_by_ref[claim.ref] = claim
-        worker.used = worker.used.plus(claim.capacity_request)
+        worker.set_used(worker.used.plus(claim.capacity_request))
         self._add_to_team_usage(claim.team, claim.request)
 
     def release(self, worker_id: str, ref: TaskRef) -> None:
@@ -153,7 +176,7 @@
         claim = worker.claim_by_ref.pop(ref, None) if worker else None
         if worker is None or claim is None:
             return
-        worker.used = worker.used.minus(claim.capacity_request)
+        worker.set_used(worker.used.minus(claim.capacity_request))
         self._freed_by_id[worker_id] = worker
         self._release_from_team(claim)
 
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
@@ -16,6 +16,7 @@
     from ..model.resources import Resources
     from ..policy.values import Queue, TeamLimits
     from ..workload.record import JobRecord
+    from ..workload.spec import StepSpec
     from .cell import Cell, CellWorker, Changes
     from .permits import PermitTable, StepPermits
 
@@ -57,7 +58,9 @@
     """A step with pending tasks whose dependencies are done.
 
     ``due_at`` is when the job should be complete, in seconds of the wall clock.
-    ``lacks_capacity_since`` is in monotonic seconds.
+    ``lacks_capacity_since`` is in monotonic seconds. ``order`` is the sort key among
+    all demands; the lowest is served first. ``request`` is what one task counts
+    against a worker's capacity.
     """
 
     record: JobRecord
@@ -66,11 +69,15 @@
     due_at: float
     block_reason: BlockReason = BlockReason.NONE
     lacks_capacity_since: float | None = None
+    order: tuple[int, float, str, StepKey] = field(init=False)
+    step: StepSpec = field(init=False)
+    request: Resources = field(init=False)
 
-    @property
-    def order(self) -> tuple[int, float, str, StepKey]:
-        """Sort key among all demands; the lowest is served first."""
-        return (self.queue.priority, self.due_at, self.record.spec.id, self.key)
+    def __post_init__(self) -> None:
+        job_id = self.record.spec.id
+        self.order = (self.queue.priority, self.due_at, job_id, self.key)
+        self.step = self.record.step_of(self.key)
+        self.request = self.step.capacity_request
 
     @property
     def avoided_worker_ids(self) -> set[str]:
@@ -87,18 +94,19 @@
 
     def may_be_unblocked(self, changes: Changes, now: float) -> bool:
         """Return whether the cause that blocked the demand may be gone."""
-        match self.block_reason:
-            case BlockReason.CAPACITY | BlockReason.RESERVED:
-                if self.avoided_worker_ids and self.has_lacked_capacity_for(
-                    AVOID_FAILED_WORKERS_S, now
-                ):
-                    return True
-                return changes.may_fit(self.record.step_of(self.key).capacity_request)
-            case BlockReason.TEAM_LIMIT:
-                return self.record.spec.team in changes.teams_with_releases
-            case BlockReason.ADVICE:
-                return False
-        return True
+        reason = self.block_reason
+        if reason is BlockReason.NONE:
+            return True
+        if reason is BlockReason.ADVICE:
+            return False
+        if reason is BlockReason.TEAM_LIMIT:
+            return self.record.spec.team in changes.teams_with_releases
+        if changes.may_fit(self.request):
+            return True
+        # Most jobs avoid no worker, which is the cheapest to check.
+        if not self.record.avoided_workers_by_step or not self.avoided_worker_ids:
+            return False
+        return self.has_lacked_capacity_for(AVOID_FAILED_WORKERS_S, now)
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,7 +192,8 @@
         changes = self._cell.pop_changes(self._now)
         for demand in demands:
             if not demand.may_be_unblocked(changes, self._now):
-                self._reserve_for_gang(demand)
+                if demand.step.gang:
+                    self._reserve_for_gang(demand)
                 continue
             if started >= max_starts:
                 # The changes are already consumed, so unblock it for the next round.
@@ -192,13 +201,14 @@
                 continue
             demand.block_reason = BlockReason.NONE
             started += self._start_waiting(demand)
-            self._reserve_for_gang(demand)
+            if demand.step.gang:
+                self._reserve_for_gang(demand)
         return Plan(tuple(self._starts), tuple(self._advice_requests))
 
     def _reserve_for_gang(self, demand: Demand) -> None:
         """Reserve capacity for a gang that has lacked it for a while."""
-        step = demand.record.step_of(demand.key)
-        if demand.block_reason is not BlockReason.CAPACITY or not step.gang:
+        step = demand.step
+        if demand.block_reason is not BlockReason.CAPACITY:
             return
         if not demand.has_lacked_capacity_for(RESERVE_AFTER_S, self._now):
             return
@@ -219,7 +229,7 @@
         if demand.queue.advice is not None:
             permits = self._permits.for_step(demand.record.spec.id, demand.key)
             worker_ids = permits.allowed_ids
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         service = demand.queue.service
         workers = eligible_workers(self._cell, service, step, self._now, worker_ids)
         avoided = demand.avoided_worker_ids
@@ -233,7 +243,7 @@
 
     def _start_waiting(self, demand: Demand) -> int:
         """Start the waiting tasks that fit; return the number of started tasks."""
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         waiting = demand.record.waiting_of(demand.key)
         if not waiting or (step.gang and len(waiting) < step.count):
             return 0
@@ -278,7 +288,7 @@
 
     def _set_block_reason(self, demand: Demand) -> None:
         """Set why a demand could not be served."""
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         needed = step.count if step.gang else 1
         team = demand.record.spec.team
         allowed = self._count_within_limit(team, step.request, needed)
@@ -308,7 +318,7 @@
     ) -> None:
         if permits.request_pending or permits.next_request_at > self._now:
             return
-        step = demand.record.step_of(demand.key)
+        step = demand.step
         service = demand.queue.service
         workers = eligible_workers(self._cell, service, step, self._now, None)
         unknown = [
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -143,14 +143,16 @@
 
     def _add_roles(self) -> None:
         settings = self._settings
+        capacity = EntryCapacity.from_limits(
+            settings.processors_milli, settings.link_mbps
+        )
         document = EntryDocument(
             name=settings.entry_id,
             life=uuid.uuid4().hex,
             peer_address=self._peers.address,
             data_centre=settings.data_centre,
-            capacity=EntryCapacity.from_limits(
-                settings.processors_milli, settings.link_mbps
-            ),
+            capacity=capacity,
+            writes_status=True,
         )
         owner = OwnerRole(
             OwnerSettings(
@@ -161,6 +163,7 @@
                 store_writes_per_s=settings.store_writes_per_s,
                 store_reads_per_s=settings.store_reads_per_s,
                 link_bytes_per_s=settings.link_bytes_per_s,
+                capacity=capacity,
             ),
             PlatformDirectory(),
             self._store_health,
@@ -171,7 +174,7 @@
             StoreRelayRole(settings.entry_id, self._store_health, rng),
             PolicyRole(PlatformPolicy(), (READINESS_PORT, OwnerRole.name)),
             SessionRole(document, OwnerRole.name, rng),
-            IntakeRole(self._store_health),
+            IntakeRole(self._store_health, rng),
             AdvisorRole(),
             owner,
         ):
