--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -154,7 +154,7 @@
         """Load every job, then start watching the store and the workers."""
         began = self.now.mono
         jobs = yield from self._jobs.read_jobs(term)
-        progress = yield from self._jobs.read_progress(term, jobs)
+        progress = yield from self._jobs.read_progress(term)
         if term.has_ended:
             return
         if self._policy is not None:
@@ -169,7 +169,7 @@
             jobs=len(term.record_by_id),
             took_s=round(self.now.mono - began, 3),
         )
-        self.start(self._jobs.watch(term, jobs.revision))
+        self.start(self._jobs.watch(term, jobs))
         self.start(self._workers.monitor(term))
 
     def _tick(self) -> None:
