Search longer for injected faults, and test one of them directly

The search has 400 histories in place of 200; each fault must be found, as before. A new test brings the late start about without a search and expects the invariant to fail; the same history passes without the fault (run by hand). All seven tests of the file pass.

--- a/tests/owner/test_histories_can_fail.py
+++ b/tests/owner/test_histories_can_fail.py
@@ -11,6 +11,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from tests.support.step_history import StepHistory, history_settings
 
+from lagoonpulley.intake.messages import OutcomeKind
 from lagoonpulley.owner.term import OwnerTerm
 from lagoonpulley.planning.cell import Cell
 from lagoonpulley.policy.values import TeamLimits
@@ -18,7 +19,7 @@
 from lagoonpulley.workload.record import JobRecord
 
 SEARCH = history_settings(
-    200,
+    400,
     derandomize=True,
     phases=[Phase.generate],
     report_multiple_bugs=False,
@@ -85,3 +86,16 @@
     inject_fault(monkeypatch)
     with pytest.raises(AssertionError, match=message):
         run_state_machine_as_test(machine, settings=SEARCH)
+
+
+def test_history_with_a_start_after_its_cancellation_fails(monkeypatch):
+    ignore_cancellations(monkeypatch)
+    history = StepHistory()
+    for _ in range(10):
+        history._submit("whole", "seconds=4", "south")
+    # Each job needs a whole worker, so the last of ten on three workers starts late.
+    last_id = max(history.spec_by_id)
+    assert history.world.cancel(last_id, "south").kind is OutcomeKind.DONE
+    history.cancelled_at_by_id[last_id] = history.world.clock.mono
+    with pytest.raises(AssertionError, match="started after its cancellation"):
+        history.teardown()
