--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -172,6 +172,13 @@
                 return _outcome_of_duplicate(_team_of(keys, item), operation.spec.team)
             if item.key == operation.policy_key:
                 # The watch may deliver the new policy much later.
+                log_event(
+                    "submission_outdated",
+                    job=operation.spec.id,
+                    policy_revision=operation.policy_revision,
+                    stored_revision=item.revision,
+                    characters=len(item.value),
+                )
                 self.emit(POLICY_ROLE, PolicySeen(item))
         return Outcome(OutcomeKind.POLICY_CHANGED, "the policy has changed")
 
--- a/src/lagoonpulley/observability/prometheus.py
+++ b/src/lagoonpulley/observability/prometheus.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -21,6 +23,8 @@
     "observe_start_wait",
     "observe_store_call",
     "role_delay_histogram",
+    "set_policy_confirmed",
+    "set_policy_version",
     "set_role_queue",
 ]
 
@@ -55,6 +59,16 @@
     buckets=BUCKETS_S,
     registry=REGISTRY,
 )
+_policy_version = Gauge(
+    "lagoonpulley_policy_version",
+    "Version of the operators' policy that this entry applies.",
+    registry=REGISTRY,
+)
+_policy_age = Gauge(
+    "lagoonpulley_policy_age_seconds",
+    "Time since the store last confirmed that this version is the newest.",
+    registry=REGISTRY,
+)
 _waits = Histogram(
     "lagoonpulley_start_wait_seconds",
     "Time from the submission of a job to the placement of a task, by queue.",
@@ -121,6 +135,16 @@
     _store_calls.labels(operation, "yes" if answered else "no").observe(duration_s)
 
 
+def set_policy_version(version: int) -> None:
+    """Set the version of the policy that applies."""
+    _policy_version.set(version)
+
+
+def set_policy_confirmed(at: float) -> None:
+    """Record that the applied policy was the newest at a monotonic time in seconds."""
+    _policy_age.set_function(lambda: time.monotonic() - at)
+
+
 def observe_start_wait(queue: str, duration_s: float) -> None:
     """Record the time from a job's submission to the placement of one task."""
     _waits.labels(queue).observe(duration_s)
--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..observability.events import log_event
+from ..observability.prometheus import set_policy_confirmed, set_policy_version
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.role import STORE, CallFailed
 from ..store.messages import Get, KeyValue, StoreStatus, WatchPrefix
@@ -23,6 +24,8 @@
 WATCH_TIMEOUT_S = 1.2
 READ_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.1
+# An entry that has not confirmed its policy for this long writes a log line.
+UNCONFIRMED_LOG_S = 2.0
 
 
 class PolicyDecoder(Protocol):
@@ -49,12 +52,17 @@
         self._listeners = listeners
         self._version = 0
         self._running = False
+        # When the applied version was certainly the newest, in monotonic seconds.
+        self._confirmed_at: float | None = None
+        self._is_unconfirmed = False
 
     def receive(self, message: Any) -> None:
         """Start at the first tick; apply a document that another role has read."""
         if isinstance(message, PolicySeen):
             self._apply(message.item)
-        elif not self._running:
+            return
+        self._log_age()
+        if not self._running:
             self._running = True
             self.start(self._follow())
 
@@ -65,6 +73,7 @@
                 revision = yield from self._read()
                 continue
             watch = WatchPrefix(self._decoder.key, revision, WATCH_WAIT_S)
+            sent_at = self.now.mono
             result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
             if isinstance(result, CallFailed):
                 log_event("policy_watch_failed", reason=result.reason)
@@ -76,10 +85,12 @@
             revision = max(revision, result.revision)
             for item in result.entries:
                 self._apply(item)
+            self._confirm(sent_at)
 
     def _read(self) -> Flow:
         """Read the document; return the store revision, or 0 after a failure."""
         result: StoreResult | CallFailed
+        sent_at = self.now.mono
         result = yield Call(STORE, Get(self._decoder.key), READ_TIMEOUT_S)
         if isinstance(result, CallFailed):
             log_event("policy_read_failed", reason=result.reason)
@@ -87,8 +98,29 @@
             return 0
         if result.entry is not None:
             self._apply(result.entry)
+        self._confirm(sent_at)
         return result.revision
 
+    def _confirm(self, at: float) -> None:
+        """Record that every version stored before a monotonic time is applied."""
+        self._confirmed_at = at
+        set_policy_confirmed(at)
+
+    def _age_s(self) -> float:
+        """Return for how long no newer version has been ruled out, in seconds."""
+        if self._confirmed_at is None:
+            return 0.0
+        return self.now.mono - self._confirmed_at
+
+    def _log_age(self) -> None:
+        """Log when the policy becomes too old to rely on, and when it is confirmed."""
+        age_s = self._age_s()
+        if (age_s > UNCONFIRMED_LOG_S) is self._is_unconfirmed:
+            return
+        self._is_unconfirmed = not self._is_unconfirmed
+        event = "policy_unconfirmed" if self._is_unconfirmed else "policy_confirmed"
+        log_event(event, version=self._version, age_s=round(age_s, 3))
+
     def _apply(self, item: KeyValue) -> None:
         if item.key != self._decoder.key:
             return
@@ -100,6 +132,13 @@
         if policy.version <= self._version:
             return
         self._version = policy.version
-        log_event("policy_in_force", version=policy.version, revision=policy.revision)
+        set_policy_version(policy.version)
+        log_event(
+            "policy_in_force",
+            version=policy.version,
+            revision=policy.revision,
+            characters=len(item.value),
+            age_s=round(self._age_s(), 3),
+        )
         for listener in self._listeners:
             self.emit(listener, PolicyChanged(policy))
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -41,6 +41,8 @@
     "lagoonpulley_request_seconds",
     "lagoonpulley_refused_submissions_total",
     "lagoonpulley_store_call_seconds",
+    "lagoonpulley_policy_version",
+    "lagoonpulley_policy_age_seconds",
     "lagoonpulley_start_wait_seconds",
     "lagoonpulley_role_delay_seconds",
     "lagoonpulley_role_messages_total",
