--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -4,13 +4,14 @@
 
 import json
 import random
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from expression import Ok
 
 from lagoonpulley.intake.messages import CancelJob, SubmitJob
+from lagoonpulley.intake.readiness import EntryReadiness
 from lagoonpulley.intake.role import IntakeRole
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.model.verdict import Ran
@@ -123,6 +124,7 @@
     roles: dict[str, Any]
     store_health: StoreHealthTracker
     route: StoreRoute
+    readiness: EntryReadiness
     mailbox: deque = field(default_factory=deque)
     alive: bool = True
     has_store: bool = True
@@ -134,6 +136,15 @@
     shares_store_link: bool = False
     has_peers: bool = True
     unreachable_workers: set[str] = field(default_factory=set)
+    # Prefixes of keys whose reads, watches and checks this entry gets no answer to.
+    unreadable_prefixes: tuple[str, ...] = ()
+    store_bytes_by_operation: Counter = field(default_factory=Counter)
+
+    @property
+    def version_answered_by(self) -> int | None:
+        """The policy version by which callers are answered, ``None`` if by none."""
+        policy = self.readiness.policy
+        return policy.version if policy is not None else None
 
     @property
     def owner(self) -> OwnerRole:
@@ -155,6 +166,8 @@
         # Probability that a store operation is applied but not answered.
         self.lose_answers = 0.0
         self.delivers_watch_events = True
+        # Whether watches that deliver no events return the store's revision.
+        self.silent_watches_advance = False
         # Prefixes whose pages do not arrive before a read times out.
         self.unreadable_prefixes: set[str] = set()
         self.incarnation_count = 0
@@ -186,12 +199,16 @@
         for number in range(entries):
             self.start_entry(f"e{number}")
 
-    def set_policy(self, version, queues=None, teams=None) -> None:
-        """Write a version of the policy to the store."""
+    def set_policy(self, version, queues=None, teams=None, size=0) -> None:
+        """Write a version of the policy to the store.
+
+        :param size: number of characters that pad the document.
+        """
         document = {
             "version": version,
             "queues": queues or {"reviews": {"max_attempts": 2, "target_s": 1.0}},
             "teams": teams or {"north": [0, 0, 0]},
+            "padding": " " * size,
         }
         self.put(POLICY_KEY, json.dumps(document))
 
@@ -242,7 +259,13 @@
             OwnerRole(settings, JsonDirectory(), store_health),
         )
         role_by_name = {role.name: role for role in roles}
-        entry = StepEntry(name, role_by_name, store_health, StoreRoute(store_health))
+        entry = StepEntry(
+            name,
+            role_by_name,
+            store_health,
+            StoreRoute(store_health),
+            EntryReadiness(store_health),
+        )
         self.entry_by_name[name] = entry
         self._tick(entry)
         return entry
@@ -298,6 +321,21 @@
         entry = next(e for e in self.entry_by_name.values() if e.alive and e.has_store)
         return self.call_intake(entry, SubmitJob(spec, POLICY_KEY, revision))
 
+    def send_submission(self, entry: StepEntry, job_id: str) -> None:
+        """Send a submission under the entry's policy, without waiting for its outcome.
+
+        As for callers, nothing is sent while the entry would refuse it.
+        """
+        policy = entry.readiness.policy
+        if entry.version_answered_by is None:
+            return
+        now = self.clock.now.wall
+        spec = JobSpec(job_id, "reviews", "north", "seconds=1", (step(),), now)
+        operation = SubmitJob(spec, policy.key, policy.revision)
+        self.request_count += 1
+        request = Request(f"test:{self.request_count}", "test", operation, 3.0)
+        entry.mailbox.append(("intake", request))
+
     def cancel(self, job_id: str, team: str = "north"):
         """Cancel a job through an entry with access to the store."""
         entry = next(e for e in self.entry_by_name.values() if e.alive and e.has_store)
@@ -365,6 +403,8 @@
             self.clock.after(
                 message.delay_s, lambda: entry.mailbox.append((role, Tick()))
             )
+        elif to == "standing":
+            entry.readiness.submit(message)
         elif to == "test":
             self.outcome_by_request_id[message.request_id] = message.result
 
@@ -386,12 +426,16 @@
         until = self.clock.mono + getattr(request.operation, "wait_s", 0.0)
         sent_at = self.clock.mono
         lost = self.random.random() < self.lose_answers or self._times_out(request)
+        lost = lost or _reads_any(request.operation, entry.unreadable_prefixes)
 
         def perform() -> None:
             result = self.store.apply(request.operation, self.clock.mono)
             waits = isinstance(request.operation, WatchPrefix)
             if waits and not self.delivers_watch_events:
-                result = replace(result, entries=(), revision=request.operation.after)
+                revision = request.operation.after
+                if self.silent_watches_advance:
+                    revision = self.store.revision
+                result = replace(result, entries=(), revision=revision)
             waits = waits and result.ok and not result.entries
             if waits and self.clock.mono < until:
                 self.clock.after(POLL_INTERVAL_S, perform)
@@ -416,6 +460,7 @@
         """
         starts_at = self.clock.mono + 0.002
         size = size_of_answer(result)
+        entry.store_bytes_by_operation[type(request.operation).__name__] += size
         if entry.shares_store_link and size <= SMALL_ANSWER_BYTES:
             arrives_at = starts_at + 2 * size / entry.store_bytes_per_s
             self.clock.at(arrives_at, lambda: self._reply_store(entry, request, result))
@@ -571,11 +616,21 @@
 
 def size_of_answer(result: Any) -> int:
     """Return the approximate size in bytes of the store's answer on the wire."""
-    items = getattr(result, "entries", ())
+    items = list(getattr(result, "entries", ()))
+    if getattr(result, "entry", None) is not None:
+        items.append(result.entry)
     values = sum(len(item.key) + len(item.value) * 4 // 3 for item in items)
     return ANSWER_BYTES + values + len(items) * ITEM_BYTES
 
 
+def _reads_any(operation: Any, prefixes: tuple[str, ...]) -> bool:
+    """Return whether a call reads, watches or checks a key with one of the prefixes."""
+    keys = [getattr(operation, "key", ""), getattr(operation, "prefix", "")]
+    if isinstance(operation, Transaction) and not operation.puts:
+        keys += [key for key, _ in operation.expected]
+    return any(key.startswith(prefixes) for key in keys) if prefixes else False
+
+
 _ADVICE_FIELDS = ("job_id", "occurrence", "step", "worker_ids")
 
 
