--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -19,10 +19,14 @@
 
 __all__ = ["PolicyDecoder", "PolicyRole"]
 
-# A watch without an answer after its wait and a margin counts as failed.
 WATCH_WAIT_S = 0.8
-WATCH_TIMEOUT_S = 1.2
-READ_TIMEOUT_S = 0.8
+# How long nothing of an answer may arrive, beyond the wait of a watch. Both grow after
+# failures, up to the factor below: the store or the link may be slow.
+WATCH_SILENCE_S = 0.4
+READ_SILENCE_S = 0.8
+MAX_SILENCE_FACTOR = 4
+# The document may be long and the link slow.
+TOTAL_TIMEOUT_S = 10.0
 RETRY_DELAY_S = 0.1
 # An entry that has not confirmed its policy for this long writes a log line.
 UNCONFIRMED_LOG_S = 2.0
@@ -55,6 +59,7 @@
         # When the applied version was certainly the newest, in monotonic seconds.
         self._confirmed_at: float | None = None
         self._is_unconfirmed = False
+        self._silence_factor = 1
 
     def receive(self, message: Any) -> None:
         """Start at the first tick; apply a document that another role has read."""
@@ -74,11 +79,14 @@
                 continue
             watch = WatchPrefix(self._decoder.key, revision, WATCH_WAIT_S)
             sent_at = self.now.mono
-            result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
+            silence_s = WATCH_WAIT_S + WATCH_SILENCE_S * self._silence_factor
+            result = yield Call(STORE, watch, silence_s, TOTAL_TIMEOUT_S)
             if isinstance(result, CallFailed):
                 log_event("policy_watch_failed", reason=result.reason)
+                self._record_failure()
                 revision = 0
                 continue
+            self._silence_factor = 1
             if result.status is not StoreStatus.OK:
                 revision = 0
                 continue
@@ -91,16 +99,24 @@
         """Read the document; return the store revision, or 0 after a failure."""
         result: StoreResult | CallFailed
         sent_at = self.now.mono
-        result = yield Call(STORE, Get(self._decoder.key), READ_TIMEOUT_S)
+        silence_s = READ_SILENCE_S * self._silence_factor
+        read = Get(self._decoder.key)
+        result = yield Call(STORE, read, silence_s, TOTAL_TIMEOUT_S)
         if isinstance(result, CallFailed):
             log_event("policy_read_failed", reason=result.reason)
+            self._record_failure()
             yield Sleep(RETRY_DELAY_S)
             return 0
+        self._silence_factor = 1
         if result.entry is not None:
             self._apply(result.entry)
         self._confirm(sent_at)
         return result.revision
 
+    def _record_failure(self) -> None:
+        """Wait longer for the next answers."""
+        self._silence_factor = min(MAX_SILENCE_FACTOR, 2 * self._silence_factor)
+
     def _confirm(self, at: float) -> None:
         """Record that every version stored before a monotonic time is applied."""
         self._confirmed_at = at
