--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -8,13 +8,22 @@
 from ..observability.prometheus import set_policy_confirmed, set_policy_version
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.role import STORE, CallFailed
-from ..store.messages import Get, KeyValue, StoreStatus, WatchPrefix
+from ..store.messages import (
+    ABSENT,
+    Get,
+    KeyValue,
+    StoreStatus,
+    Transaction,
+    WatchPrefix,
+)
 from .messages import POLICY_ROLE, PolicyChanged, PolicySeen
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from expression import Result
 
-    from ..store.messages import StoreResult
+    from ..store.messages import StoreOperation, StoreResult
     from .values import Policy
 
 __all__ = ["PolicyDecoder", "PolicyRole"]
@@ -28,6 +37,8 @@
 # The document may be long and the link slow.
 TOTAL_TIMEOUT_S = 10.0
 RETRY_DELAY_S = 0.1
+# A watch must continue from a revision that is still in the store's history.
+CHECK_INTERVAL_S = 4.0
 # An entry that has not confirmed its policy for this long writes a log line.
 UNCONFIRMED_LOG_S = 2.0
 
@@ -60,6 +71,10 @@
         self._confirmed_at: float | None = None
         self._is_unconfirmed = False
         self._silence_factor = 1
+        # Revision of the document as last seen, ``None`` if it has to be read.
+        self._document_revision: int | None = None
+        self._watched_revision = 0
+        self._check_due_at = 0.0
 
     def receive(self, message: Any) -> None:
         """Start at the first tick; apply a document that another role has read."""
@@ -72,53 +87,88 @@
             self.start(self._follow())
 
     def _follow(self) -> Flow:
-        revision = 0
         while True:
-            if not revision:
-                revision = yield from self._read()
-                continue
-            watch = WatchPrefix(self._decoder.key, revision, WATCH_WAIT_S)
-            sent_at = self.now.mono
-            silence_s = WATCH_WAIT_S + WATCH_SILENCE_S * self._silence_factor
-            result = yield Call(STORE, watch, silence_s, TOTAL_TIMEOUT_S)
-            if isinstance(result, CallFailed):
-                log_event("policy_watch_failed", reason=result.reason)
-                self._record_failure()
-                revision = 0
-                continue
-            self._silence_factor = 1
-            if result.status is not StoreStatus.OK:
-                revision = 0
-                continue
-            revision = max(revision, result.revision)
-            for item in result.entries:
-                self._apply(item)
-            self._confirm(sent_at)
+            if self._document_revision is None:
+                yield from self._read()
+            elif self.now.mono >= self._check_due_at:
+                yield from self._check(self._document_revision)
+            else:
+                yield from self._watch()
 
     def _read(self) -> Flow:
-        """Read the document; return the store revision, or 0 after a failure."""
+        """Read the document, whatever is known of it."""
         result: StoreResult | CallFailed
         sent_at = self.now.mono
-        silence_s = READ_SILENCE_S * self._silence_factor
-        read = Get(self._decoder.key)
-        result = yield Call(STORE, read, silence_s, TOTAL_TIMEOUT_S)
+        result = yield self._call(Get(self._decoder.key), READ_SILENCE_S)
         if isinstance(result, CallFailed):
-            log_event("policy_read_failed", reason=result.reason)
-            self._record_failure()
-            yield Sleep(RETRY_DELAY_S)
-            return 0
-        self._silence_factor = 1
+            yield from self._recover("policy_read_failed", result)
+            return
+        self._document_revision = ABSENT
         if result.entry is not None:
             self._apply(result.entry)
+        self._watched_revision = result.revision
         self._confirm(sent_at)
-        return result.revision
+        self._check_due_at = self.now.mono + CHECK_INTERVAL_S
+
+    def _check(self, revision: int) -> Flow:
+        """Check that the document still has a revision; apply it if it has changed.
+
+        Unlike a watch that ends without events, this proves that no change is missing,
+        and unlike a read, it does not return an unchanged document.
+        """
+        sent_at = self.now.mono
+        check = Transaction(expected=((self._decoder.key, revision),))
+        result = yield self._call(check, READ_SILENCE_S)
+        if isinstance(result, CallFailed):
+            yield from self._recover("policy_check_failed", result)
+            return
+        if result.ok:
+            self._watched_revision = max(self._watched_revision, result.revision)
+        elif result.entries:
+            self._apply_all(result.entries)
+        else:
+            self._document_revision = ABSENT
+        self._confirm(sent_at)
+        self._check_due_at = self.now.mono + CHECK_INTERVAL_S
+
+    def _watch(self) -> Flow:
+        """Wait for the next change.
 
-    def _record_failure(self) -> None:
-        """Wait longer for the next answers."""
+        The watch does not continue from the store's revision that an answer without
+        events has: the store may have left out a change for a while.
+        """
+        sent_at = self.now.mono
+        watch = WatchPrefix(self._decoder.key, self._watched_revision, WATCH_WAIT_S)
+        result = yield self._call(watch, WATCH_SILENCE_S)
+        if isinstance(result, CallFailed):
+            yield from self._recover("policy_watch_failed", result)
+            return
+        if result.status is not StoreStatus.OK:
+            self._document_revision = None
+            return
+        if result.entries:
+            self._apply_all(result.entries)
+            self._check_due_at = self.now.mono
+            self._confirm(sent_at)
+            return
+        self._confirm(min(self.now.mono, sent_at + WATCH_WAIT_S))
+
+    def _call(self, operation: StoreOperation, silence_s: float) -> Call:
+        """Return a store call that fails when no data arrives for too long."""
+        wait_s = operation.wait_s if isinstance(operation, WatchPrefix) else 0.0
+        timeout_s = wait_s + silence_s * self._silence_factor
+        return Call(STORE, operation, timeout_s, TOTAL_TIMEOUT_S)
+
+    def _recover(self, event: str, failed: CallFailed) -> Flow:
+        """Pause after a failed call; then check the document, with more time."""
+        log_event(event, reason=failed.reason)
         self._silence_factor = min(MAX_SILENCE_FACTOR, 2 * self._silence_factor)
+        self._check_due_at = self.now.mono
+        yield Sleep(RETRY_DELAY_S)
 
     def _confirm(self, at: float) -> None:
         """Record that every version stored before a monotonic time is applied."""
+        self._silence_factor = 1
         self._confirmed_at = at
         set_policy_confirmed(at)
 
@@ -137,9 +187,17 @@
         event = "policy_unconfirmed" if self._is_unconfirmed else "policy_confirmed"
         log_event(event, version=self._version, age_s=round(age_s, 3))
 
+    def _apply_all(self, items: Iterable[KeyValue]) -> None:
+        for item in items:
+            self._watched_revision = max(self._watched_revision, item.revision)
+            self._apply(item)
+
     def _apply(self, item: KeyValue) -> None:
         if item.key != self._decoder.key:
             return
+        self._document_revision = ABSENT if item.deleted else item.revision
+        if item.deleted:
+            return
         decoded = self._decoder.decode(item)
         if decoded.is_error():
             log_event("policy_refused", revision=item.revision, reason=decoded.error)
