--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -43,6 +43,9 @@
 # The load balancer checks once a second and removes an entry after two failed checks.
 # Callers are served until then.
 BALANCER_REMOVAL_S = 2.4
+# Share of the time until a stored policy must be in force for which a confirmation
+# counts. The rest is for a watch that reports a change late.
+MAX_POLICY_AGE_SHARE = 0.75
 
 
 class PlatformEntry:
@@ -55,7 +58,11 @@
         self._load = LoadMeter()
         self._runtime = Runtime(load=self._load)
         self._store_health = StoreHealthTracker(read_clocks)
-        self._entry_readiness = EntryReadiness(self._store_health)
+        self._entry_readiness = EntryReadiness(
+            self._store_health,
+            read_clocks,
+            settings.policy_delay_s * MAX_POLICY_AGE_SHARE,
+        )
         self._peers = PeersPort(settings.ip, settings.peer_port, self._runtime.deliver)
         gateway = PlatformGateway(self._runtime, self._entry_readiness, read_clocks)
         self._callers_server = GatewayServer(
@@ -172,7 +179,11 @@
         rng = random.Random(f"{settings.entry_id}:{time.time_ns()}")
         for role in (
             StoreRelayRole(settings.entry_id, self._store_health, rng),
-            PolicyRole(PlatformPolicy(), (READINESS_PORT, OwnerRole.name)),
+            PolicyRole(
+                PlatformPolicy(),
+                listeners=(READINESS_PORT, OwnerRole.name),
+                confirmation_listeners=(READINESS_PORT,),
+            ),
             SessionRole(document, OwnerRole.name, rng),
             IntakeRole(self._store_health, rng),
             AdvisorRole(),
--- a/src/lagoonpulley/platform/gateway.py
+++ b/src/lagoonpulley/platform/gateway.py
@@ -19,6 +19,7 @@
     ReadState,
     SubmitJob,
 )
+from ..observability.events import log_event
 from ..observability.prometheus import metrics_text
 from .submission import decode_submission_body
 
@@ -42,6 +43,8 @@
 # A request is retried when the policy changes between its check and its execution.
 MAX_POLICY_ATTEMPTS = 12
 POLICY_RETRY_DELAY_S = 0.04
+# How long a request waits for a confirmation of the policy.
+POLICY_WAIT_S = 0.5
 
 _STATUS_BY_KIND = {
     OutcomeKind.DONE: 200,
@@ -89,9 +92,10 @@
 
     def _answer(self, request: Request) -> Response:
         for _ in range(MAX_POLICY_ATTEMPTS):
-            policy = self._entry_readiness.policy
+            wait_s = min(POLICY_WAIT_S, _timeout_s(request))
+            policy = self._entry_readiness.current_policy(wait_s)
             if policy is None:
-                return _refusal("no policy is known yet")
+                return self._refuse_without_policy()
             outcome = self._perform(request, policy)
             if isinstance(outcome, Response):
                 return outcome
@@ -100,6 +104,12 @@
             time.sleep(POLICY_RETRY_DELAY_S)
         return _refusal("the policy changes too often")
 
+    def _refuse_without_policy(self) -> Response:
+        """Refuse a request, as the policy known here may be outdated."""
+        age_s = self._entry_readiness.policy_age_s()
+        log_event("policy_age_refused", age_s=round(age_s, 3))
+        return _refusal("the policy is not confirmed")
+
     def _perform(self, request: Request, policy: Policy) -> Outcome | Response:
         queue = policy.find_queue(request.host.partition(":")[0], request.path)
         if queue is None:
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -29,6 +29,9 @@
 
 
 class _Bounds(BaseModel):
+    """Time limits; ``configMs`` is how soon a stored policy must be in force."""
+
+    config_ms: int = Field(2000, alias="configMs", gt=0)
     hold_max_ms: int = Field(6000, alias="holdMaxMs")
     stop_ms: int = Field(200, alias="stopMs")
     gang_ms: int = Field(3000, alias="gangMs")
@@ -73,13 +76,14 @@
 class PlatformSettings:
     """Settings of one entry on the platform.
 
-    Addresses are ``IP:PORT``, times are in seconds. ``longest_worker_lease_s`` is
-    the longest time that a worker keeps its tasks running without a lease extension,
+    Addresses are ``IP:PORT``, times are in seconds. ``longest_worker_lease_s`` is the
+    longest time that a worker keeps its tasks running without a lease extension,
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
-    start, ``retention_s`` how long a final state is kept, and ``stop_deadline_s`` the
-    longest time of a drain. The rates of store calls are those that all entries
-    together may make; ``None`` means unknown. ``processors_milli`` is in thousandths
-    of a processor and ``link_mbps`` in Mbit/s; 0 means unknown.
+    start, ``policy_delay_s`` how long after a policy was stored requests may still be
+    answered by the one before, ``retention_s`` how long a final state is kept, and
+    ``stop_deadline_s`` the longest time of a drain. The rates of store calls are those
+    that all entries together may make; ``None`` means unknown. ``processors_milli`` is
+    in thousandths of a processor and ``link_mbps`` in Mbit/s; 0 means unknown.
     """
 
     entry_id: str
@@ -94,6 +98,7 @@
     stop_s: float
     gang_wait_s: float
     early_s: float
+    policy_delay_s: float
     retention_s: float
     stop_deadline_s: float
     shortest_session_s: float
@@ -144,6 +149,7 @@
         stop_s=bounds.stop_ms / MS_PER_S,
         gang_wait_s=bounds.gang_ms / MS_PER_S,
         early_s=bounds.early_ms / MS_PER_S,
+        policy_delay_s=bounds.config_ms / MS_PER_S,
         retention_s=float(bounds.status_s),
         stop_deadline_s=bounds.grace_s,
         shortest_session_s=file.platform.ttl_min_ms / MS_PER_S,
--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -16,7 +16,7 @@
     Transaction,
     WatchPrefix,
 )
-from .messages import POLICY_ROLE, PolicyChanged, PolicySeen
+from .messages import POLICY_ROLE, PolicyChanged, PolicyConfirmed, PolicySeen
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -57,14 +57,21 @@
     """Reads and watches the document, and publishes each higher version.
 
     :param listeners: roles and ports that receive each version.
+    :param confirmation_listeners: those of them that also receive each confirmation.
     """
 
     name = POLICY_ROLE
 
-    def __init__(self, decoder: PolicyDecoder, listeners: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        decoder: PolicyDecoder,
+        listeners: tuple[str, ...],
+        confirmation_listeners: tuple[str, ...] = (),
+    ) -> None:
         super().__init__(self.name)
         self._decoder = decoder
         self._listeners = listeners
+        self._confirmation_listeners = confirmation_listeners
         self._version = 0
         self._running = False
         # When the applied version was certainly the newest, in monotonic seconds.
@@ -171,6 +178,8 @@
         self._silence_factor = 1
         self._confirmed_at = at
         set_policy_confirmed(at)
+        for listener in self._confirmation_listeners:
+            self.emit(listener, PolicyConfirmed(at))
 
     def _age_s(self) -> float:
         """Return for how long no newer version has been ruled out, in seconds."""
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -12,7 +12,7 @@
     MAX_TIMEOUT_S,
     PlatformGateway,
 )
-from lagoonpulley.policy.messages import PolicyChanged
+from lagoonpulley.policy.messages import PolicyChanged, PolicyConfirmed
 from lagoonpulley.policy.values import Policy, Queue
 from lagoonpulley.runtime.role import Now
 from lagoonpulley.store.health import StoreHealthTracker
@@ -46,9 +46,10 @@
     return Now(0.0, 0.0)
 
 
-def client_of(runtime):
-    readiness = EntryReadiness(StoreHealthTracker(now))
+def client_of(runtime, policy_age_s=0.0):
+    readiness = EntryReadiness(StoreHealthTracker(now), now, max_policy_age_s=1.5)
     readiness.submit(PolicyChanged(POLICY))
+    readiness.submit(PolicyConfirmed(now().mono - policy_age_s))
     return Client(PlatformGateway(runtime, readiness, now))
 
 
@@ -78,3 +79,23 @@
     headers = {**CALLER, "Deadline-Ms": deadline_ms}
     assert client_of(runtime).get(PATH, headers=headers).status_code == 200
     assert runtime.timeouts_s == [timeout_s]
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [(PATH, "north", 200), (PATH, "other", 401), ("/none/", "north", 404)],
+)
+@pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
+def test_no_answer_depends_on_a_policy_that_is_not_confirmed(method, path, key, status):
+    runtime = FixedOutcome(Outcome(OutcomeKind.DONE))
+    headers = {"X-Api-Key": key, "Deadline-Ms": "1"}
+    body = {"spec": "", "steps": [{"count": 1, "cpu": 1, "memMb": 1, "estimateMs": 1}]}
+    confirmed = client_of(runtime, policy_age_s=1.4)
+    response = confirmed.open(path, method=method, headers=headers, json=body)
+    assert response.status_code == status
+    runtime.timeouts_s.clear()
+    unconfirmed = client_of(runtime, policy_age_s=1.6)
+    response = unconfirmed.open(path, method=method, headers=headers, json=body)
+    assert response.status_code == 503
+    assert response.headers["Retry-After"] == "1"
+    assert runtime.timeouts_s == []
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -55,6 +55,7 @@
 from .network import Clock
 
 TICK_S = 0.2
+MAX_POLICY_AGE_S = 1.5
 POLL_INTERVAL_S = 0.02
 LEASE_S = 6.0
 CAPACITY = Resources(16000, 65536, 0)
@@ -143,7 +144,7 @@
     @property
     def version_answered_by(self) -> int | None:
         """The policy version by which callers are answered, ``None`` if by none."""
-        policy = self.readiness.policy
+        policy = self.readiness.current_policy()
         return policy.version if policy is not None else None
 
     @property
@@ -252,7 +253,7 @@
         rng = random.Random(self.incarnation_count)
         roles = (
             StoreRelayRole(name, store_health, rng),
-            PolicyRole(JsonPolicy(), ("owner", "standing")),
+            PolicyRole(JsonPolicy(), ("owner", "standing"), ("standing",)),
             SessionRole(document, "owner", rng),
             IntakeRole(store_health, rng),
             AdvisorRole(),
@@ -264,7 +265,7 @@
             role_by_name,
             store_health,
             StoreRoute(store_health),
-            EntryReadiness(store_health),
+            EntryReadiness(store_health, lambda: self.clock.now, MAX_POLICY_AGE_S),
         )
         self.entry_by_name[name] = entry
         self._tick(entry)
@@ -326,8 +327,8 @@
 
         As for callers, nothing is sent while the entry would refuse it.
         """
-        policy = entry.readiness.policy
-        if entry.version_answered_by is None:
+        policy = entry.readiness.current_policy()
+        if policy is None:
             return
         now = self.clock.now.wall
         spec = JobSpec(job_id, "reviews", "north", "seconds=1", (step(),), now)
