--- a/src/lagoonpulley/intake/messages.py
+++ b/src/lagoonpulley/intake/messages.py
@@ -21,10 +21,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitJob:
-    """Store a job once, provided that the policy still has the given revision."""
+    """Store a job once.
+
+    ``policy_revision`` is that of the policy under which the job is accepted.
+    """
 
     spec: JobSpec
-    policy_key: str
     policy_revision: int
 
 
@@ -65,7 +67,6 @@
     UNKNOWN = "unknown"
     MISSING = "missing"
     OTHER_TEAM = "other_team"
-    POLICY_CHANGED = "policy_changed"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -9,7 +9,6 @@
 from ..observability.events import log_event
 from ..observability.prometheus import count_refused_submission, observe_request
 from ..owner.pending import PENDING_KEY
-from ..policy.messages import POLICY_ROLE, PolicySeen
 from ..runtime.flows import Call, Flow, FlowRole
 from ..runtime.role import STORE, CallFailed, Request
 from ..store.messages import (
@@ -121,11 +120,7 @@
         spec = operation.spec
         keys = JobKeys(spec.id)
         change = Transaction(
-            expected=(
-                (keys.submission, ABSENT),
-                (keys.final, ABSENT),
-                (operation.policy_key, operation.policy_revision),
-            ),
+            expected=((keys.submission, ABSENT), (keys.final, ABSENT)),
             puts=(Write(keys.submission, encode_submission(spec)),),
         )
         result = yield from self._write(change, request.timeout_s)
@@ -170,17 +165,7 @@
         for item in result.entries:
             if item.key in (keys.submission, keys.final):
                 return _outcome_of_duplicate(_team_of(keys, item), operation.spec.team)
-            if item.key == operation.policy_key:
-                # The watch may deliver the new policy much later.
-                log_event(
-                    "submission_outdated",
-                    job=operation.spec.id,
-                    policy_revision=operation.policy_revision,
-                    stored_revision=item.revision,
-                    characters=len(item.value),
-                )
-                self.emit(POLICY_ROLE, PolicySeen(item))
-        return Outcome(OutcomeKind.POLICY_CHANGED, "the policy has changed")
+        return Outcome(OutcomeKind.UNKNOWN, "the job's documents changed meanwhile")
 
     def _write(self, change: Transaction, timeout_s: float) -> Flow:
         """Apply a transaction; a failure tells whether any attempt may take effect."""
--- a/src/lagoonpulley/platform/gateway.py
+++ b/src/lagoonpulley/platform/gateway.py
@@ -5,7 +5,6 @@
 import itertools
 import math
 import re
-import time
 from typing import TYPE_CHECKING, Any, Protocol
 
 from werkzeug.exceptions import RequestEntityTooLarge
@@ -40,9 +39,6 @@
 RETRY_AFTER_S = 1
 METRICS_PATH = "/metrics"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
-# A request is retried when the policy changes between its check and its execution.
-MAX_POLICY_ATTEMPTS = 12
-POLICY_RETRY_DELAY_S = 0.04
 # How long a request waits for a confirmation of the policy.
 POLICY_WAIT_S = 0.5
 
@@ -52,7 +48,6 @@
     OutcomeKind.UNKNOWN: 504,
     OutcomeKind.MISSING: 410,
     OutcomeKind.OTHER_TEAM: 403,
-    OutcomeKind.POLICY_CHANGED: 503,
 }
 
 
@@ -91,18 +86,14 @@
         return response(environ, start_response)
 
     def _answer(self, request: Request) -> Response:
-        for _ in range(MAX_POLICY_ATTEMPTS):
-            wait_s = min(POLICY_WAIT_S, _timeout_s(request))
-            policy = self._entry_readiness.current_policy(wait_s)
-            if policy is None:
-                return self._refuse_without_policy()
-            outcome = self._perform(request, policy)
-            if isinstance(outcome, Response):
-                return outcome
-            if outcome.kind is not OutcomeKind.POLICY_CHANGED:
-                return _to_response(outcome, request)
-            time.sleep(POLICY_RETRY_DELAY_S)
-        return _refusal("the policy changes too often")
+        wait_s = min(POLICY_WAIT_S, _timeout_s(request))
+        policy = self._entry_readiness.current_policy(wait_s)
+        if policy is None:
+            return self._refuse_without_policy()
+        outcome = self._perform(request, policy)
+        if isinstance(outcome, Response):
+            return outcome
+        return _to_response(outcome, request)
 
     def _refuse_without_policy(self) -> Response:
         """Refuse a request, as the policy known here may be outdated."""
@@ -145,7 +136,7 @@
         decoded = decode_submission_body(body, job_id, queue.name, team, now)
         if decoded.is_error():
             return Response(decoded.error, status=400)
-        return self._call(SubmitJob(decoded.ok, policy.key, policy.revision), request)
+        return self._call(SubmitJob(decoded.ok, policy.revision), request)
 
     def _call(self, operation: Any, request: Request) -> Outcome:
         timeout_s = _timeout_s(request)
--- a/src/lagoonpulley/policy/messages.py
+++ b/src/lagoonpulley/policy/messages.py
@@ -4,10 +4,9 @@
 
 from dataclasses import dataclass
 
-from ..store.messages import KeyValue
 from .values import Policy
 
-__all__ = ["POLICY_ROLE", "PolicyChanged", "PolicyConfirmed", "PolicySeen"]
+__all__ = ["POLICY_ROLE", "PolicyChanged", "PolicyConfirmed"]
 
 POLICY_ROLE = "policy"
 
@@ -27,10 +26,3 @@
     """
 
     at: float
-
-
-@dataclass(frozen=True, slots=True)
-class PolicySeen:
-    """A store operation of another role returned the policy document."""
-
-    item: KeyValue
--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -16,7 +16,7 @@
     Transaction,
     WatchPrefix,
 )
-from .messages import POLICY_ROLE, PolicyChanged, PolicyConfirmed, PolicySeen
+from .messages import POLICY_ROLE, PolicyChanged, PolicyConfirmed
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,8 +37,8 @@
 # The document may be long and the link slow.
 TOTAL_TIMEOUT_S = 10.0
 RETRY_DELAY_S = 0.1
-# A watch must continue from a revision that is still in the store's history.
-CHECK_INTERVAL_S = 4.0
+# One check after each watch: changes that watches do not report are found by it.
+CHECK_INTERVAL_S = 0.8
 # An entry that has not confirmed its policy for this long writes a log line.
 UNCONFIRMED_LOG_S = 2.0
 
@@ -84,10 +84,7 @@
         self._check_due_at = 0.0
 
     def receive(self, message: Any) -> None:
-        """Start at the first tick; apply a document that another role has read."""
-        if isinstance(message, PolicySeen):
-            self._apply(message.item)
-            return
+        """Follow the document from the first tick on."""
         self._log_age()
         if not self._running:
             self._running = True
