--- a/src/lagoonpulley/policy/values.py
+++ b/src/lagoonpulley/policy/values.py
@@ -87,13 +87,26 @@
     team_by_name: dict[str, TeamLimits]
     team_by_api_key: dict[str, str]
     max_body_bytes: int = 0
+    _queue_by_host_and_prefix: dict[tuple[str, str], Queue] = field(init=False)
+    # The lengths of each host's prefixes, the longest first.
+    _prefix_lengths_by_host: dict[str, list[int]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        by_host_and_prefix: dict[tuple[str, str], Queue] = {}
+        lengths_by_host: dict[str, set[int]] = {}
+        for queue in self.queue_by_name.values():
+            by_host_and_prefix.setdefault((queue.host, queue.prefix), queue)
+            lengths_by_host.setdefault(queue.host, set()).add(len(queue.prefix))
+        lengths = {
+            host: sorted(found, reverse=True) for host, found in lengths_by_host.items()
+        }
+        object.__setattr__(self, "_queue_by_host_and_prefix", by_host_and_prefix)
+        object.__setattr__(self, "_prefix_lengths_by_host", lengths)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix that matches a path."""
-        found: Queue | None = None
-        for queue in self.queue_by_name.values():
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if found is None or len(queue.prefix) > len(found.prefix):
-                found = queue
-        return found
+        for length in self._prefix_lengths_by_host.get(host, ()):
+            queue = self._queue_by_host_and_prefix.get((host, path[:length]))
+            if queue is not None:
+                return queue
+        return None
