--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -84,9 +84,17 @@
                 log_event(
                     "worker_listed",
                     worker=info.id,
+                    address=info.address,
                     draining=info.draining,
                     born=info.born,
                 )
+            elif known.info.capacity != info.capacity:
+                log_event(
+                    "worker_capacity",
+                    worker=info.id,
+                    capacity=list(info.capacity),
+                    before=list(known.info.capacity),
+                )
             worker = term.put_worker(info)
             self.sync(term, worker)
         if self._host.now.mono - healthy_since < DIRECTORY_GRACE_S:
@@ -191,7 +199,14 @@
         if not worker.is_responsive:
             worker.next_sync_at = self._host.now.mono + SYNC_RETRY_DELAY_S
         if was_responsive and not worker.is_responsive:
-            log_event("worker_lost", worker=worker.info.id, reason=str(reason))
+            log_event(
+                "worker_lost",
+                worker=worker.info.id,
+                address=worker.info.address,
+                reason=str(reason),
+                closed=getattr(result, "closed", False),
+                runs=len(worker.tracked_by_ref),
+            )
         term.refresh_accepting(worker)
         if reason is Refusal.FENCED:
             self._host.step_down("a worker has seen a higher fencing token")
--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -104,7 +104,7 @@
         :raises TypeError: when a row of a report holds a value of the wrong type.
         """
         if isinstance(outcome, HttpFailure):
-            return CallFailed(outcome.ran, outcome.reason)
+            return CallFailed(outcome.ran, outcome.reason, closed=outcome.closed)
         try:
             body = _Body.model_validate_json(outcome.body or b"{}")
         except ValidationError as error:
--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -31,6 +31,17 @@
     )
 )
 
+# The other side refused the connection or closed it, as it does when its process ends.
+_CLOSED_ERRORS = frozenset(
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_GOT_NOTHING,
+        pycurl.E_PARTIAL_FILE,
+        pycurl.E_RECV_ERROR,
+        pycurl.E_SEND_ERROR,
+    )
+)
+
 
 @dataclass(frozen=True, slots=True)
 class HttpCall:
@@ -73,13 +84,15 @@
     """A request without a complete response.
 
     ``ran`` says whether the server may have received the request, ``partial`` whether
-    part of the response body arrived.
+    part of the response body arrived, ``closed`` whether the other side refused the
+    connection or closed it.
     """
 
     ran: Ran
     reason: str
     partial: bool = False
     traffic: Traffic = NO_TRAFFIC
+    closed: bool = False
 
 
 HttpOutcome = HttpAnswer | HttpFailure
@@ -290,10 +303,12 @@
 
     def _failure_of(self, handle: pycurl.Curl, code: int, message: str) -> HttpFailure:
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
+        traffic = _traffic_of(handle)
+        closed = code in _CLOSED_ERRORS
         if code in _NOT_SENT_ERRORS or not sent:
-            return HttpFailure(Ran.NO, message, traffic=_traffic_of(handle))
+            return HttpFailure(Ran.NO, message, traffic=traffic, closed=closed)
         partial = self._transfer_by_handle[handle].buffer.tell() > 0
-        return HttpFailure(Ran.MAYBE, message, partial, _traffic_of(handle))
+        return HttpFailure(Ran.MAYBE, message, partial, traffic, closed)
 
     def _finish(self, handle: pycurl.Curl, outcome: HttpOutcome) -> None:
         transfer = self._transfer_by_handle.pop(handle)
--- a/src/lagoonpulley/runtime/role.py
+++ b/src/lagoonpulley/runtime/role.py
@@ -73,12 +73,14 @@
     """Result of a call that was not sent or got no valid answer.
 
     ``ran`` says whether the call may have taken effect. ``partial`` means that part of
-    an answer arrived, so the other side was reachable.
+    an answer arrived, so the other side was reachable. ``closed`` means that the other
+    side refused the connection or closed it.
     """
 
     ran: Any
     reason: str
     partial: bool = False
+    closed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -9,6 +9,7 @@
 import pytest
 from werkzeug.wrappers import Request, Response
 
+from lagoonpulley.model.verdict import Ran
 from lagoonpulley.runtime.curl import CurlLoop, HttpAnswer, HttpCall, HttpFailure
 from lagoonpulley.standin.http import StandinServer
 
@@ -68,6 +69,24 @@
     header = b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n"
     assert failure.traffic.received_bytes == len(header) + 3
     assert failure.traffic.sent_bytes > 0
+    assert failure.closed
+
+
+def test_connection_that_is_closed_without_an_answer_is_told(loop):
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def close_after_request():
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65536)
+
+    thread = threading.Thread(target=close_after_request)
+    thread.start()
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+    failure = perform(loop, HttpCall("POST", url, b"body", TIMEOUT_S))
+    thread.join()
+    listener.close()
+    assert (failure.ran, failure.closed) == (Ran.MAYBE, True)
 
 
 def test_failure_to_connect_has_no_bytes(loop):
@@ -76,3 +95,4 @@
     call = HttpCall("GET", f"http://127.0.0.1:{port}/", b"", TIMEOUT_S)
     failure = perform(loop, call)
     assert (failure.traffic.sent_bytes, failure.traffic.received_bytes) == (0, 0)
+    assert failure.closed
--- a/tests/runtime/test_curl_timeouts.py
+++ b/tests/runtime/test_curl_timeouts.py
@@ -86,6 +86,7 @@
     outcome = fetch(loop, declared=30, sent=0, timeout_s=0.4, total_timeout_s=1000.0)
     assert isinstance(outcome, HttpFailure)
     assert not outcome.partial
+    assert not outcome.closed
 
 
 def test_response_that_keeps_arriving_is_bounded_by_the_total_timeout(loop):
