--- /dev/null
+++ b/tests/owner/test_crashes.py
@@ -0,0 +1,112 @@
+"""Tasks that crash the workers that start them, and tasks beside them."""
+
+from __future__ import annotations
+
+import pytest
+from tests.support.steps import StepWorld, step
+
+DEADLY = "d" * 16
+# A task may be started twice more after three workers have crashed under it.
+MAX_STARTS = 5
+
+
+@pytest.fixture(params=[True, False], ids=["new_id", "same_id"])
+def world(request):
+    made = StepWorld(entries=3, workers=6)
+    made.crash_changes_id = request.param
+    made.run(7.0)
+    return made
+
+
+def submit_neighbours(world, count=10, seconds=2):
+    ids = [f"{number:016x}" for number in range(count)]
+    for job_id in ids:
+        world.submit(job_id, step(count=4), payload=f"seconds={seconds}")
+    return ids
+
+
+def finals(world, ids):
+    return {world.final_state(job_id) for job_id in ids}
+
+
+def starts_of(world, job_id):
+    by_task = {}
+    for execution in world.executions(job_id):
+        by_task[execution.ref.key] = by_task.get(execution.ref.key, 0) + 1
+    return by_task
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_deadly_task_is_given_up_and_tasks_beside_it_are_done(world, gang):
+    before = submit_neighbours(world)
+    world.submit(DEADLY, step(count=2, gang=gang), payload="deadly")
+    world.run_until(lambda: world.final_state(DEADLY) == "failed", 60.0)
+    assert max(starts_of(world, DEADLY).values()) <= MAX_STARTS
+    world.run_until(lambda: finals(world, before) == {"completed"}, 30.0)
+
+
+def test_deadly_task_is_given_up_across_owners(world):
+    before = submit_neighbours(world)
+    world.submit(DEADLY, payload="deadly")
+    for _ in range(MAX_STARTS):
+        crashes = len(world.crashes)
+        world.run_until(
+            lambda known=crashes: (
+                world.final_state(DEADLY) or len(world.crashes) > known
+            ),
+            30.0,
+        )
+        name = world.owner().name
+        world.kill(world.owner())
+        world.start_entry(name)
+        world.run(2.0)
+    world.run(5.0)
+    assert world.final_state(DEADLY) == "failed"
+    assert max(starts_of(world, DEADLY).values()) <= MAX_STARTS
+    world.run_until(lambda: finals(world, before) == {"completed"}, 30.0)
+
+
+def test_many_deadly_jobs_do_not_fail_other_jobs(world):
+    before = submit_neighbours(world, count=6)
+    deadly = [f"d{number:015x}" for number in range(6)]
+    for job_id in deadly:
+        world.submit(job_id, payload="deadly")
+        world.run(0.3)
+    world.run_until(lambda: finals(world, deadly) == {"failed"}, 90.0)
+    for job_id in deadly:
+        assert max(starts_of(world, job_id).values()) <= MAX_STARTS
+    world.run_until(lambda: finals(world, before) == {"completed"}, 40.0)
+
+
+def test_task_whose_workers_are_cut_off_again_and_again_is_done(world):
+    job_id = "a" * 16
+    world.submit(job_id, payload="seconds=5")
+    for _ in range(8):
+        world.run_until(lambda: running_workers(world, job_id), 20.0)
+        world.dead_workers = running_workers(world, job_id)
+        world.run_until(
+            lambda: running_workers(world, job_id) - world.dead_workers, 20.0
+        )
+    world.dead_workers = set()
+    world.run_until(lambda: world.final_state(job_id) == "completed", 30.0)
+
+
+def running_workers(world, job_id):
+    found = set()
+    for worker in world.worker_by_id.values():
+        worker.advance(world.clock.mono)
+        for execution in worker.executions:
+            if execution.ref.job_id == job_id and execution.ended_at is None:
+                found.add(worker.id)
+    return found
+
+
+def test_task_whose_workers_crash_by_themselves_is_done(world):
+    world.submit("a" * 16, payload="seconds=3")
+    for _ in range(4):
+        world.run_until(lambda: running_workers(world, "a" * 16), 30.0)
+        world.run(1.0)
+        for worker_id in running_workers(world, "a" * 16):
+            world.crash_worker(worker_id)
+        world.run(1.0)
+    world.run_until(lambda: world.final_state("a" * 16) == "completed", 30.0)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -58,6 +58,11 @@
 MAX_POLICY_AGE_S = 1.5
 POLL_INTERVAL_S = 0.02
 LEASE_S = 6.0
+# How soon a deadly task crashes its worker, when the worker is back, and when the
+# directory drops the record of a worker that does not check in.
+DEADLY_AFTER_S = 0.01
+RESTART_S = 3.0
+RECORD_LIFETIME_S = 4.5
 CAPACITY = Resources(16000, 65536, 0)
 POLICY_KEY = "test/policy"
 WORKERS_PREFIX = "test/workers/"
@@ -177,6 +182,8 @@
         self.peer_call_by_id: dict[str, tuple[StepEntry, Request]] = {}
         self.outcome_by_request_id: dict[str, Any] = {}
         self.worker_by_id: dict[str, TaskWorkerState] = {}
+        self.worker_by_address: dict[str, TaskWorkerState] = {}
+        self.address_by_worker_id: dict[str, str] = {}
         # Workers that no entry can reach; their tasks run on until the lease ends.
         self.dead_workers: set[str] = set()
         # Workers that leave a start unanswered and execute it three seconds later.
@@ -184,6 +191,11 @@
         self.late_start_probability = 0.0
         # Workers on which every task fails.
         self.failing_workers: set[str] = set()
+        # Workers whose process does not run: connections to them are refused.
+        self.crashed_workers: set[str] = set()
+        # Whether a worker has another id after a crash, at the same address.
+        self.crash_changes_id = True
+        self.crashes: list[tuple[float, str]] = []
         self.silent_starts: set[str] = set()
         self.entry_by_name: dict[str, StepEntry] = {}
         self.capacity_by_name: dict[str, EntryCapacity] = {}
@@ -218,18 +230,26 @@
         change = Transaction(puts=(Write(key, value),))
         self.store.apply(change, self.clock.mono)
 
-    def add_worker(self, worker_id: str, draining: bool = False) -> None:
+    def add_worker(
+        self,
+        worker_id: str,
+        draining: bool = False,
+        address: str = "",
+        capacity: Resources = CAPACITY,
+    ) -> None:
         """List a worker, and start it if it does not run yet."""
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             worker = TaskWorkerState(worker_id, LEASE_S, self.clock.mono)
             self.worker_by_id[worker_id] = worker
+            self.address_by_worker_id[worker_id] = address or worker_id
+        self.worker_by_address[self.address_by_worker_id[worker_id]] = worker
         document = {
             "id": worker_id,
             "service": "service",
-            "address": worker_id,
+            "address": self.address_by_worker_id[worker_id],
             "data_centre": "a",
-            "capacity": list(CAPACITY[:3]),
+            "capacity": list(capacity[:3]),
             "labels": ["kind", "rack"],
             "rack": "rack",
             "born": worker.born,
@@ -237,6 +257,29 @@
         }
         self.put(WORKERS_PREFIX + worker_id, json.dumps(document))
 
+    def crash_worker(self, worker_id: str) -> None:
+        """End a worker's process with all runs; it is back after some seconds."""
+        if worker_id in self.crashed_workers:
+            return
+        self.crashes.append((self.clock.mono, worker_id))
+        self.crashed_workers.add(worker_id)
+        self.worker_by_id[worker_id].restart(self.clock.mono)
+        self.clock.after(RESTART_S, lambda: self._restart_worker(worker_id))
+
+    def _restart_worker(self, worker_id: str) -> None:
+        if not self.crash_changes_id:
+            self.crashed_workers.discard(worker_id)
+            self.worker_by_id[worker_id].restart(self.clock.mono)
+            self.add_worker(worker_id)
+            return
+        record = Transaction(deletes=(WORKERS_PREFIX + worker_id,))
+        self.clock.after(
+            RECORD_LIFETIME_S - RESTART_S,
+            lambda: self.store.apply(record, self.clock.mono),
+        )
+        address = self.address_by_worker_id[worker_id]
+        self.add_worker(f"{worker_id}+", address=address)
+
     def start_entry(self, name: str) -> StepEntry:
         """Start a new process of an entry."""
         self.incarnation_count += 1
@@ -497,8 +540,8 @@
             advice = self._advice(command)
             self.clock.after(0.5, lambda: self._reply(entry, request, advice))
             return
-        worker_id = command.to.address
-        worker = self.worker_by_id[worker_id]
+        worker = self.worker_by_address[command.to.address]
+        worker_id = worker.id
         until = self.clock.mono + getattr(command, "wait_s", 0.0)
         times_out_at = self.clock.mono + request.timeout_s
 
@@ -507,7 +550,7 @@
 
             A restart of the worker resets the connection.
             """
-            if worker.born != born:
+            if worker.born != born or worker_id in self.crashed_workers:
                 failed = CallFailed(Ran.MAYBE, "the connection was reset")
                 self._reply(entry, request, failed)
                 return
@@ -525,6 +568,9 @@
                 failed = CallFailed(Ran.MAYBE, "no answer")
                 self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
                 return
+            if worker_id in self.crashed_workers:
+                self._reply(entry, request, CallFailed(Ran.NO, "connection refused"))
+                return
             if isinstance(command, StartTask) and self._delays_start(worker_id):
                 self._execute_late(entry, request, worker)
                 return
@@ -536,6 +582,8 @@
                 self._reply(entry, request, refused)
                 return
             result = worker.apply(command, self.clock.mono)
+            if isinstance(command, StartTask) and "deadly" in command.payload:
+                self.clock.after(DEADLY_AFTER_S, lambda: self.crash_worker(worker_id))
             if isinstance(command, SyncWorker) and self.clock.mono < until:
                 answer_long_poll(worker.born)
                 return
