--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -68,6 +68,10 @@
         if record.is_final or tracked.stop_requested or not worker.fenced:
             self._end_unstarted_run(term, worker, ref, "no longer needed")
             return
+        if term.cell.is_overcommitted(worker_id):
+            reason = "the worker's capacity is smaller now"
+            self._end_unstarted_run(term, worker, ref, reason)
+            return
         if self._needs_new_permit(term, record, key, worker_id):
             self._end_unstarted_run(term, worker, ref, "its permit has expired")
             return
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -161,6 +161,11 @@
         self._freed_by_id[worker_id] = worker
         return True
 
+    def is_overcommitted(self, worker_id: str) -> bool:
+        """Return whether a worker's runs need more than its present capacity."""
+        worker = self.worker_by_id.get(worker_id)
+        return worker is not None and min(worker.free) < 0
+
     def claim(self, worker_id: str, claim: Claim) -> None:
         """Claim resources for a run; a repeated claim of the same run has no effect."""
         worker = self.worker_by_id[worker_id]
