--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -112,6 +112,9 @@
                 return result
             if isinstance(result, CommandRefused):
                 return CallFailed(Ran.MAYBE, f"then refused: {result.reason.value}")
+            if result.closed and result.ran is not Ran.NO:
+                # The worker may have crashed because of it.
+                tracked.has_run = True
             failed = CallFailed(failed.ran.combine(result.ran), result.reason)
             if failed.ran is Ran.NO or tracked.stop_requested or tracked.listed:
                 break
@@ -133,6 +136,9 @@
         self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun, result: Any
     ) -> None:
         ref = tracked.ref
+        if isinstance(result, CommandAccepted):
+            worker.alive_at = self._host.now.mono
+            tracked.has_run = True
         if isinstance(result, CommandAccepted) or tracked.listed:
             tracked.start_resolved_at = tracked.start_resolved_at or self._host.now.mono
             return
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -21,6 +21,8 @@
 # Most ended runs in one report; a worker lists further ones once these are
 # acknowledged.
 MAX_ENDS_PER_REPORT = 500
+# Tasks of services run for days, in which workers crash for other reasons.
+FORGIVEN_AFTER_S = 30.0
 
 
 def apply_report(
@@ -34,7 +36,9 @@
     if term.is_new_incarnation(worker, report.born):
         term.end_previous_incarnation(worker)
         worker = _set_incarnation(term, worker, report.born)
-    elif report.born and not worker.info.born:
+    else:
+        term.retract_crash(worker)
+    if report.born and not worker.info.born:
         worker.info = replace(worker.info, born=report.born)
     worker.record_report(report, term.now.mono)
     for ended in report.ended:
@@ -51,6 +55,7 @@
 def _set_incarnation(term: OwnerTerm, worker: WorkerState, born: int) -> WorkerState:
     worker.info = replace(worker.info, born=born)
     worker.processed = worker.acknowledged = 0
+    worker.blamed_runs = {}
     term.cell.put_worker(worker.info)
     return worker
 
@@ -82,10 +87,11 @@
         if tracked is None:
             unknown.append(running.ref)
             continue
-        tracked.listed = True
+        tracked.listed = tracked.has_run = True
         if tracked.start_resolved_at is None:
             tracked.start_resolved_at = term.now.mono
         _set_checkpoint(term, running.ref, running.checkpoint)
+        _forgive(term, tracked)
         if _is_stalled(term, tracked, running.percent):
             _stop_stalled(term, worker, tracked)
     if len(report.ended) >= MAX_ENDS_PER_REPORT:
@@ -97,6 +103,15 @@
     return unknown
 
 
+def _forgive(term: OwnerTerm, tracked: TrackedRun) -> None:
+    """Forget the crashes of a task that has run long enough."""
+    record = term.record_by_id.get(tracked.ref.job_id)
+    if record is None or tracked.ref.key not in record.crashes_by_task:
+        return
+    if term.now.mono - tracked.start_resolved_at >= FORGIVEN_AFTER_S:
+        del record.crashes_by_task[tracked.ref.key]
+
+
 def _is_stalled(term: OwnerTerm, tracked: TrackedRun, percent: int) -> bool:
     """Record the progress of a run; return whether the run is stalled."""
     record = term.record_by_id.get(tracked.ref.job_id)
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -15,6 +15,7 @@
 from ..upstream.directory import WorkerInfo
 from ..upstream.tasks import TaskRef
 from ..workload.record import EndKind, JobRecord, JobState
+from .crashes import blame_by_run
 from .journal import Journal
 from .worker_state import TrackedRun, WorkerState
 
@@ -56,6 +57,7 @@
     backlog: Backlog = field(default_factory=Backlog)
     repeating_by_id: dict[str, JobRecord] = field(default_factory=dict)
     queue_by_name: dict[str, Queue] = field(default_factory=dict)
+    crashed_at_by_address: dict[str, float] = field(default_factory=dict)
     ended_at_by_job_id: dict[str, float] = field(default_factory=dict)
     policy: Policy | None = None
     loaded: bool = False
@@ -86,6 +88,7 @@
             # A worker that has seen the new token refuses starts with an older one.
             tracked = self._track(worker, record, ref)
             tracked.start_resolved_at = BEFORE_THIS_TERM
+            tracked.has_run = True
         self.refresh_demands(record)
 
     def restore_final(self, record: JobRecord, document: FinalDocument) -> None:
@@ -206,7 +209,8 @@
             info = replace(info, born=worker.info.born)
         worker.info = info
         worker.missing_since = None
-        self.cell.put_worker(info)
+        crashed_at = self.crashed_at_by_address.get(info.address)
+        self.cell.put_worker(info).crashed_at = crashed_at
         self.refresh_accepting(worker)
         return worker
 
@@ -237,12 +241,59 @@
         self.idle_worker_by_id.pop(worker.info.id, None)
         self.cell.remove_worker(worker.info.id)
 
+    def record_crash(self, worker: WorkerState) -> None:
+        """Remember for each run of a worker that it has crashed.
+
+        A job is given up once one of its tasks must not be started again. Draining
+        workers do not crash: they leave.
+        """
+        if worker.info.draining:
+            return
+        runs = [run for run in worker.tracked_by_ref.values() if not run.is_blamed]
+        blame = blame_by_run(runs, worker.alive_at)
+        log_event(
+            "worker_crashed",
+            worker=worker.info.id,
+            address=worker.info.address,
+            runs=len(blame),
+            suspects=sorted({ref.job_id for ref, share in blame.items() if share}),
+        )
+        self.crashed_at_by_address[worker.info.address] = self.now.mono
+        for ref, share in blame.items():
+            worker.tracked_by_ref[ref].is_blamed = True
+            record = self.record_by_id.get(ref.job_id)
+            if record is None or record.is_final:
+                continue
+            worker.blamed_runs[ref] = share
+            history = record.change_crashes(ref.key, 1, share)
+            if history.is_deadly:
+                reason = f"{ref.key} crashed {history.count} workers"
+                self.finish(record, JobState.FAILED, reason)
+            else:
+                self.journal.enqueue(record)
+
+    def retract_crash(self, worker: WorkerState) -> None:
+        """Take back a crash: the same incarnation of the worker answers again."""
+        if not worker.blamed_runs:
+            return
+        log_event("worker_crash_retracted", worker=worker.info.id)
+        self.crashed_at_by_address.pop(worker.info.address, None)
+        for ref, share in worker.blamed_runs.items():
+            record = self.record_by_id.get(ref.job_id)
+            if record is None or record.is_final:
+                continue
+            record.change_crashes(ref.key, -1, -share)
+            self.refresh_demands(record)
+            self.journal.enqueue(record)
+        worker.blamed_runs = {}
+
     def end_previous_incarnation(self, worker: WorkerState) -> None:
-        """End the runs of a worker's previous incarnation.
+        """End the runs of a worker's previous incarnation, which has crashed.
 
         A start that is not known to have arrived may still reach the new incarnation,
         which has the same id. Its run stays tracked until the worker confirms a stop.
         """
+        self.record_crash(worker)
         for ref, tracked in list(worker.tracked_by_ref.items()):
             if tracked.listed:
                 reason = "worker restarted"
@@ -263,11 +314,20 @@
         if previous is None:
             self.known_workers += 1
         worker.position = previous.position if previous else self.known_workers
+        if previous is None:
+            self._close_predecessors(info)
         self.worker_by_id[info.id] = worker
         self.idle_worker_by_id[info.id] = worker
         self.cell.put_worker(info)
         return worker
 
+    def _close_predecessors(self, info: WorkerInfo) -> None:
+        """Record that the processes before a new worker at its address have ended."""
+        for other in self.worker_by_id.values():
+            is_at_address = info.address and other.info.address == info.address
+            if is_at_address and other.info.id != info.id:
+                other.record_closed(was_sent=False, now=self.now.mono)
+
     def begin_sync(self, worker: WorkerState) -> None:
         """Record that a sync with a worker is in flight."""
         worker.syncing = True
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -29,12 +29,16 @@
     ``start_resolved_at`` is when it became certain that no start command in flight
     can start the run any more, ``None`` before that; a sync sent later shows whether
     the run exists.
+    ``has_run`` is set once the worker is known to have carried out the start.
+    ``is_blamed`` is set when the run is counted for a crash of its worker.
     ``not_after_ms`` is the time on the worker's clock after which the worker refuses a
     start command in flight. ``listed`` is set once the worker's current incarnation
     has listed the run. Times without a unit are monotonic seconds.
     """
 
     ref: TaskRef
+    has_run: bool = False
+    is_blamed: bool = False
     not_after_ms: int = 0
     start_resolved_at: float | None = None
     listed: bool = False
@@ -61,7 +65,9 @@
     if nothing more reaches it, in monotonic seconds. ``processed`` and
     ``acknowledged`` are numbers of ended runs in the worker's own numbering; an end is
     acknowledged only after the commit that records it. ``position`` orders workers by
-    when they first became known.
+    when they first became known. ``alive_at`` is when it was last known to live, in
+    monotonic seconds. ``closed`` is set while it refuses connections or has closed
+    them, as after a crash. ``blamed_runs`` are those that were blamed for its crash.
     """
 
     info: WorkerInfo
@@ -78,6 +84,9 @@
     next_sync_at: float = 0.0
     failures: int = 0
     missing_since: float | None = None
+    alive_at: float | None = None
+    closed: bool = False
+    blamed_runs: dict[TaskRef, float] = field(default_factory=dict)
     tracked_by_ref: dict[TaskRef, TrackedRun] = field(default_factory=dict)
 
     @property
@@ -117,3 +126,15 @@
         self.clock_at = now
         self.fenced = True
         self.failures = 0
+        self.alive_at = now
+        self.closed = False
+
+    def record_closed(self, was_sent: bool, now: float) -> None:
+        """Record that the worker refused a connection, or closed one.
+
+        :param was_sent: whether the call had been sent, so that the worker lived until
+            now.
+        """
+        if was_sent and not self.closed:
+            self.alive_at = now
+        self.closed = True
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -5,6 +5,7 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING, Any
 
+from ..model.verdict import Ran
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import UPSTREAM
@@ -194,6 +195,10 @@
         self, term: OwnerTerm, worker: WorkerState, result: Any
     ) -> None:
         reason = result.reason
+        is_other_life = reason is Refusal.OTHER_LIFE
+        if is_other_life or getattr(result, "closed", False):
+            was_sent = not is_other_life and result.ran is not Ran.NO
+            worker.record_closed(was_sent, self._host.now.mono)
         was_responsive = worker.is_responsive
         worker.failures += 1
         if not worker.is_responsive:
@@ -204,7 +209,7 @@
                 worker=worker.info.id,
                 address=worker.info.address,
                 reason=str(reason),
-                closed=getattr(result, "closed", False),
+                closed=worker.closed,
                 runs=len(worker.tracked_by_ref),
             )
         term.refresh_accepting(worker)
@@ -217,6 +222,8 @@
             not worker.is_available and self._host.now.mono > worker.leases_expire_at
         )
         if worker.tracked_by_ref and is_dead:
+            if worker.closed:
+                term.record_crash(worker)
             term.end_all_runs(worker, "worker's lease has ended")
         self.sync(term, worker)
         if not worker.info.address:
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -33,13 +33,17 @@
 class CellWorker:
     """One worker, its capacity and the claims on it.
 
-    ``free`` is the capacity that no run has claimed. ``avoid_until`` is in monotonic
-    seconds.
+    ``free`` is the capacity that no run has claimed. ``placed_at`` is when a task was
+    last placed here, ``crashed_at`` when the worker at this address last crashed. Times
+    are in monotonic seconds.
     """
 
     info: WorkerInfo
     accepting: bool = False
     avoid_until: float = 0.0
+    probation_until: float = 0.0
+    placed_at: float = float("-inf")
+    crashed_at: float | None = None
     used: Resources = ZERO
     free: Resources = field(init=False)
     claim_by_ref: dict[TaskRef, Claim] = field(default_factory=dict)
@@ -129,6 +133,15 @@
             worker.avoid_until = until
             self._avoided_by_id[worker_id] = worker
 
+    def begin_probation(self, worker: CellWorker, until: float) -> None:
+        """Place nothing beside a task that may crash its worker until a time."""
+        worker.probation_until = until
+        self.avoid(worker.info.id, max(until, worker.avoid_until))
+
+    def on_probation(self, now: float) -> int:
+        """Return the number of workers with a task on probation."""
+        return sum(w.probation_until > now for w in self.worker_by_id.values())
+
     def put_worker(self, info: WorkerInfo) -> CellWorker:
         """Add a worker or update its description."""
         worker = self.worker_by_id.get(info.id)
--- a/src/lagoonpulley/planning/packing.py
+++ b/src/lagoonpulley/planning/packing.py
@@ -12,7 +12,18 @@
     from ..workload.spec import StepKey, StepSpec
     from .cell import Cell, CellWorker
 
-__all__ = ["StepTaskCounts", "eligible_workers", "pack_gang", "pack_tasks"]
+__all__ = [
+    "StepTaskCounts",
+    "eligible_workers",
+    "least_at_risk",
+    "pack_gang",
+    "pack_tasks",
+]
+
+# A worker that crashed more recently is a worse place to find out why another did.
+RECENT_CRASH_S = 10.0
+# A task that was placed more recently would be suspected as well.
+RECENT_PLACEMENT_S = 0.5
 
 
 class StepTaskCounts:
@@ -75,6 +86,24 @@
     return chosen
 
 
+def least_at_risk(workers: Iterable[CellWorker], now: float) -> list[CellWorker]:
+    """Return workers in the order in which a crash tells most, and harms least.
+
+    :param now: monotonic time in seconds.
+    """
+
+    def sort_key(worker: CellWorker) -> tuple[bool, bool, int, int]:
+        crashed_at = worker.crashed_at
+        return (
+            crashed_at is not None and now - crashed_at < RECENT_CRASH_S,
+            now - worker.placed_at < RECENT_PLACEMENT_S,
+            len(worker.claim_by_ref),
+            worker.used.processors_milli,
+        )
+
+    return sorted(workers, key=sort_key)
+
+
 def pack_gang(
     step: StepSpec,
     workers: Iterable[CellWorker],
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -10,7 +10,13 @@
 from ..workload.spec import StepKey, TaskKey
 from .cell import Claim
 from .gang_reservations import RESERVE_AFTER_S, GangReservations
-from .packing import StepTaskCounts, eligible_workers, pack_gang, pack_tasks
+from .packing import (
+    StepTaskCounts,
+    eligible_workers,
+    least_at_risk,
+    pack_gang,
+    pack_tasks,
+)
 
 if TYPE_CHECKING:
     from ..model.resources import Resources
@@ -37,6 +43,13 @@
 MIN_UNKNOWN_SHARE = 0.3
 # How long a step that lacks capacity keeps avoiding the workers it failed on.
 AVOID_FAILED_WORKERS_S = 1.0
+# How long nothing is placed beside a task that may crash its worker: until it is
+# started, and until its start no longer explains a crash.
+PROBATION_S = 0.7
+# A request for permits names at least so many workers, if there are.
+MIN_WORKERS_FOR_PROBATION = 4
+# Share of the workers that may have such a task at a time; a wide gang may exceed it.
+MAX_PROBATION_SHARE = 0.5
 
 
 class BlockReason(Enum):
@@ -258,22 +271,101 @@
         if not self._is_within_team_limit(demand):
             demand.block_reason = BlockReason.TEAM_LIMIT
             return 0
+        suspects = [key for key in waiting if demand.record.is_suspect(key)]
+        if not suspects:
+            return self._start_tasks(demand, permits, waiting)
+        if step.gang:
+            return self._start_on_probation(demand, permits, waiting)
+        others = [key for key in waiting if key not in suspects]
+        started = self._start_tasks(demand, permits, others) if others else 0
+        return started + self._start_on_probation(demand, permits, suspects)
+
+    def _start_tasks(
+        self, demand: Demand, permits: StepPermits | None, keys: list[TaskKey]
+    ) -> int:
+        """Start those of the given tasks that fit; return their number."""
         workers = self._candidate_workers(demand)
-        chosen = self._choose_workers(demand, workers, len(waiting))
+        chosen = self._choose_workers(demand, workers, len(keys))
         if not chosen:
             self._set_lacks_capacity(demand)
             return 0
         if permits is not None:
             chosen = self._choose_permitted_workers(
-                demand, permits, chosen, workers, len(waiting)
+                demand, permits, chosen, workers, len(keys)
             )
         if not chosen:
             if permits.request_pending:
                 demand.block_reason = BlockReason.ADVICE
             return 0
-        self._add_starts(demand, waiting, chosen)
+        self._add_starts(demand, keys, chosen)
         return len(chosen)
 
+    def _start_on_probation(
+        self, demand: Demand, permits: StepPermits | None, keys: list[TaskKey]
+    ) -> int:
+        """Start tasks that may crash their workers; return their number.
+
+        One task or gang at a time goes to the workers with the least to lose, and
+        nothing is placed beside it for a while. So the next crash tells for certain
+        whether it is the cause.
+        """
+        step = demand.step
+        groups = [keys] if step.gang else [[key] for key in keys]
+        started = 0
+        for group in groups:
+            chosen = self._choose_for_probation(demand, permits, len(group))
+            if not chosen:
+                break
+            self._add_starts(demand, group, chosen)
+            for worker in chosen:
+                self._cell.begin_probation(worker, self._now + PROBATION_S)
+            started += len(group)
+        return started
+
+    def _choose_for_probation(
+        self, demand: Demand, permits: StepPermits | None, count: int
+    ) -> list[CellWorker]:
+        """Choose the workers for one task or gang: few, with little to lose."""
+        workers = least_at_risk(self._candidate_workers(demand), self._now)
+        if permits is not None:
+            workers = self._permitted_workers(demand, permits, workers, count)
+        on_probation = self._cell.on_probation(self._now)
+        most = len(workers)
+        if on_probation:
+            share = int(len(self._cell.worker_by_id) * MAX_PROBATION_SHARE)
+            most = min(most, share - on_probation)
+        considered = 1
+        while workers and most > 0:
+            chosen = self._choose_workers(demand, workers[:considered], count)
+            if len(chosen) == count:
+                return chosen
+            if considered >= most:
+                break
+            considered = min(most, 2 * considered)
+        if permits is None or not permits.request_pending:
+            self._set_lacks_capacity(demand)
+        else:
+            demand.block_reason = BlockReason.ADVICE
+        return []
+
+    def _permitted_workers(
+        self,
+        demand: Demand,
+        permits: StepPermits,
+        workers: list[CellWorker],
+        count: int,
+    ) -> list[CellWorker]:
+        """Return the workers with a valid permit; request permits if there are none."""
+        valid = permits.valid_ids(self._now)
+        permitted = [worker for worker in workers if worker.info.id in valid]
+        may_request = (
+            not permits.request_pending and permits.next_request_at <= self._now
+        )
+        if not permitted and workers and may_request:
+            asked = workers[: max(count, MIN_WORKERS_FOR_PROBATION)]
+            self._request_advice(demand, permits, [each.info.id for each in asked])
+        return permitted
+
     def _choose_workers(
         self, demand: Demand, workers: list[CellWorker], count: int
     ) -> list[CellWorker]:
@@ -390,3 +482,4 @@
         ref = TaskRef(record.spec.id, key, run)
         claim = Claim(ref, record.spec.team, step.request, step.capacity_request)
         self._cell.claim(worker.info.id, claim)
+        worker.placed_at = self._now
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
-from .record import GangFailures, JobRecord, JobState, Run
+from .record import CrashHistory, GangFailures, JobRecord, JobState, Run
 from .spec import JobSpec, StepKey, TaskKey
 
 __all__ = [
@@ -108,12 +108,14 @@
 class ProgressDocument(_Document):
     """Progress of a job as its owner stores it, without tasks that never started.
 
-    A row of ``gang_failures``: occurrence, step, failure count and last failed run.
+    A row of ``gang_failures``: occurrence, step, failure count and last failed run. A
+    row of ``crashes``: occurrence, step, index, crash count and blame.
     """
 
     state: JobState
     tasks: list[TaskRow]
     gang_failures: list[tuple[int, int, int, int]] = []
+    crashes: list[tuple[int, int, int, int, float]] = []
 
     @classmethod
     def from_record(cls, record: JobRecord) -> ProgressDocument:
@@ -130,7 +132,13 @@
             (*key, failures.count, failures.last_run)
             for key, failures in record.gang_failures_by_step.items()
         ]
-        return cls(state=record.state, tasks=rows, gang_failures=failures)
+        crashes = [
+            (*key, history.count, round(history.blame, 3))
+            for key, history in record.crashes_by_task.items()
+        ]
+        return cls(
+            state=record.state, tasks=rows, gang_failures=failures, crashes=crashes
+        )
 
     def apply_to(self, record: JobRecord) -> None:
         """Restore the progress into a new record.
@@ -156,6 +164,8 @@
         for occurrence, step, count, last_run in self.gang_failures:
             failures = GangFailures(count, last_run)
             record.gang_failures_by_step[StepKey(occurrence, step)] = failures
+        for *key_parts, count, blame in self.crashes:
+            record.crashes_by_task[TaskKey(*key_parts)] = CrashHistory(count, blame)
         record.rebuild_waiting()
 
 
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -7,7 +7,20 @@
 
 from .spec import JobSpec, StepKey, StepSpec, TaskKey
 
-__all__ = ["EndKind", "GangFailures", "JobRecord", "JobState", "Run", "TaskRecord"]
+__all__ = [
+    "CrashHistory",
+    "EndKind",
+    "GangFailures",
+    "JobRecord",
+    "JobState",
+    "Run",
+    "TaskRecord",
+]
+
+# A task under which this many workers have crashed is given up, whatever the cause.
+MAX_CRASHES = 5
+# So is one whose blame is above this: more than one crash, and one without doubt.
+MAX_BLAME = 1.0
 
 
 class JobState(Enum):
@@ -78,6 +91,32 @@
     last_run: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CrashHistory:
+    """How many workers have crashed during runs of a task.
+
+    ``blame`` sums up, over the crashes, one divided by the number of jobs that may have
+    caused it, if the task's job is one of them.
+    """
+
+    count: int = 0
+    blame: float = 0.0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task may have caused a crash."""
+        return self.blame > 0
+
+    @property
+    def is_deadly(self) -> bool:
+        """Whether the task must not be started again."""
+        return self.blame > MAX_BLAME or self.count >= MAX_CRASHES
+
+    def plus(self, count: int, blame: float) -> CrashHistory:
+        """Return the history with further crashes, or with fewer."""
+        return CrashHistory(max(0, self.count + count), max(0.0, self.blame + blame))
+
+
 @dataclass(slots=True, eq=False)
 class JobRecord:
     """A job and its tasks; ``ended_at`` is in seconds of the wall clock.
@@ -95,6 +134,7 @@
     gang_failures_by_step: dict[StepKey, GangFailures] = field(default_factory=dict)
     waiting_by_step: dict[StepKey, dict[TaskKey, None]] = field(default_factory=dict)
     avoided_workers_by_step: dict[StepKey, set[str]] = field(default_factory=dict)
+    crashes_by_task: dict[TaskKey, CrashHistory] = field(default_factory=dict)
 
     @classmethod
     def from_spec(cls, spec: JobSpec) -> JobRecord:
@@ -233,6 +273,20 @@
             return self.gang_failures_by_step.get(key.step_key, GangFailures()).count
         return self.task_by_key[key].failures
 
+    def change_crashes(self, key: TaskKey, count: int, blame: float) -> CrashHistory:
+        """Add to the crashes of a task, or take back, and return the history."""
+        history = self.crashes_by_task.get(key, CrashHistory()).plus(count, blame)
+        if history.count:
+            self.crashes_by_task[key] = history
+        else:
+            self.crashes_by_task.pop(key, None)
+        return history
+
+    def is_suspect(self, key: TaskKey) -> bool:
+        """Return whether a task may have crashed a worker."""
+        history = self.crashes_by_task.get(key)
+        return history is not None and history.is_suspect
+
     def checkpoint_for(self, keys: list[TaskKey]) -> str:
         """Return the greatest checkpoint of these tasks, from which they resume."""
         checkpoints = [self.task_by_key[key].checkpoint for key in keys]
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -551,7 +551,8 @@
             A restart of the worker resets the connection.
             """
             if worker.born != born or worker_id in self.crashed_workers:
-                failed = CallFailed(Ran.MAYBE, "the connection was reset")
+                reason = "the connection was reset"
+                failed = CallFailed(Ran.MAYBE, reason, closed=True)
                 self._reply(entry, request, failed)
                 return
             worker.advance(self.clock.mono)
@@ -569,7 +570,8 @@
                 self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
                 return
             if worker_id in self.crashed_workers:
-                self._reply(entry, request, CallFailed(Ran.NO, "connection refused"))
+                refused = CallFailed(Ran.NO, "connection refused", closed=True)
+                self._reply(entry, request, refused)
                 return
             if isinstance(command, StartTask) and self._delays_start(worker_id):
                 self._execute_late(entry, request, worker)
