--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -110,6 +110,7 @@
             journal=Journal(elected.token, elected.head_revision),
             max_lease_s=self._settings.longest_worker_lease_s,
             early_s=self._settings.early_s,
+            began_at=self.now.mono,
         )
         term.now = self.now
         self._term = term
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -39,6 +39,7 @@
     """Jobs, workers and tracked runs under one fencing token.
 
     Flows may outlive their term, so they check ``has_ended`` after every call.
+    ``began_at`` is when the term began, in monotonic seconds.
     ``idle_worker_by_id`` holds the workers without a sync in flight. ``known_workers``
     counts the workers that became known during the term.
     """
@@ -47,6 +48,7 @@
     journal: Journal
     max_lease_s: float
     early_s: float
+    began_at: float
     cell: Cell = field(default_factory=Cell)
     permits: PermitTable = field(default_factory=PermitTable)
     worker_failures: WorkerFailureTracker = field(default_factory=WorkerFailureTracker)
@@ -307,10 +309,12 @@
             self.end_run(worker, ref, EndKind.LAPSED, "", reason)
 
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
-        # An earlier owner may have extended leases until now.
-        leases_expire_at = self.now.mono + self.max_lease_s * 1.05 + 0.5
-        worker = WorkerState(info, self.max_lease_s, leases_expire_at)
         previous = self.worker_by_id.get(info.id)
+        # An earlier owner may have extended leases until its session ended. A late start
+        # for the previous incarnation may give this one a lease until now.
+        leases_began_at = self.began_at if previous is None else self.now.mono
+        leases_expire_at = leases_began_at + self.max_lease_s * 1.05 + 0.5
+        worker = WorkerState(info, self.max_lease_s, leases_expire_at)
         if previous is None:
             self.known_workers += 1
         worker.position = previous.position if previous else self.known_workers
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -110,3 +110,18 @@
             world.crash_worker(worker_id)
         world.run(1.0)
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 30.0)
+
+
+def test_runs_of_a_worker_that_was_listed_lately_soon_start_elsewhere():
+    world = StepWorld(workers=1)
+    world.run(12.0)
+    world.submit("b" * 16, step(processors=16000), payload="seconds=60")
+    world.run(0.5)
+    world.add_worker("late")
+    world.run(1.0)
+    world.submit("a" * 16, step(processors=16000), payload="seconds=1")
+    world.run_until(lambda: running_workers(world, "a" * 16) == {"late"}, 1.0)
+    world.dead_workers.add("late")
+    world.add_worker("other")
+    # The lease that this owner has granted ends after 3 s.
+    world.run_until(lambda: "other" in running_workers(world, "a" * 16), 5.0)
