--- a/src/lagoonpulley/store/health.py
+++ b/src/lagoonpulley/store/health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -26,27 +27,29 @@
 class StoreHealthTracker:
     """Tracks consecutive failures of store calls and the time of the last answer.
 
-    Ports and roles update the fields from several threads without a lock. An increment
-    is not atomic, so one of two simultaneous failures can go uncounted.
+    Ports and roles update it from several threads.
 
     :param clocks: returns the current monotonic and wall-clock time.
     """
 
     def __init__(self, clocks: Callable[[], Now]) -> None:
         self._clocks = clocks
+        self._lock = threading.Lock()
         self._last_answer_at = float("-inf")
         self._failures = 0
         self._direct_failures = 0
 
     def record_result(self, answered: bool) -> None:
         """Record whether a call got an answer, be it directly or relayed."""
-        self._failures = 0 if answered else self._failures + 1
-        if answered:
-            self._last_answer_at = self._clocks().mono
+        with self._lock:
+            self._failures = 0 if answered else self._failures + 1
+            if answered:
+                self._last_answer_at = self._clocks().mono
 
     def record_direct_result(self, answered: bool) -> None:
         """Record whether the store answered a direct call from this entry."""
-        self._direct_failures = 0 if answered else self._direct_failures + 1
+        with self._lock:
+            self._direct_failures = 0 if answered else self._direct_failures + 1
 
     def is_directly_unreachable(self) -> bool:
         """Return whether the latest direct calls to the store failed."""
