--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -1,16 +1,20 @@
-"""Which tasks may have caused the crash of a worker, and how sure that is."""
+"""Crashes of workers, and which tasks may have caused them."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from ..observability.events import log_event
+from ..workload.record import JobState
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..upstream.tasks import TaskRef
-    from .worker_state import TrackedRun
+    from .term import OwnerTerm
+    from .worker_state import TrackedRun, WorkerState
 
-__all__ = ["blame_by_run"]
+__all__ = ["blame_by_run", "record_crash", "retract_crash"]
 
 # A worker that lives this long after it has started a task is not crashed by its start.
 SETTLED_AFTER_S = 0.3
@@ -36,6 +40,54 @@
     return blame
 
 
+def record_crash(term: OwnerTerm, worker: WorkerState) -> None:
+    """Remember for each run of a worker that it has crashed.
+
+    A job is given up once one of its tasks must not be started again. Draining
+    workers do not crash: they leave.
+    """
+    if worker.info.draining:
+        return
+    runs = [run for run in worker.tracked_by_ref.values() if not run.is_blamed]
+    blame = blame_by_run(runs, worker.alive_at)
+    log_event(
+        "worker_crashed",
+        worker=worker.info.id,
+        address=worker.info.address,
+        runs=len(blame),
+        suspects=sorted({ref.job_id for ref, share in blame.items() if share}),
+    )
+    term.crashed_at_by_address[worker.info.address] = term.now.mono
+    for ref, share in blame.items():
+        worker.tracked_by_ref[ref].is_blamed = True
+        record = term.record_by_id.get(ref.job_id)
+        if record is None or record.is_final:
+            continue
+        worker.blamed_runs[ref] = share
+        history = record.change_crashes(ref.key, 1, share)
+        if history.is_deadly:
+            reason = f"{ref.key} crashed {history.count} workers"
+            term.finish(record, JobState.FAILED, reason)
+        else:
+            term.journal.enqueue(record)
+
+
+def retract_crash(term: OwnerTerm, worker: WorkerState) -> None:
+    """Take back a crash: the same incarnation of the worker answers again."""
+    if not worker.blamed_runs:
+        return
+    log_event("worker_crash_retracted", worker=worker.info.id)
+    term.crashed_at_by_address.pop(worker.info.address, None)
+    for ref, share in worker.blamed_runs.items():
+        record = term.record_by_id.get(ref.job_id)
+        if record is None or record.is_final:
+            continue
+        record.change_crashes(ref.key, -1, -share)
+        term.refresh_demands(record)
+        term.journal.enqueue(record)
+    worker.blamed_runs = {}
+
+
 def _is_settled(run: TrackedRun, alive_at: float | None) -> bool:
     if run.start_resolved_at is None or alive_at is None:
         return False
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -7,6 +7,7 @@
 
 from ..observability.events import log_event
 from ..workload.record import EndKind
+from .crashes import retract_crash
 
 if TYPE_CHECKING:
     from ..upstream.tasks import Ended, TaskRef, WorkerReport
@@ -37,7 +38,7 @@
         term.end_previous_incarnation(worker)
         worker = _set_incarnation(term, worker, report.born)
     else:
-        term.retract_crash(worker)
+        retract_crash(term, worker)
     if report.born and not worker.info.born:
         worker.info = replace(worker.info, born=report.born)
     worker.record_report(report, term.now.mono)
--- a/src/lagoonpulley/owner/start_backlog.py
+++ b/src/lagoonpulley/owner/start_backlog.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from ..planning.planner import BlockReason
+from ..planning.demand import BlockReason
 from ..workload.record import JobState
 
 if TYPE_CHECKING:
-    from ..planning.planner import Demand
+    from ..planning.demand import Demand
     from .term import OwnerTerm
 
 __all__ = ["StartBacklog"]
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -9,13 +9,13 @@
 from ..observability.events import log_event
 from ..planning.backlog import Backlog
 from ..planning.cell import Cell, Claim
+from ..planning.demand import Demand
 from ..planning.permits import PermitTable
-from ..planning.planner import Demand
 from ..planning.worker_failures import WorkerFailureTracker
 from ..upstream.directory import WorkerInfo
 from ..upstream.tasks import TaskRef
 from ..workload.record import EndKind, JobRecord, JobState
-from .crashes import blame_by_run
+from .crashes import record_crash
 from .journal import Journal
 from .worker_state import TrackedRun, WorkerState
 
@@ -243,59 +243,13 @@
         self.idle_worker_by_id.pop(worker.info.id, None)
         self.cell.remove_worker(worker.info.id)
 
-    def record_crash(self, worker: WorkerState) -> None:
-        """Remember for each run of a worker that it has crashed.
-
-        A job is given up once one of its tasks must not be started again. Draining
-        workers do not crash: they leave.
-        """
-        if worker.info.draining:
-            return
-        runs = [run for run in worker.tracked_by_ref.values() if not run.is_blamed]
-        blame = blame_by_run(runs, worker.alive_at)
-        log_event(
-            "worker_crashed",
-            worker=worker.info.id,
-            address=worker.info.address,
-            runs=len(blame),
-            suspects=sorted({ref.job_id for ref, share in blame.items() if share}),
-        )
-        self.crashed_at_by_address[worker.info.address] = self.now.mono
-        for ref, share in blame.items():
-            worker.tracked_by_ref[ref].is_blamed = True
-            record = self.record_by_id.get(ref.job_id)
-            if record is None or record.is_final:
-                continue
-            worker.blamed_runs[ref] = share
-            history = record.change_crashes(ref.key, 1, share)
-            if history.is_deadly:
-                reason = f"{ref.key} crashed {history.count} workers"
-                self.finish(record, JobState.FAILED, reason)
-            else:
-                self.journal.enqueue(record)
-
-    def retract_crash(self, worker: WorkerState) -> None:
-        """Take back a crash: the same incarnation of the worker answers again."""
-        if not worker.blamed_runs:
-            return
-        log_event("worker_crash_retracted", worker=worker.info.id)
-        self.crashed_at_by_address.pop(worker.info.address, None)
-        for ref, share in worker.blamed_runs.items():
-            record = self.record_by_id.get(ref.job_id)
-            if record is None or record.is_final:
-                continue
-            record.change_crashes(ref.key, -1, -share)
-            self.refresh_demands(record)
-            self.journal.enqueue(record)
-        worker.blamed_runs = {}
-
     def end_previous_incarnation(self, worker: WorkerState) -> None:
         """End the runs of a worker's previous incarnation, which has crashed.
 
         A start that is not known to have arrived may still reach the new incarnation,
         which has the same id. Its run stays tracked until the worker confirms a stop.
         """
-        self.record_crash(worker)
+        record_crash(self, worker)
         for ref, tracked in list(worker.tracked_by_ref.items()):
             if tracked.listed:
                 reason = "worker restarted"
@@ -310,8 +264,8 @@
 
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
         previous = self.worker_by_id.get(info.id)
-        # An earlier owner may have extended leases until its session ended. A late start
-        # for the previous incarnation may give this one a lease until now.
+        # An earlier owner may have extended leases until its session ended, and a late
+        # start for the previous incarnation may give this one a lease until now.
         leases_began_at = self.began_at if previous is None else self.now.mono
         leases_expire_at = leases_began_at + self.max_lease_s * 1.05 + 0.5
         worker = WorkerState(info, self.max_lease_s, leases_expire_at)
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -11,6 +11,7 @@
 from ..runtime.role import UPSTREAM
 from ..store.range_reader import read_range
 from ..upstream.tasks import Refusal, SyncWorker, WorkerAddress, WorkerReport
+from .crashes import record_crash
 from .dispatch import COMMAND_TIMEOUT_S
 from .reports import apply_report
 
@@ -223,7 +224,7 @@
         )
         if worker.tracked_by_ref and is_dead:
             if worker.closed:
-                term.record_crash(worker)
+                record_crash(term, worker)
             term.end_all_runs(worker, "worker's lease has ended")
         self.sync(term, worker)
         if not worker.info.address:
--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -6,10 +6,10 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
-from .planner import BlockReason
+from .demand import BlockReason
 
 if TYPE_CHECKING:
-    from .planner import Demand
+    from .demand import Demand
 
 __all__ = ["Backlog"]
 
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from enum import Enum
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from ..upstream.tasks import TaskRef
 from ..workload.spec import StepKey, TaskKey
 from .cell import Claim
+from .demand import AVOID_FAILED_WORKERS_S, BlockReason
 from .gang_reservations import RESERVE_AFTER_S, GangReservations
 from .packing import (
     StepTaskCounts,
@@ -22,15 +22,13 @@
     from ..model.resources import Resources
     from ..policy.values import Queue, TeamLimits
     from ..workload.record import JobRecord
-    from ..workload.spec import StepSpec
-    from .cell import Cell, CellWorker, Changes
+    from .cell import Cell, CellWorker
+    from .demand import Demand
     from .permits import PermitTable, StepPermits
 
 __all__ = [
     "AdviceBudget",
     "AdviceRequest",
-    "BlockReason",
-    "Demand",
     "Plan",
     "Planner",
     "Start",
@@ -41,8 +39,6 @@
 # If a step has a usable worker, the advisor is asked about further ones only once they
 # are this share of the eligible workers.
 MIN_UNKNOWN_SHARE = 0.3
-# How long a step that lacks capacity keeps avoiding the workers it failed on.
-AVOID_FAILED_WORKERS_S = 1.0
 # How long nothing is placed beside a task that may crash its worker: until it is
 # started, and until its start no longer explains a crash.
 PROBATION_S = 0.7
@@ -52,76 +48,6 @@
 MAX_PROBATION_SHARE = 0.5
 
 
-class BlockReason(Enum):
-    """What kept a demand from starting in the last round that considered it.
-
-    ``RESERVED``: capacity is or may be free, but gangs hold reservations. ``ADVICE``:
-    an answer from the advisor is pending.
-    """
-
-    NONE = "not"
-    CAPACITY = "room"
-    TEAM_LIMIT = "limit"
-    RESERVED = "kept"
-    ADVICE = "advice"
-
-
-@dataclass(slots=True, eq=False)
-class Demand:
-    """A step with pending tasks whose dependencies are done.
-
-    ``due_at`` is when the job should be complete, in seconds of the wall clock.
-    ``lacks_capacity_since`` is in monotonic seconds. ``order`` is the sort key among
-    all demands; the lowest is served first. ``request`` is what one task counts
-    against a worker's capacity.
-    """
-
-    record: JobRecord
-    key: StepKey
-    queue: Queue
-    due_at: float
-    block_reason: BlockReason = BlockReason.NONE
-    lacks_capacity_since: float | None = None
-    order: tuple[int, float, str, StepKey] = field(init=False)
-    step: StepSpec = field(init=False)
-    request: Resources = field(init=False)
-
-    def __post_init__(self) -> None:
-        job_id = self.record.spec.id
-        self.order = (self.queue.priority, self.due_at, job_id, self.key)
-        self.step = self.record.step_of(self.key)
-        self.request = self.step.capacity_request
-
-    @property
-    def avoided_worker_ids(self) -> set[str]:
-        """Ids of workers on which the step failed, stalled or got no start answer."""
-        return self.record.avoided_workers_by_step.get(self.key, set())
-
-    def has_lacked_capacity_for(self, duration_s: float, now: float) -> bool:
-        """Return whether capacity has been lacking for at least a duration.
-
-        :param now: monotonic time in seconds.
-        """
-        since = self.lacks_capacity_since
-        return since is not None and now - since >= duration_s
-
-    def may_be_unblocked(self, changes: Changes, now: float) -> bool:
-        """Return whether the cause that blocked the demand may be gone."""
-        reason = self.block_reason
-        if reason is BlockReason.NONE:
-            return True
-        if reason is BlockReason.ADVICE:
-            return False
-        if reason is BlockReason.TEAM_LIMIT:
-            return self.record.spec.team in changes.teams_with_releases
-        if changes.may_fit(self.request):
-            return True
-        # Most jobs avoid no worker, which is the cheapest to check.
-        if not self.record.avoided_workers_by_step or not self.avoided_worker_ids:
-            return False
-        return self.has_lacked_capacity_for(AVOID_FAILED_WORKERS_S, now)
-
-
 @dataclass(frozen=True, slots=True)
 class Start:
     """Decision to start tasks of one step under one run number.
--- a/tests/planning/test_backlog.py
+++ b/tests/planning/test_backlog.py
@@ -6,7 +6,7 @@
 
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.planning.backlog import Backlog
-from lagoonpulley.planning.planner import Demand
+from lagoonpulley.planning.demand import Demand
 from lagoonpulley.policy.values import Queue
 from lagoonpulley.workload.record import JobRecord
 from lagoonpulley.workload.spec import JobSpec, StepKey, StepSpec
--- a/tests/planning/test_effort.py
+++ b/tests/planning/test_effort.py
@@ -9,9 +9,10 @@
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.planning import planner as planner_module
 from lagoonpulley.planning.cell import Cell, Claim
+from lagoonpulley.planning.demand import BlockReason, Demand
 from lagoonpulley.planning.packing import StepTaskCounts, pack_tasks
 from lagoonpulley.planning.permits import PermitTable
-from lagoonpulley.planning.planner import BlockReason, Demand, Planner
+from lagoonpulley.planning.planner import Planner
 from lagoonpulley.policy.values import Queue, TeamLimits
 from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.upstream.tasks import TaskRef
