--- a/src/lagoonpulley/scheduler/role.py
+++ b/src/lagoonpulley/scheduler/role.py
@@ -208,11 +208,17 @@
 
     def _refuse_waiting(self, name: str) -> None:
         for job_id, waiters in list(self._waiters_by_job_id.items()):
+            others = []
             for waiter in waiters:
-                if waiter.request.operation.group == name:
-                    answer = JobAnswer(refusal=self._not_owner(name))
-                    self.answer(waiter.request, answer)
-            del self._waiters_by_job_id[job_id]
+                if waiter.request.operation.group != name:
+                    others.append(waiter)
+                    continue
+                answer = JobAnswer(refusal=self._not_owner(name))
+                self.answer(waiter.request, answer)
+            if others:
+                self._waiters_by_job_id[job_id] = others
+            else:
+                del self._waiters_by_job_id[job_id]
 
     def _watch_instances(self) -> Flow:
         """Long-poll the list of workers while any group is owned."""
