--- a/src/lagoonpulley/scheduler/role.py
+++ b/src/lagoonpulley/scheduler/role.py
@@ -160,10 +160,14 @@
         self._fault_by_group[group] = reason
 
     def drop(self, group: Group) -> None:
-        """Close and remove a group that this process no longer owns."""
+        """Close and remove a group that this process no longer owns.
+
+        Callers that wait for its jobs are refused.
+        """
+        group.close()
         if self._group_by_name.get(group.name) is group:
             del self._group_by_name[group.name]
-        group.close()
+            self._refuse_waiting(group.name)
 
     def job_finalized(self, group: Group, record: JobRecord) -> None:
         """Answer the requests that wait for a job; refill its team's retry budget."""
@@ -199,7 +203,6 @@
         if group is None or group.epoch > epoch:
             return
         self.drop(group)
-        self._refuse_waiting(name)
 
     def _release(self, group: Group) -> None:
         del self._group_by_name[group.name]
--- a/tests/scheduler/test_waiting.py
+++ b/tests/scheduler/test_waiting.py
@@ -54,3 +54,10 @@
     assert refused_ids(harness) == ["job-1"]
     harness.send(GroupLost("two", 1))
     assert refused_ids(harness) == ["job-1", "job-2"]
+
+
+def test_waiters_are_refused_when_a_worker_has_deposed_the_owner(harness):
+    wait_for_job(harness, "one", "job-1")
+    harness.role.drop(harness.role._group_by_name["one"])
+    harness.send(GroupLost("one", 1))
+    assert refused_ids(harness) == ["job-1"]
