--- a/src/lagoonpulley/ownership/role.py
+++ b/src/lagoonpulley/ownership/role.py
@@ -15,6 +15,7 @@
 
 from ..membership.messages import OwnedGroups, PeersView
 from ..model.verdict import Ran
+from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, FlowRole
 from ..runtime.role import STORE, CallFailed, Tick
 from ..store.messages import (
@@ -328,7 +329,8 @@
         if found.ok and found.entry is not None:
             record = _parse_record(found.entry)
             if record is None:
-                self.emit("scheduler", GroupLost(group, 0))
+                revision = found.entry.revision
+                log_event("owner_record_refused", group=group, revision=revision)
                 return
             revision = found.entry.revision
             epoch, session = record.epoch, record.session
--- a/tests/ownership/test_role.py
+++ b/tests/ownership/test_role.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from tests.support.logged_events import capture_events
 from tests.support.role_harness import RoleHarness, make_settings
 
 from lagoonpulley.membership.messages import PeersView
@@ -13,7 +14,7 @@
 from lagoonpulley.peers.messages import GroupOwner, PeerInfo
 from lagoonpulley.runtime.role import CallFailed, Reply
 from lagoonpulley.standin.store import StoreState
-from lagoonpulley.store.messages import Get, RenewLease
+from lagoonpulley.store.messages import ABSENT, Get, Put, RenewLease
 
 GROUP = "timisoara/0"
 LOST = CallFailed(Ran.MAYBE, "lost")
@@ -185,3 +186,14 @@
     moved = [group for group in groups if before[group] != after[group]]
     assert {after[group] for group in moved} == {"e"}
     assert len(moved) < 80
+
+
+def test_owner_record_that_cannot_be_read_is_logged_and_not_claimed(store):
+    store.apply(Put(owner_key(GROUP), "damaged", ABSENT, "w"), 0.0)
+    claimant = Claimant(store)
+    with capture_events() as events:
+        claimant.send_view()
+        claimant.run(2.0)
+    refused = events.named("owner_record_refused")
+    assert {(event["group"], event["revision"]) for event in refused} == {(GROUP, 1)}
+    assert claimant.acquired() == []
