--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -447,6 +447,7 @@
     def kill(self, entry_id: str) -> None:
         """End the process of an entry without warning."""
         self.entries[entry_id].alive = False
+        self.active_faults.discard(f"pause {entry_id}")
         self._record_fault_change()
 
     def pause(self, entry_id: str, after_messages: int = 0) -> None:
@@ -571,6 +572,7 @@
             return
         if entry.alive:
             entry.alive = False
+            self.active_faults.discard(f"pause {entry.id}")
             self.unanswered_after_drain.extend(waiting)
 
     def _set_fault(self, name: str, present: bool) -> None:
@@ -599,6 +601,7 @@
         conditions.store_answer_loss_rate = conditions.worker_answer_loss_rate = 0.0
         conditions.duplication_rate = conditions.slow_command_rate = 0.0
         conditions.store_delay_s = 0.01
+        self._set_fault("network", False)
         self.set_store_up(True)
         self.heal_cuts()
         for entry_id, entry in list(self.entries.items()):
