--- a/src/lagoonpulley/scheduler/finalization.py
+++ b/src/lagoonpulley/scheduler/finalization.py
@@ -24,6 +24,7 @@
 
     def __init__(self, group: GroupContext) -> None:
         self._group = group
+        self._commits_in_flight_by_job_id: dict[str, int] = {}
 
     def finalize(
         self,
@@ -56,7 +57,13 @@
             (task_key(record.task_id(task)), task_document(record, task))
             for task in changed
         )
+        in_flight = self._commits_in_flight_by_job_id
+        job_id = record.job.id
+        in_flight[job_id] = in_flight.get(job_id, 0) + 1
         result = yield self._group.journal_call(puts)
+        in_flight[job_id] -= 1
+        if not in_flight[job_id]:
+            del in_flight[job_id]
         if isinstance(result, Committed):
             self._confirm(record, acknowledge)
 
@@ -66,7 +73,9 @@
         if acknowledge is not None:
             link, task_id, attempt = acknowledge
             link.acknowledge(task_id, attempt)
-        if record.is_final:
+        # A task that ended later may have made the job final, without being durable yet.
+        is_durable = record.job.id not in self._commits_in_flight_by_job_id
+        if record.is_final and is_durable and not record.is_finalized:
             record.is_finalized = True
             self._group.job_finalized(record)
 
