--- a/src/lagoonpulley/scheduler/finalization.py
+++ b/src/lagoonpulley/scheduler/finalization.py
@@ -73,7 +73,7 @@
         if acknowledge is not None:
             link, task_id, attempt = acknowledge
             link.acknowledge(task_id, attempt)
-        # A task that ended later may have made the job final, without being durable yet.
+        # A task that ended later may have made the job final without being durable yet.
         is_durable = record.job.id not in self._commits_in_flight_by_job_id
         if record.is_final and is_durable and not record.is_finalized:
             record.is_finalized = True
