--- a/src/lagoonpulley/configuration/role.py
+++ b/src/lagoonpulley/configuration/role.py
@@ -33,6 +33,8 @@
 WATCH_RETRY_DELAY_S = 0.5
 POLL_INTERVAL_S = 10.0
 INITIAL_READ_RETRY_S = 1.0
+# A document may be long and the link slow; the other limits are then on silence.
+READ_TOTAL_TIMEOUT_S = 10.0
 PEER_TIMEOUT_S = 2.0
 MAX_DOCUMENT_BYTES = 4_000_000
 
@@ -109,7 +111,8 @@
         while self._should_watch():
             sent_at = self.now.mono
             operation = Watch(CONFIGURATION_KEY, self._store_revision, WATCH_WAIT_S)
-            result = yield Call(STORE, operation, WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S)
+            silence_s = WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
+            result = yield Call(STORE, operation, silence_s, READ_TOTAL_TIMEOUT_S)
             if isinstance(result, CallFailed):
                 yield Sleep(WATCH_RETRY_DELAY_S * (1.0 + self._random.random()))
                 continue
@@ -119,7 +122,8 @@
     def _poll_store(self) -> Flow:
         sent_at = self.now.mono
         operation = Watch(CONFIGURATION_KEY, self._store_revision, 0.0)
-        result = yield Call(STORE, operation, self._settings.store.timeout_s)
+        silence_s = self._settings.store.timeout_s
+        result = yield Call(STORE, operation, silence_s, READ_TOTAL_TIMEOUT_S)
         self._is_polling = False
         pause_s = POLL_INTERVAL_S
         if isinstance(result, CallFailed):
--- a/src/lagoonpulley/store/http.py
+++ b/src/lagoonpulley/store/http.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
@@ -58,6 +58,8 @@
     def submit(self, message: Request) -> None:
         """Start the call of one operation."""
         call = encode_operation(self._url, message.operation, message.timeout_s)
+        if message.total_timeout_s is not None:
+            call = replace(call, total_timeout_s=message.total_timeout_s)
 
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
             result = decode_result(outcome)
--- a/tests/configuration/test_role.py
+++ b/tests/configuration/test_role.py
@@ -49,6 +49,16 @@
     role.send(Request("offer", "peers", offered, 1.0))
 
 
+def test_document_may_arrive_slowly(role):
+    role.send(PeersView(ME, (ME,), frozenset(), (), {}))
+    role.tick()
+    requests = [role.pop_request(Watch), role.pop_request(Watch)]
+    for request in requests:
+        # At least 4 MB at 4 Mbit/s.
+        assert request.total_timeout_s >= 8.0
+        assert request.timeout_s < 5.0
+
+
 def applied(role):
     changes = [message for to, message in role.sent if to == "gateway"]
     return [
