--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -22,15 +22,6 @@
 IDLE_WAIT_S = 1.0
 MAX_ANSWER_BYTES = 8_000_000
 
-_NOT_SENT_ERRORS = frozenset(
-    (
-        pycurl.E_COULDNT_CONNECT,
-        pycurl.E_COULDNT_RESOLVE_HOST,
-        pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
-    )
-)
-
 # The other side refused the connection or closed it, as it does when its process ends.
 _CLOSED_ERRORS = frozenset(
     (
@@ -302,10 +293,12 @@
         return HttpAnswer(status, body, _traffic_of(handle))
 
     def _failure_of(self, handle: pycurl.Curl, code: int, message: str) -> HttpFailure:
+        # Also counts what was sent on a reused connection that broke off: libcurl then
+        # tries a new one, whose failure says nothing about the first.
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
         traffic = _traffic_of(handle)
         closed = code in _CLOSED_ERRORS
-        if code in _NOT_SENT_ERRORS or not sent:
+        if not sent:
             return HttpFailure(Ran.NO, message, traffic=traffic, closed=closed)
         partial = self._transfer_by_handle[handle].buffer.tell() > 0
         return HttpFailure(Ran.MAYBE, message, partial, traffic, closed)
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -89,10 +89,33 @@
     assert (failure.ran, failure.closed) == (Ran.MAYBE, True)
 
 
+def test_request_that_was_sent_before_a_refused_retry_may_have_run(loop):
+    listener = socket.create_server(("127.0.0.1", 0))
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+
+    def answer_once_then_close():
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            # The client sends the next request on this connection, and again on a new
+            # one when this one is closed without an answer.
+            connection.recv(65536)
+            listener.close()
+
+    thread = threading.Thread(target=answer_once_then_close)
+    thread.start()
+    assert isinstance(perform(loop, HttpCall("POST", url, b"1", TIMEOUT_S)), HttpAnswer)
+    failure = perform(loop, HttpCall("POST", url, b"2", TIMEOUT_S))
+    thread.join()
+    assert (failure.ran, failure.closed) == (Ran.MAYBE, True)
+
+
 def test_failure_to_connect_has_no_bytes(loop):
     with socket.create_server(("127.0.0.1", 0)) as listener:
         port = listener.getsockname()[1]
     call = HttpCall("GET", f"http://127.0.0.1:{port}/", b"", TIMEOUT_S)
     failure = perform(loop, call)
     assert (failure.traffic.sent_bytes, failure.traffic.received_bytes) == (0, 0)
+    assert failure.ran is Ran.NO
     assert failure.closed
