--- a/src/lagoonpulley/planning/permits.py
+++ b/src/lagoonpulley/planning/permits.py
@@ -30,6 +30,10 @@
     request_pending: bool = False
     next_request_at: float = 0.0
 
+    def may_request(self, now: float) -> bool:
+        """Return whether no answer is pending and none has just been refused."""
+        return not self.request_pending and self.next_request_at <= now
+
     def valid_ids(self, now: float) -> set[str]:
         """Return the workers whose permit is still usable."""
         return {
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -197,12 +197,14 @@
         if not self._is_within_team_limit(demand):
             demand.block_reason = BlockReason.TEAM_LIMIT
             return 0
-        suspects = [key for key in waiting if demand.record.is_suspect(key)]
+        # Most jobs have no task that a worker has crashed under.
+        if not demand.record.crashes_by_task:
+            return self._start_tasks(demand, permits, waiting)
+        suspects, others = demand.record.split_suspects(waiting)
         if not suspects:
             return self._start_tasks(demand, permits, waiting)
         if step.gang:
             return self._start_on_probation(demand, permits, waiting)
-        others = [key for key in waiting if key not in suspects]
         started = self._start_tasks(demand, permits, others) if others else 0
         return started + self._start_on_probation(demand, permits, suspects)
 
@@ -284,10 +286,7 @@
         """Return the workers with a valid permit; request permits if there are none."""
         valid = permits.valid_ids(self._now)
         permitted = [worker for worker in workers if worker.info.id in valid]
-        may_request = (
-            not permits.request_pending and permits.next_request_at <= self._now
-        )
-        if not permitted and workers and may_request:
+        if not permitted and workers and permits.may_request(self._now):
             asked = workers[: max(count, MIN_WORKERS_FOR_PROBATION)]
             self._request_advice(demand, permits, [each.info.id for each in asked])
         return permitted
@@ -337,7 +336,7 @@
     def _request_advice_on_new_workers(
         self, demand: Demand, permits: StepPermits
     ) -> None:
-        if permits.request_pending or permits.next_request_at > self._now:
+        if not permits.may_request(self._now):
             return
         step = demand.step
         service = demand.queue.service
@@ -366,7 +365,7 @@
         valid = permits.valid_ids(self._now)
         if all(worker.info.id in valid for worker in chosen):
             return chosen
-        if not permits.request_pending and permits.next_request_at <= self._now:
+        if permits.may_request(self._now):
             unique_ids = dict.fromkeys(worker.info.id for worker in chosen)
             self._request_advice(demand, permits, list(unique_ids))
         usable = [worker for worker in workers if worker.info.id in valid]
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -282,10 +282,16 @@
             self.crashes_by_task.pop(key, None)
         return history
 
-    def is_suspect(self, key: TaskKey) -> bool:
-        """Return whether a task may have crashed a worker."""
-        history = self.crashes_by_task.get(key)
-        return history is not None and history.is_suspect
+    def split_suspects(
+        self, keys: list[TaskKey]
+    ) -> tuple[list[TaskKey], list[TaskKey]]:
+        """Return those of the tasks that may have crashed a worker, and the others."""
+        suspects, others = [], []
+        for key in keys:
+            history = self.crashes_by_task.get(key)
+            is_suspect = history is not None and history.is_suspect
+            (suspects if is_suspect else others).append(key)
+        return suspects, others
 
     def checkpoint_for(self, keys: list[TaskKey]) -> str:
         """Return the greatest checkpoint of these tasks, from which they resume."""
