--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -11,13 +11,16 @@
     from collections.abc import Iterable
 
     from ..upstream.tasks import TaskRef
+    from ..workload.record import JobRecord
     from .term import OwnerTerm
     from .worker_state import TrackedRun, WorkerState
 
-__all__ = ["blame_by_run", "record_crash", "retract_crash"]
+__all__ = ["blame_by_run", "forgive_crashes", "record_crash", "retract_crash"]
 
 # A worker that lives this long after it has started a task is not crashed by its start.
 SETTLED_AFTER_S = 0.3
+# Tasks of services run for days, in which workers crash for other reasons.
+FORGIVEN_AFTER_S = 30.0
 
 
 def blame_by_run(
@@ -88,6 +91,17 @@
     worker.blamed_runs = {}
 
 
+def forgive_crashes(record: JobRecord, tracked: TrackedRun, now: float) -> None:
+    """Forget the crashes of a listed task that has run long enough.
+
+    :param now: monotonic time in seconds.
+    """
+    if tracked.ref.key not in record.crashes_by_task:
+        return
+    if now - tracked.start_resolved_at >= FORGIVEN_AFTER_S:
+        del record.crashes_by_task[tracked.ref.key]
+
+
 def _is_settled(run: TrackedRun, alive_at: float | None) -> bool:
     if run.start_resolved_at is None or alive_at is None:
         return False
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -7,10 +7,11 @@
 
 from ..observability.events import log_event
 from ..workload.record import EndKind
-from .crashes import retract_crash
+from .crashes import forgive_crashes, retract_crash
 
 if TYPE_CHECKING:
-    from ..upstream.tasks import Ended, TaskRef, WorkerReport
+    from ..upstream.tasks import Ended, Running, TaskRef, WorkerReport
+    from ..workload.record import JobRecord
     from .term import OwnerTerm
     from .worker_state import TrackedRun, WorkerState
 
@@ -22,8 +23,6 @@
 # Most ended runs in one report; a worker lists further ones once these are
 # acknowledged.
 MAX_ENDS_PER_REPORT = 500
-# Tasks of services run for days, in which workers crash for other reasons.
-FORGIVEN_AFTER_S = 30.0
 
 
 def apply_report(
@@ -91,9 +90,12 @@
         tracked.listed = tracked.has_run = True
         if tracked.start_resolved_at is None:
             tracked.start_resolved_at = term.now.mono
-        _set_checkpoint(term, running.ref, running.checkpoint)
-        _forgive(term, tracked)
-        if _is_stalled(term, tracked, running.percent):
+        record = term.record_by_id.get(running.ref.job_id)
+        if record is None:
+            continue
+        _set_checkpoint(record, running)
+        forgive_crashes(record, tracked, term.now.mono)
+        if _is_stalled(record, tracked, running.percent, term.now.mono):
             _stop_stalled(term, worker, tracked)
     if len(report.ended) >= MAX_ENDS_PER_REPORT:
         # The report is full: the end of an unlisted run may be on a later page.
@@ -104,22 +106,12 @@
     return unknown
 
 
-def _forgive(term: OwnerTerm, tracked: TrackedRun) -> None:
-    """Forget the crashes of a task that has run long enough."""
-    record = term.record_by_id.get(tracked.ref.job_id)
-    if record is None or tracked.ref.key not in record.crashes_by_task:
-        return
-    if term.now.mono - tracked.start_resolved_at >= FORGIVEN_AFTER_S:
-        del record.crashes_by_task[tracked.ref.key]
-
-
-def _is_stalled(term: OwnerTerm, tracked: TrackedRun, percent: int) -> bool:
+def _is_stalled(
+    record: JobRecord, tracked: TrackedRun, percent: int, now: float
+) -> bool:
     """Record the progress of a run; return whether the run is stalled."""
-    record = term.record_by_id.get(tracked.ref.job_id)
-    if record is None:
-        return False
     estimate_s = record.step_of(tracked.ref.key).estimate_s
-    return tracked.progress.record_progress(percent, term.now.mono, estimate_s)
+    return tracked.progress.record_progress(percent, now, estimate_s)
 
 
 def _stop_stalled(term: OwnerTerm, worker: WorkerState, tracked: TrackedRun) -> None:
@@ -159,8 +151,7 @@
         term.end_run(worker, tracked.ref, EndKind.LAPSED, "", "worker does not list it")
 
 
-def _set_checkpoint(term: OwnerTerm, ref: TaskRef, checkpoint: str) -> None:
-    record = term.record_by_id.get(ref.job_id)
-    task = record.task_by_key.get(ref.key) if record else None
-    if task is not None and checkpoint:
-        task.checkpoint = checkpoint
+def _set_checkpoint(record: JobRecord, running: Running) -> None:
+    task = record.task_by_key.get(running.ref.key)
+    if task is not None and running.checkpoint:
+        task.checkpoint = running.checkpoint
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -264,27 +264,30 @@
 
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
         previous = self.worker_by_id.get(info.id)
-        # An earlier owner may have extended leases until its session ended, and a late
-        # start for the previous incarnation may give this one a lease until now.
-        leases_began_at = self.began_at if previous is None else self.now.mono
-        leases_expire_at = leases_began_at + self.max_lease_s * 1.05 + 0.5
-        worker = WorkerState(info, self.max_lease_s, leases_expire_at)
         if previous is None:
+            self._close_predecessors(info.address)
             self.known_workers += 1
-        worker.position = previous.position if previous else self.known_workers
-        if previous is None:
-            self._close_predecessors(info)
+            position = self.known_workers
+            # An earlier owner may have extended leases until its session ended.
+            leases_began_at = self.began_at
+        else:
+            position = previous.position
+            # A late start for the previous incarnation may give this one a lease.
+            leases_began_at = self.now.mono
+        leases_expire_at = leases_began_at + self.max_lease_s * 1.05 + 0.5
+        worker = WorkerState(info, self.max_lease_s, leases_expire_at, position)
         self.worker_by_id[info.id] = worker
         self.idle_worker_by_id[info.id] = worker
         self.cell.put_worker(info)
         return worker
 
-    def _close_predecessors(self, info: WorkerInfo) -> None:
-        """Record that the processes before a new worker at its address have ended."""
+    def _close_predecessors(self, address: str) -> None:
+        """Record that the processes before a new worker at an address have ended."""
+        if not address:
+            return
         for other in self.worker_by_id.values():
-            is_at_address = info.address and other.info.address == info.address
-            if is_at_address and other.info.id != info.id:
-                other.record_closed(was_sent=False, now=self.now.mono)
+            if other.info.address == address:
+                other.closed = True
 
     def begin_sync(self, worker: WorkerState) -> None:
         """Record that a sync with a worker is in flight."""
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -130,7 +130,7 @@
         self.closed = False
 
     def record_closed(self, was_sent: bool, now: float) -> None:
-        """Record that the worker refused a connection, or closed one.
+        """Record that the worker refused a connection for a call, or closed it.
 
         :param was_sent: whether the call had been sent, so that the worker lived until
             now.
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -8,7 +8,7 @@
 from ..model.verdict import Ran
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
-from ..runtime.role import UPSTREAM
+from ..runtime.role import UPSTREAM, CallFailed
 from ..store.range_reader import read_range
 from ..upstream.tasks import Refusal, SyncWorker, WorkerAddress, WorkerReport
 from .crashes import record_crash
@@ -196,10 +196,10 @@
         self, term: OwnerTerm, worker: WorkerState, result: Any
     ) -> None:
         reason = result.reason
-        is_other_life = reason is Refusal.OTHER_LIFE
-        if is_other_life or getattr(result, "closed", False):
-            was_sent = not is_other_life and result.ran is not Ran.NO
-            worker.record_closed(was_sent, self._host.now.mono)
+        if reason is Refusal.OTHER_LIFE:
+            worker.closed = True
+        elif isinstance(result, CallFailed) and result.closed:
+            worker.record_closed(result.ran is not Ran.NO, self._host.now.mono)
         was_responsive = worker.is_responsive
         worker.failures += 1
         if not worker.is_responsive:
