--- a/benchmarks/owner_loop.py
+++ b/benchmarks/owner_loop.py
@@ -358,7 +358,7 @@
         f"team-{number:02d}": TeamLimits(f"team-{number:02d}") for number in range(20)
     }
     services = {"renewals": Service("renewals")}
-    return Policy(1, "policy", 1, queues, services, teams, {})
+    return Policy(1, 1, queues, services, teams, {})
 
 
 def measure(workers: int, backlog: int, profile: cProfile.Profile | None) -> str:
--- a/src/lagoonpulley/intake/readiness.py
+++ b/src/lagoonpulley/intake/readiness.py
@@ -51,13 +51,11 @@
         :param wait_s: how many seconds to wait for a confirmation, unless the store
             is unreachable.
         """
+        if self._store_health.is_unreachable():
+            wait_s = 0.0
         with self._confirmed:
-            if (
-                not self._is_policy_current()
-                and not self._store_health.is_unreachable()
-            ):
-                self._confirmed.wait_for(self._is_policy_current, wait_s)
-            return self._policy if self._is_policy_current() else None
+            is_current = self._confirmed.wait_for(self._is_policy_current, wait_s)
+            return self._policy if is_current else None
 
     def policy_age_s(self) -> float:
         """Return the seconds since the last confirmation, infinite before the first."""
--- a/src/lagoonpulley/platform/documents.py
+++ b/src/lagoonpulley/platform/documents.py
@@ -132,7 +132,6 @@
         return Ok(
             Policy(
                 version=config.version,
-                key=item.key,
                 revision=item.revision,
                 queue_by_name={r.name: r.to_queue() for r in config.routes},
                 service_by_name={
--- a/src/lagoonpulley/policy/messages.py
+++ b/src/lagoonpulley/policy/messages.py
@@ -6,9 +6,7 @@
 
 from .values import Policy
 
-__all__ = ["POLICY_ROLE", "PolicyChanged", "PolicyConfirmed"]
-
-POLICY_ROLE = "policy"
+__all__ = ["PolicyChanged", "PolicyConfirmed"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/policy/role.py
+++ b/src/lagoonpulley/policy/role.py
@@ -16,7 +16,7 @@
     Transaction,
     WatchPrefix,
 )
-from .messages import POLICY_ROLE, PolicyChanged, PolicyConfirmed
+from .messages import PolicyChanged, PolicyConfirmed
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -60,7 +60,7 @@
     :param confirmation_listeners: those of them that also receive each confirmation.
     """
 
-    name = POLICY_ROLE
+    name = "policy"
 
     def __init__(
         self,
--- a/src/lagoonpulley/policy/values.py
+++ b/src/lagoonpulley/policy/values.py
@@ -76,11 +76,10 @@
 class Policy:
     """All operator settings, under one increasing version.
 
-    ``key`` and ``revision`` are those of the document in the store.
+    ``revision`` is that of the document in the store.
     """
 
     version: int
-    key: str
     revision: int
     queue_by_name: dict[str, Queue]
     service_by_name: dict[str, Service]
--- a/tests/intake/test_readiness.py
+++ b/tests/intake/test_readiness.py
@@ -10,6 +10,9 @@
 from lagoonpulley.runtime.role import Now
 from lagoonpulley.store.health import StoreHealthTracker
 
+POLICY = Policy(1, 1, {}, {}, {}, {})
+MAX_POLICY_AGE_S = 1.5
+
 
 class Clocks:
     def __init__(self):
@@ -34,10 +37,6 @@
     return made
 
 
-POLICY = Policy(1, "policy", 1, {}, {}, {}, {})
-MAX_POLICY_AGE_S = 1.5
-
-
 @pytest.fixture
 def entry_readiness(store_health, clocks):
     made = EntryReadiness(store_health, clocks, MAX_POLICY_AGE_S)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -19,7 +19,6 @@
 
 POLICY = Policy(
     version=1,
-    key="policy",
     revision=1,
     queue_by_name={"reviews": Queue("reviews", "localhost", "/reviews/", "service")},
     service_by_name={},
--- a/tests/policy/test_values.py
+++ b/tests/policy/test_values.py
@@ -18,7 +18,7 @@
 @pytest.fixture
 def policy():
     queue_by_name = {queue.name: queue for queue in QUEUES}
-    return Policy(1, "policy", 1, queue_by_name, {}, {}, {})
+    return Policy(1, 1, queue_by_name, {}, {}, {})
 
 
 @pytest.mark.parametrize(
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -93,7 +93,6 @@
         return Ok(
             Policy(
                 version=values["version"],
-                key=item.key,
                 revision=item.revision,
                 queue_by_name=queues,
                 service_by_name={"service": Service("service")},
