Pass a request's timeouts on without a condition, and share a test's server

Both HTTP ports copied the total timeout only if there was one, though None is what a call has without. Three tests of the HTTP client each opened a listener and a thread for one connection: serve_one_connection.

--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -62,8 +62,7 @@
         """Start one operation; the reply follows when it completes."""
         operation = message.operation
         call = self._codec.encode(operation, message.timeout_s)
-        if message.total_timeout_s is not None:
-            call = replace(call, total_timeout_s=message.total_timeout_s)
+        call = replace(call, total_timeout_s=message.total_timeout_s)
         started_at = time.monotonic()
 
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
--- a/src/lagoonpulley/store/http.py
+++ b/src/lagoonpulley/store/http.py
@@ -58,8 +58,7 @@
     def submit(self, message: Request) -> None:
         """Start the call of one operation."""
         call = encode_operation(self._url, message.operation, message.timeout_s)
-        if message.total_timeout_s is not None:
-            call = replace(call, total_timeout_s=message.total_timeout_s)
+        call = replace(call, total_timeout_s=message.total_timeout_s)
 
         def complete(outcome: HttpAnswer | HttpFailure) -> None:
             result = decode_result(outcome)
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 from concurrent.futures import Future
+from contextlib import contextmanager
 
 import pytest
 from werkzeug.wrappers import Request, Response
@@ -32,6 +33,23 @@
     return outcome.result(timeout=TIMEOUT_S)
 
 
+@contextmanager
+def serve_one_connection(handle):
+    """Serve the first connection by ``handle(connection, listener)``; yields the URL."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            handle(connection, listener)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    yield f"http://127.0.0.1:{listener.getsockname()[1]}/"
+    thread.join()
+    listener.close()
+
+
 def test_answer_has_the_bytes_of_both_directions(loop):
     def application(environ, start_response):
         Request(environ).get_data()
@@ -51,63 +69,42 @@
 
 
 def test_failure_has_the_bytes_that_arrived(loop):
-    listener = socket.create_server(("127.0.0.1", 0))
+    header = b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n"
 
-    def answer_in_part():
-        connection, _ = listener.accept()
-        with connection:
-            connection.recv(65536)
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n123")
+    def answer_in_part(connection, listener):
+        connection.recv(65536)
+        connection.sendall(header + b"123")
 
-    thread = threading.Thread(target=answer_in_part)
-    thread.start()
-    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
-    failure = perform(loop, HttpCall("GET", url, b"", TIMEOUT_S))
-    thread.join()
-    listener.close()
+    with serve_one_connection(answer_in_part) as url:
+        failure = perform(loop, HttpCall("GET", url, b"", TIMEOUT_S))
     assert isinstance(failure, HttpFailure)
-    header = b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n"
     assert failure.traffic.received_bytes == len(header) + 3
     assert failure.traffic.sent_bytes > 0
     assert failure.closed
 
 
 def test_connection_that_is_closed_without_an_answer_is_told(loop):
-    listener = socket.create_server(("127.0.0.1", 0))
-
-    def close_after_request():
-        connection, _ = listener.accept()
-        with connection:
-            connection.recv(65536)
+    def close_after_request(connection, listener):
+        connection.recv(65536)
 
-    thread = threading.Thread(target=close_after_request)
-    thread.start()
-    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
-    failure = perform(loop, HttpCall("POST", url, b"body", TIMEOUT_S))
-    thread.join()
-    listener.close()
+    with serve_one_connection(close_after_request) as url:
+        failure = perform(loop, HttpCall("POST", url, b"body", TIMEOUT_S))
     assert (failure.ran, failure.closed) == (Ran.MAYBE, True)
 
 
 def test_request_that_was_sent_before_a_refused_retry_may_have_run(loop):
-    listener = socket.create_server(("127.0.0.1", 0))
-    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
-
-    def answer_once_then_close():
-        connection, _ = listener.accept()
-        with connection:
-            connection.recv(65536)
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-            # The client sends the next request on this connection, and again on a new
-            # one when this one is closed without an answer.
-            connection.recv(65536)
-            listener.close()
-
-    thread = threading.Thread(target=answer_once_then_close)
-    thread.start()
-    assert isinstance(perform(loop, HttpCall("POST", url, b"1", TIMEOUT_S)), HttpAnswer)
-    failure = perform(loop, HttpCall("POST", url, b"2", TIMEOUT_S))
-    thread.join()
+    def answer_once_then_close(connection, listener):
+        connection.recv(65536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        # The client sends the next request on this connection, and again on a new
+        # one when this one is closed without an answer.
+        connection.recv(65536)
+        listener.close()
+
+    with serve_one_connection(answer_once_then_close) as url:
+        answer = perform(loop, HttpCall("POST", url, b"1", TIMEOUT_S))
+        assert isinstance(answer, HttpAnswer)
+        failure = perform(loop, HttpCall("POST", url, b"2", TIMEOUT_S))
     assert (failure.ran, failure.closed) == (Ran.MAYBE, True)
 
 
