--- a/tests/intake/test_role.py
+++ b/tests/intake/test_role.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from tests.support.steps import POLICY_KEY, StepWorld, step
+from tests.support.step_documents import POLICY_KEY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.intake.messages import (
     CancelJob,
--- a/tests/owner/test_takeover.py
+++ b/tests/owner/test_takeover.py
@@ -5,7 +5,8 @@
 import random
 
 import pytest
-from tests.support.steps import WORKERS_PREFIX, StepWorld, size_of_answer, step
+from tests.support.step_documents import WORKERS_PREFIX
+from tests.support.steps import StepWorld, size_of_answer, step
 
 from lagoonpulley.owner.role import OwnerRole
 from lagoonpulley.store.messages import ReadRange, Transaction
--- a/tests/policy/test_role.py
+++ b/tests/policy/test_role.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from tests.support.steps import POLICY_KEY, StepWorld
+from tests.support.step_documents import POLICY_KEY
+from tests.support.steps import StepWorld
 
 # The users' bounds from the acknowledgement of a version until requests are handled by
 # it: on the sites of the first milestone, on the grown ones, and there while the store
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -35,7 +35,7 @@
 
 @contextmanager
 def serve_one_connection(handle):
-    """Serve the first connection by ``handle(connection, listener)``; yields the URL."""
+    """Serve one connection by ``handle(connection, listener)``; yields the URL."""
     listener = socket.create_server(("127.0.0.1", 0))
 
     def serve():
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -4,12 +4,9 @@
 
 import json
 import random
-from collections import Counter, deque
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
-from expression import Ok
-
 from lagoonpulley.intake.messages import CancelJob, SubmitJob
 from lagoonpulley.intake.readiness import EntryReadiness
 from lagoonpulley.intake.role import IntakeRole
@@ -24,7 +21,6 @@
 from lagoonpulley.peers.service import METHOD_BY_REQUEST
 from lagoonpulley.peers.store_relay import StoreRelayRole
 from lagoonpulley.policy.role import PolicyRole
-from lagoonpulley.policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from lagoonpulley.runtime.role import (
     PEERS,
     STORE,
@@ -40,7 +36,6 @@
 from lagoonpulley.store.health import StoreHealthTracker
 from lagoonpulley.store.messages import ReadRange, Transaction, WatchPrefix, Write
 from lagoonpulley.store.route import STORE_RELAY, RelayCall, StoreRoute
-from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.upstream.tasks import (
     Advice,
     AskAdvice,
@@ -53,6 +48,8 @@
 from lagoonpulley.workload.spec import JobSpec, StepSpec
 
 from .network import Clock
+from .step_documents import POLICY_KEY, WORKERS_PREFIX, JsonDirectory, JsonPolicy
+from .step_entry import StepEntry
 
 TICK_S = 0.2
 MAX_POLICY_AGE_S = 1.5
@@ -64,8 +61,6 @@
 RESTART_S = 3.0
 RECORD_LIFETIME_S = 4.5
 CAPACITY = Resources(16000, 65536, 0)
-POLICY_KEY = "test/policy"
-WORKERS_PREFIX = "test/workers/"
 # Sizes on the wire, in bytes: an answer's headers, and the field names and numbers of
 # an item.
 ANSWER_BYTES = 200
@@ -76,87 +71,6 @@
 WEAK = EntryCapacity(processors_milli=500, link_mbps=10.0)
 
 
-class JsonPolicy:
-    """Decodes the JSON policy document that tests write to the store."""
-
-    key = POLICY_KEY
-
-    def decode(self, item):
-        values = json.loads(item.value)
-        queues = {
-            name: _queue(name, fields) for name, fields in values["queues"].items()
-        }
-        teams = {
-            name: TeamLimits(name, 1.0, Resources(*limit))
-            for name, limit in values["teams"].items()
-        }
-        return Ok(
-            Policy(
-                version=values["version"],
-                revision=item.revision,
-                queue_by_name=queues,
-                service_by_name={"service": Service("service")},
-                team_by_name=teams,
-                team_by_api_key={name: name for name in teams},
-            )
-        )
-
-
-def _queue(name: str, fields: dict) -> Queue:
-    fields = dict(fields)
-    if "advice" in fields:
-        fields["advice"] = AdvicePolicy(*fields["advice"])
-    return Queue(name, "", f"/{name}/", "service", **fields)
-
-
-class JsonDirectory:
-    """Decodes the JSON worker documents that tests write to the store."""
-
-    prefix = WORKERS_PREFIX
-
-    def decode(self, item):
-        values = json.loads(item.value)
-        values["capacity"] = Resources(*values["capacity"])
-        values["labels"] = tuple(values["labels"])
-        return Ok(WorkerInfo(**values))
-
-
-@dataclass(eq=False)
-class StepEntry:
-    """A simulated entry process: its roles, its mailbox and what it can reach."""
-
-    name: str
-    roles: dict[str, Any]
-    store_health: StoreHealthTracker
-    route: StoreRoute
-    readiness: EntryReadiness
-    mailbox: deque = field(default_factory=deque)
-    alive: bool = True
-    has_store: bool = True
-    # Rate at which answers of the store arrive, and when the last one has arrived.
-    # They queue for the link in the order in which the store sends them.
-    store_bytes_per_s: float = float("inf")
-    store_link_free_at: float = 0.0
-    # Whether connections share the link, so that small answers pass large ones.
-    shares_store_link: bool = False
-    has_peers: bool = True
-    unreachable_workers: set[str] = field(default_factory=set)
-    # Prefixes of keys whose reads, watches and checks this entry gets no answer to.
-    unreadable_prefixes: tuple[str, ...] = ()
-    store_bytes_by_operation: Counter = field(default_factory=Counter)
-
-    @property
-    def version_answered_by(self) -> int | None:
-        """The policy version by which callers are answered, ``None`` if by none."""
-        policy = self.readiness.current_policy()
-        return policy.version if policy is not None else None
-
-    @property
-    def owner(self) -> OwnerRole:
-        """The owner role of this entry, whether or not it holds the ownership."""
-        return self.roles["owner"]
-
-
 class StepWorld:
     """Entries, workers and the store of a small simulated cell.
 
