--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -157,7 +157,7 @@
         otherwise repeated, so that it resumes soon after the store was away.
         """
         self.known_revision = jobs.revision
-        watched = WatchProgress(self._host.now.mono, jobs.took_s)
+        watched = WatchProgress(self._host.now.mono, jobs.transfer_s)
         self._watched = watched
         failures_beside_answers = 0
         while not term.has_ended:
@@ -223,9 +223,9 @@
         yield from self._load_again(term, watched)
 
     def _load_again(self, term: OwnerTerm, watched: WatchProgress) -> Flow:
-        watched.begin_reread(self._host.now.mono)
+        watched.begin_reread()
         jobs = yield from self.read_jobs(term)
-        watched.end_reread(self._host.now.mono)
+        watched.end_reread(self._host.now.mono, jobs.transfer_s)
         if term.has_ended:
             return
         # A cancellation may precede its submission among the items.
--- a/src/lagoonpulley/owner/watch_progress.py
+++ b/src/lagoonpulley/owner/watch_progress.py
@@ -13,11 +13,12 @@
 SILENCE_PER_USUAL_LAG = 2.0
 # Weight of the latest lag in the usual one, if it is the smaller.
 LAG_WEIGHT = 0.25
-# After a reread, the pause is at least the first and this multiple of its duration.
+# After a reread, the pause is at least the first and this multiple of the time during
+# which its answers arrived.
 MIN_REREAD_PAUSE_S = 0.2
-PAUSE_PER_REREAD_TIME = 4.0
+PAUSE_PER_TRANSFER_TIME = 4.0
 # The same before a reread without which the watch cannot go on.
-PAUSE_PER_RECOVERY_TIME = 2.0
+RECOVERY_PAUSE_PER_TRANSFER_TIME = 2.0
 
 
 class WatchProgress:
@@ -25,16 +26,16 @@
 
     Times are monotonic seconds.
 
-    :param load_s: duration of the read of all jobs that has just ended. It counts like
-        a reread: repeating it soon would keep a slow link busy.
+    :param load_s: how long answers arrived during the read of all jobs that has just
+        ended. It counts like a reread: repeating it soon would keep a slow link busy.
     """
 
     def __init__(self, now: float, load_s: float = 0.0) -> None:
         self.seen_revision = 0
         self._unseen: deque[tuple[int, float]] = deque()
         self._usual_lag_s = 0.0
-        self._reread_began_at: float | None = None
-        self._next_reread_at = now + PAUSE_PER_REREAD_TIME * load_s
+        self._is_rereading = False
+        self._next_reread_at = now + PAUSE_PER_TRANSFER_TIME * load_s
         self._next_recovery_at = now
 
     @property
@@ -65,7 +66,7 @@
 
     def needs_reread(self, now: float) -> bool:
         """Return whether the watch is silent and a reread is due."""
-        if not self._unseen or self._reread_began_at is not None:
+        if not self._unseen or self._is_rereading:
             return False
         silence_s = max(MIN_SILENCE_S, SILENCE_PER_USUAL_LAG * self._usual_lag_s)
         _, committed_at = self._unseen[0]
@@ -78,21 +79,22 @@
 
         The first one may follow the load of all jobs at once.
         """
-        return self._reread_began_at is None and now >= self._next_recovery_at
+        return not self._is_rereading and now >= self._next_recovery_at
 
-    def begin_reread(self, now: float) -> None:
+    def begin_reread(self) -> None:
         """Record that a reread began; none is due until it has ended."""
-        self._reread_began_at = now
+        self._is_rereading = True
 
-    def end_reread(self, now: float) -> None:
+    def end_reread(self, now: float, transfer_s: float) -> None:
         """Record that the reread ended.
 
-        The pause grows with its duration, so that rereads leave most of a slow link to
-        other calls.
+        The pause leaves most of a slow link to other calls. Time that the reread spent
+        without answers did not occupy the link.
+
+        :param transfer_s: how long answers of the reread arrived, in seconds.
         """
-        took_s = now - self._reread_began_at
-        pause_s = PAUSE_PER_REREAD_TIME * took_s
+        pause_s = PAUSE_PER_TRANSFER_TIME * transfer_s
         self._next_reread_at = now + max(MIN_REREAD_PAUSE_S, pause_s)
-        pause_s = PAUSE_PER_RECOVERY_TIME * took_s
+        pause_s = RECOVERY_PAUSE_PER_TRANSFER_TIME * transfer_s
         self._next_recovery_at = now + max(MIN_REREAD_PAUSE_S, pause_s)
-        self._reread_began_at = None
+        self._is_rereading = False
--- a/src/lagoonpulley/store/range_reader.py
+++ b/src/lagoonpulley/store/range_reader.py
@@ -82,13 +82,13 @@
 
     ``revision`` is the lowest revision at which a page was read, 0 before the first
     page. The items are no snapshot: they contain every change up to this revision, and
-    may contain later ones. ``failures`` counts the failed calls, ``took_s`` is the
-    duration of the read in seconds.
+    may contain later ones. ``failures`` counts the failed calls, ``transfer_s`` is how
+    long calls were in flight of which something arrived, in seconds.
     """
 
     revision: int = 0
     failures: int = 0
-    took_s: float = 0.0
+    transfer_s: float = 0.0
     item_by_key: dict[str, KeyValue] = field(default_factory=dict)
 
     @property
@@ -127,7 +127,6 @@
     :returns: a :class:`RangeRead`; it is incomplete if ``has_ended`` returned true.
     """
     read = RangeRead()
-    began = timekeeper.now.mono
     remaining = deque([_Part(prefix, split_order=_split_order(likely_characters))])
     calls_in_flight = INITIAL_CALLS_IN_FLIGHT
     timeout_s = INITIAL_TIMEOUT_S
@@ -138,6 +137,8 @@
         sent_at = timekeeper.now.mono
         results = yield calls
         took_s = timekeeper.now.mono - sent_at
+        if any(_has_arrived(result) for result in results):
+            read.transfer_s += took_s
         failures_before = read.failures
         for part, call, result in zip(batch, calls, results):
             timed_out = isinstance(result, CallFailed) and took_s >= call.timeout_s
@@ -156,10 +157,14 @@
         if took_s >= timeout_s:
             timeout_s = min(MAX_TIMEOUT_S, 2 * timeout_s)
         yield Sleep(RETRY_DELAY_S)
-    read.took_s = timekeeper.now.mono - began
     return read
 
 
+def _has_arrived(result: StoreResult | CallFailed) -> bool:
+    """Return whether at least a part of an answer arrived."""
+    return not isinstance(result, CallFailed) or result.partial
+
+
 def _split_order(likely_characters: str) -> str:
     if not likely_characters:
         return ""
--- a/tests/owner/test_watch_progress.py
+++ b/tests/owner/test_watch_progress.py
@@ -44,8 +44,8 @@
         progress.record_commit(number, now=float(number))
         if progress.needs_reread(number + 0.35):
             rereads += 1
-            progress.begin_reread(number + 0.35)
-            progress.end_reread(number + 0.36)
+            progress.begin_reread()
+            progress.end_reread(number + 0.36, transfer_s=0.01)
         progress.record_watch(number, has_changes=True, now=number + 0.4)
     assert rereads == 1
 
@@ -76,9 +76,9 @@
 
 def test_no_reread_is_due_while_one_runs_and_for_a_multiple_of_its_time(progress):
     progress.record_commit(1, now=0.0)
-    progress.begin_reread(1.0)
+    progress.begin_reread()
     assert not progress.needs_reread(5.0)
-    progress.end_reread(11.0)
+    progress.end_reread(11.0, transfer_s=10.0)
     assert not progress.needs_reread(50.0)
     assert progress.needs_reread(51.1)
 
--- a/tests/owner/test_watch_recovery.py
+++ b/tests/owner/test_watch_recovery.py
@@ -24,6 +24,8 @@
 from lagoonpulley.workload.spec import JobSpec
 
 SLOW_LINK_BYTES_PER_S = 250_000
+# Within which an accepted job has to be known.
+VISIBLE_S = 3.0
 
 
 def put_submission(world, job_id, payload="seconds=600"):
@@ -168,7 +170,25 @@
 def test_pause_before_the_next_recovery_is_a_multiple_of_the_last(after_s, may_recover):
     progress = WatchProgress(now=0.0, load_s=9.0)
     assert progress.may_recover(0.0)
-    progress.begin_reread(0.0)
+    progress.begin_reread()
     assert not progress.may_recover(1.9)
-    progress.end_reread(2.0)
+    progress.end_reread(2.0, transfer_s=2.0)
     assert progress.may_recover(2.0 + after_s) is may_recover
+
+
+def test_silence_during_a_reread_does_not_delay_the_next_one():
+    world = StepWorld(entries=1)
+    # More than one page.
+    store_jobs(world, open_count=0, final_count=6000)
+    world.run(1.0)
+    # The store keeps no history, so that only reads report new jobs.
+    replace_watch_answers(world, lambda watch: StoreResult(StoreStatus.NOT_FOUND))
+    owner = world.owner().owner
+    watched = owner._jobs._watched
+    world.run_until(lambda: watched._is_rereading, 3.0)
+    world.owner().unreadable_prefixes = (JOBS_PREFIX,)
+    world.run(4.0)
+    world.owner().unreadable_prefixes = ()
+    world.run_until(lambda: not watched._is_rereading, 9.0)
+    put_submission(world, "a" * 16)
+    world.run_until(lambda: world.executions("a" * 16), VISIBLE_S)
