Read the owner record after each watch, so that silent watches hide no vacancy

Cause: a candidate repeated its watch of the owner record from the revision that the last answer had. While the store drops its history, watches report nothing for a while; if their answers advance the revision meanwhile, the removal of a dead owner's record was never reported, and without another failed call no entry ever stood for election. If the revision stayed, the election waited until the watches reported again.

Change: one watch, then a read of the record, which is small.

--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -220,16 +220,15 @@
         )
 
     def _watch(self, revision: int) -> Flow:
-        """Wait until the owner record may have changed."""
-        while not self._resigned:
-            watch = WatchPrefix(OWNER_KEY, revision, WATCH_WAIT_S)
-            result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
-            if isinstance(result, CallFailed):
-                yield Sleep(RETRY_DELAY_S)
-                return
-            if not result.ok or result.entries:
-                return
-            revision = max(revision, result.revision)
+        """Wait until the owner record may have changed.
+
+        The caller then reads the record, also if the watch reports no change: for a
+        while watches may report nothing and yet advance their revision.
+        """
+        watch = WatchPrefix(OWNER_KEY, revision, WATCH_WAIT_S)
+        result = yield Call(STORE, watch, WATCH_TIMEOUT_S)
+        if isinstance(result, CallFailed):
+            yield Sleep(RETRY_DELAY_S)
 
     def _attempt_election(self) -> Flow:
         jitter_ends_at = self.now.mono + self._rng.random() * ELECTION_JITTER_S
--- a/tests/owner/test_election.py
+++ b/tests/owner/test_election.py
@@ -13,6 +13,8 @@
 TAKEOVER_BOUND_S = 1.6
 # Added when a stronger entry is registered but does not stand for election.
 HEAD_START_BOUND_S = 0.45
+# Within which an accepted job has to be known, so also an owner that knows it.
+VISIBLE_S = 3.0
 
 
 def make_world(seed, strong_names=()):
@@ -90,3 +92,12 @@
         "link_mbps": WEAK.link_mbps,
         "stronger_entries": 1,
     }
+
+
+@pytest.mark.parametrize("silent_watches_advance", [False, True])
+def test_vacancy_is_noticed_while_watches_are_silent(silent_watches_advance):
+    world = make_world(seed=1)
+    world.delivers_watch_events = False
+    world.silent_watches_advance = silent_watches_advance
+    world.kill(world.owner())
+    world.run_until(lambda: has_owner(world), VISIBLE_S)
