Notice a lost answer to a commit within a multiple of its usual time

The owner's log shows commit_failed six times in 4.3 s, each after 800 ms with 0 bytes; the rate of commits falls from 125 to 1 a second, and up to 227 records wait for one.

Change: the timeout of a commit is four times the usual time of its answers, at least 0.15 s and at most 0.8 s as before; it grows with successive failures and at once after a slow answer. Repeating a commit is safe, as only its head condition decides. A call that waited less than 0.3 s without an answer does not count as a sign that the store is away.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -11,6 +11,7 @@
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.load import NoLoad
 from ..runtime.role import STORE, WAKE, CallFailed, Tick, WakeAfter
+from ..store.answer_timeout import AnswerTimeout
 from ..upstream.tasks import Advice
 from .advisors import AdvisorBalancer
 from .dispatch import Dispatcher
@@ -37,7 +38,6 @@
 
 __all__ = ["OwnerRole"]
 
-COMMIT_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.05
 ADVICE_RETRY_DELAY_S = 0.1
 MAX_STARTS_PER_ROUND = 64
@@ -67,6 +67,7 @@
         self._jobs = JobWatcher(self, settings.retention_s)
         self._dispatcher = Dispatcher(self)
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
+        self._commit_timeout = AnswerTimeout()
         self._pending = PendingCounts()
         self._status = OwnerStatusWriter()
         self._start_backlog = StartBacklog(0.0)
@@ -308,13 +309,16 @@
         """Send a transaction until the store answers, then apply the result."""
         began = self.now.mono
         while not term.has_ended:
-            result = yield Call(STORE, transaction, COMMIT_TIMEOUT_S)
+            sent_at = self.now.mono
+            result = yield Call(STORE, transaction, self._commit_timeout.timeout_s)
             if term.has_ended:
                 return
             if isinstance(result, CallFailed):
+                self._commit_timeout.record_failure()
                 log_event("commit_failed", reason=result.reason, ran=result.ran)
                 yield Sleep(RETRY_DELAY_S)
                 continue
+            self._commit_timeout.record_answer(self.now.mono - sent_at)
             if result.ok:
                 self._jobs.record_commit(transaction, result.revision)
                 self._load_log.record_commit(self.now.mono - began)
--- a/src/lagoonpulley/store/route.py
+++ b/src/lagoonpulley/store/route.py
@@ -17,6 +17,9 @@
 # Name of the role that relays calls through other entries.
 STORE_RELAY = "store_relay"
 
+# Without an answer, a call with a shorter timeout does not suggest that the store is
+# unreachable: a slow store may answer later, and single answers are lost.
+MIN_CONCLUSIVE_TIMEOUT_S = 0.3
 # Retried even if an unanswered first attempt may have taken effect.
 _IDEMPOTENT_OPERATIONS = (Get, ReadRange, WatchPrefix, RenewLease)
 
@@ -63,6 +66,8 @@
             # The store is reachable, and the answer would cross the same slow link if
             # another entry relayed it.
             return request.reply_to, Reply(request.request_id, result)
+        if not answered and _is_inconclusive(request, result):
+            return request.reply_to, Reply(request.request_id, result)
         self._store_health.record_direct_result(answered)
         if answered:
             self._store_health.record_result(answered=True)
@@ -73,5 +78,9 @@
         return request.reply_to, Reply(request.request_id, result)
 
 
+def _is_inconclusive(request: Request, failed: CallFailed) -> bool:
+    return failed.ran is Ran.MAYBE and request.timeout_s < MIN_CONCLUSIVE_TIMEOUT_S
+
+
 def _is_safe_to_retry(request: Request, failed: CallFailed) -> bool:
     return failed.ran is Ran.NO or isinstance(request.operation, _IDEMPOTENT_OPERATIONS)
--- a/tests/owner/test_journal.py
+++ b/tests/owner/test_journal.py
@@ -4,7 +4,7 @@
 
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.owner.journal import Journal
-from lagoonpulley.owner.role import COMMIT_TIMEOUT_S
+from lagoonpulley.store.answer_timeout import MAX_TIMEOUT_S
 from lagoonpulley.store.messages import StoreResult, StoreStatus
 from lagoonpulley.workload.record import EndKind, JobRecord
 from lagoonpulley.workload.spec import JobSpec, StepSpec, TaskKey
@@ -45,7 +45,7 @@
     for transaction in transactions:
         size = sum(len(write.value) for write in transaction.puts)
         transfer_s = size * BASE64_RATIO / SLOW_LINK_BYTES_PER_S
-        assert transfer_s < COMMIT_TIMEOUT_S * 0.75
+        assert transfer_s < MAX_TIMEOUT_S * 0.75
     assert len(transactions) > 1
 
 
--- a/tests/store/test_route.py
+++ b/tests/store/test_route.py
@@ -105,3 +105,17 @@
         assert (to, message) == ("owner", Reply("id", PART_OF_ANSWER))
     assert not store_health.is_directly_unreachable()
     assert not store_health.is_unreachable()
+
+
+def test_call_that_waited_briefly_does_not_count_the_store_as_away(route, store_health):
+    for _ in range(4):
+        brief = Request("id", "owner", CHANGE, 0.15)
+        assert route.route_result(brief, NO_ANSWER) == ("owner", Reply("id", NO_ANSWER))
+    assert not store_health.is_directly_unreachable()
+    assert not store_health.is_unreachable()
+
+
+def test_refused_call_that_waited_briefly_counts_the_store_as_away(route, store_health):
+    for _ in range(2):
+        route.route_result(Request("id", "owner", CHANGE, 0.15), NOT_RUN)
+    assert store_health.is_directly_unreachable()
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -84,6 +84,8 @@
         self.store_up = True
         # Probability that a store operation is applied but not answered.
         self.lose_answers = 0.0
+        # Names of the operations of which answers are lost; all if it is empty.
+        self.losing_operations: tuple[str, ...] = ()
         self.delivers_watch_events = True
         # Whether watches that deliver no events return the store's revision.
         self.silent_watches_advance = False
@@ -382,7 +384,7 @@
             return
         until = self.clock.mono + getattr(request.operation, "wait_s", 0.0)
         sent_at = self.clock.mono
-        lost = self.random.random() < self.lose_answers or self._times_out(request)
+        lost = self._loses_answer(request) or self._times_out(request)
         lost = lost or _reads_any(request.operation, entry.unreadable_prefixes)
 
         def perform() -> None:
@@ -437,6 +439,12 @@
         failed = CallFailed(Ran.MAYBE, "timed out before the answer was here", partial)
         self.clock.at(times_out_at, lambda: self._reply_store(entry, request, failed))
 
+    def _loses_answer(self, request: Request) -> bool:
+        name = type(request.operation).__name__
+        if self.losing_operations and name not in self.losing_operations:
+            return False
+        return self.random.random() < self.lose_answers
+
     def _times_out(self, request: Request) -> bool:
         operation = request.operation
         is_read = isinstance(operation, ReadRange)
