--- a/src/lagoonpulley/owner/advisors.py
+++ b/src/lagoonpulley/owner/advisors.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..planning.planner import AdviceRequest
+    from ..planning.advice_requests import AdviceRequest
     from ..runtime.flows import FlowRole
     from ..store.messages import KeyValue
     from .settings import OwnerSettings
@@ -69,11 +69,11 @@
             yield Sleep(ENTRIES_POLL_INTERVAL_S)
 
     def reserve(self, cost_s: float, now: float) -> str | None:
-        """Reserve the entry that is free first; see :class:`~.planner.AdviceBudget`.
+        """Reserve the entry that is free first.
 
-        A long request needs an idle entry and is held back while many entries are
-        busy, so that short requests need not wait for it. Return ``None`` if no entry
-        may take the request now.
+        See :class:`~.advice_requests.AdviceBudget`. A long request needs an idle entry
+        and is held back while many entries are busy, so that short requests need not
+        wait for it. Return ``None`` if no entry may take the request now.
         """
         name = min(self._address_by_name, key=lambda name: self._free_at(name, now))
         free_at = self._free_at(name, now)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -28,7 +28,8 @@
 from .workers import WorkerMonitor
 
 if TYPE_CHECKING:
-    from ..planning.planner import AdviceRequest, Start
+    from ..planning.advice_requests import AdviceRequest
+    from ..planning.planner import Start
     from ..policy.values import Policy
     from ..runtime.load import LoadSource
     from ..store.health import StoreHealth
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from ..upstream.tasks import TaskRef
-from ..workload.spec import StepKey, TaskKey
+from ..workload.spec import TaskKey
+from .advice_requests import AdviceRequests
 from .cell import Claim
 from .demand import AVOID_FAILED_WORKERS_S, BlockReason
 from .gang_reservations import RESERVE_AFTER_S, GangReservations
@@ -20,25 +21,15 @@
 
 if TYPE_CHECKING:
     from ..model.resources import Resources
-    from ..policy.values import Queue, TeamLimits
+    from ..policy.values import TeamLimits
     from ..workload.record import JobRecord
+    from .advice_requests import AdviceBudget, AdviceRequest
     from .cell import Cell, CellWorker
     from .demand import Demand
     from .permits import PermitTable, StepPermits
 
-__all__ = [
-    "AdviceBudget",
-    "AdviceRequest",
-    "Plan",
-    "Planner",
-    "Start",
-]
-
-# The advisor accepts at most this many workers in one request.
-MAX_WORKERS_PER_REQUEST = 100
-# If a step has a usable worker, the advisor is asked about further ones only once they
-# are this share of the eligible workers.
-MIN_UNKNOWN_SHARE = 0.3
+__all__ = ["Plan", "Planner", "Start"]
+
 # How long nothing is placed beside a task that may crash its worker: until it is
 # started, and until its start no longer explains a crash.
 PROBATION_S = 0.7
@@ -61,17 +52,6 @@
     checkpoint: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class AdviceRequest:
-    """A request to a queue's advisor about workers for a step, sent by ``entry``."""
-
-    record: JobRecord
-    key: StepKey
-    queue: Queue
-    worker_ids: tuple[str, ...]
-    entry: str
-
-
 @dataclass(frozen=True, slots=True)
 class Plan:
     """The decisions of one round."""
@@ -80,18 +60,6 @@
     advice_requests: tuple[AdviceRequest, ...]
 
 
-class AdviceBudget(Protocol):
-    """Limits requests to advisors to what they can answer soon."""
-
-    def reserve(self, cost_s: float, now: float) -> str | None:
-        """Return the entry that may send a request, or ``None`` if all are busy.
-
-        :param cost_s: how long the request keeps the advisor busy, in seconds.
-        :param now: monotonic time in seconds.
-        """
-        ...
-
-
 class Planner:
     """One planning round: serves the demands in order and places what fits.
 
@@ -107,13 +75,12 @@
         now: float,
         advice_budget: AdviceBudget,
     ) -> None:
-        self._advice_budget = advice_budget
+        self._advice = AdviceRequests(cell, advice_budget, now)
         self._cell = cell
         self._permits = permits
         self._limits_by_team = limits_by_team
         self._now = now
         self._starts: list[Start] = []
-        self._advice_requests: list[AdviceRequest] = []
         self._reservations = GangReservations()
 
     @property
@@ -142,7 +109,7 @@
             started += self._start_waiting(demand)
             if demand.step.gang:
                 self._reserve_for_gang(demand)
-        return Plan(tuple(self._starts), tuple(self._advice_requests))
+        return Plan(tuple(self._starts), self._advice.made)
 
     def _reserve_for_gang(self, demand: Demand) -> None:
         """Reserve capacity for a gang that has lacked it for a while."""
@@ -189,7 +156,7 @@
         permits = None
         if demand.queue.advice is not None:
             permits = self._permits.for_step(demand.record.spec.id, demand.key)
-            self._request_advice_on_new_workers(demand, permits)
+            self._advice.ask_about_new_workers(demand, permits)
             if not permits.allowed_ids:
                 if permits.request_pending:
                     demand.block_reason = BlockReason.ADVICE
@@ -286,9 +253,9 @@
         """Return the workers with a valid permit; request permits if there are none."""
         valid = permits.valid_ids(self._now)
         permitted = [worker for worker in workers if worker.info.id in valid]
-        if not permitted and workers and permits.may_request(self._now):
+        if not permitted and workers:
             asked = workers[: max(count, MIN_WORKERS_FOR_PROBATION)]
-            self._request_advice(demand, permits, [each.info.id for each in asked])
+            self._advice.ask_about(demand, permits, asked)
         return permitted
 
     def _choose_workers(
@@ -333,26 +300,6 @@
                 return allowed
         return count
 
-    def _request_advice_on_new_workers(
-        self, demand: Demand, permits: StepPermits
-    ) -> None:
-        if not permits.may_request(self._now):
-            return
-        step = demand.step
-        service = demand.queue.service
-        workers = eligible_workers(self._cell, service, step, self._now, None)
-        unknown = [
-            worker
-            for worker in workers
-            if worker.info.id not in permits.known_ids
-            and step.capacity_request.fits_in(worker.info.capacity)
-        ]
-        usable = any(worker.info.id in permits.allowed_ids for worker in workers)
-        if not unknown or (usable and len(unknown) < len(workers) * MIN_UNKNOWN_SHARE):
-            return
-        unknown.sort(key=lambda worker: -worker.free.processors_milli)
-        self._request_advice(demand, permits, [worker.info.id for worker in unknown])
-
     def _choose_permitted_workers(
         self,
         demand: Demand,
@@ -365,24 +312,10 @@
         valid = permits.valid_ids(self._now)
         if all(worker.info.id in valid for worker in chosen):
             return chosen
-        if permits.may_request(self._now):
-            unique_ids = dict.fromkeys(worker.info.id for worker in chosen)
-            self._request_advice(demand, permits, list(unique_ids))
+        self._advice.ask_about(demand, permits, chosen)
         usable = [worker for worker in workers if worker.info.id in valid]
         return self._choose_workers(demand, usable, count)
 
-    def _request_advice(
-        self, demand: Demand, permits: StepPermits, worker_ids: list[str]
-    ) -> None:
-        asked = tuple(worker_ids[:MAX_WORKERS_PER_REQUEST])
-        cost_s = demand.queue.advice.cost_s(len(asked))
-        entry = self._advice_budget.reserve(cost_s, self._now)
-        if entry is None:
-            return
-        permits.request_pending = True
-        request = AdviceRequest(demand.record, demand.key, demand.queue, asked, entry)
-        self._advice_requests.append(request)
-
     def _add_starts(
         self, demand: Demand, waiting: list[TaskKey], chosen: list[CellWorker]
     ) -> None:
