Do not blame a crash on a task that was placed after it

What callers saw: a sound job shown as failed (the task crashed 2 workers) after two workers had restarted under their ids.

Cause: a worker that restarts closes its connections, and stays available until a second sync fails. A task placed in between is started by the new incarnation. When the owner learned of that incarnation, it took the task for one that had just been started on the old one, with nothing else running there, so with a blame of 1.

Change: the owner remembers since when a worker's connections are closed. Runs that were placed later are not among those that it had when it crashed.

--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -24,17 +24,20 @@
 
 
 def blame_by_run(
-    runs: Iterable[TrackedRun], alive_at: float | None
+    runs: Iterable[TrackedRun], alive_at: float | None, closed_at: float | None = None
 ) -> dict[TaskRef, float]:
     """Return the blame of each run that a worker had when it crashed.
 
     The blame is shared by the jobs with a run that had started shortly before; other
-    runs have none.
+    runs have none. Runs that were placed after the worker had closed its connections
+    are not among those that it had: its next incarnation has started them.
 
     :param alive_at: when the worker was last known to live, in monotonic seconds;
         ``None`` if it never answered this owner.
+    :param closed_at: when the worker closed its connections, in monotonic seconds;
+        ``None`` if it was not seen to.
     """
-    started = [run for run in runs if run.has_run]
+    started = [run for run in runs if run.has_run and not _follows(run, closed_at)]
     recent = [run for run in started if not _is_settled(run, alive_at)]
     jobs = len({run.ref.job_id for run in recent})
     blame = {run.ref: 0.0 for run in started}
@@ -52,7 +55,7 @@
     if worker.info.draining:
         return
     runs = [run for run in worker.tracked_by_ref.values() if not run.is_blamed]
-    blame = blame_by_run(runs, worker.alive_at)
+    blame = blame_by_run(runs, worker.alive_at, worker.closed_at)
     log_event(
         "worker_crashed",
         worker=worker.info.id,
@@ -102,6 +105,10 @@
         del record.crashes_by_task[tracked.ref.key]
 
 
+def _follows(run: TrackedRun, closed_at: float | None) -> bool:
+    return closed_at is not None and run.placed_at > closed_at
+
+
 def _is_settled(run: TrackedRun, alive_at: float | None) -> bool:
     if run.start_resolved_at is None or alive_at is None:
         return False
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -287,7 +287,7 @@
             return
         for other in self.worker_by_id.values():
             if other.info.address == address:
-                other.closed = True
+                other.mark_closed(self.now.mono)
 
     def begin_sync(self, worker: WorkerState) -> None:
         """Record that a sync with a worker is in flight."""
@@ -343,7 +343,7 @@
         step = record.step_of(ref.key)
         claim = Claim(ref, record.spec.team, step.request, step.capacity_request)
         self.cell.claim(worker.info.id, claim)
-        tracked = worker.tracked_by_ref[ref] = TrackedRun(ref)
+        tracked = worker.tracked_by_ref[ref] = TrackedRun(ref, self.now.mono)
         return tracked
 
     def end_run(
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -26,6 +26,7 @@
 class TrackedRun:
     """A run that occupies, or may occupy, capacity on a worker.
 
+    ``placed_at`` is when the task was placed here, or read from the store.
     ``start_resolved_at`` is when it became certain that no start command in flight
     can start the run any more, ``None`` before that; a sync sent later shows whether
     the run exists.
@@ -37,6 +38,7 @@
     """
 
     ref: TaskRef
+    placed_at: float
     has_run: bool = False
     is_blamed: bool = False
     not_after_ms: int = 0
@@ -66,8 +68,9 @@
     ``acknowledged`` are numbers of ended runs in the worker's own numbering; an end is
     acknowledged only after the commit that records it. ``position`` orders workers by
     when they first became known. ``alive_at`` is when it was last known to live, in
-    monotonic seconds. ``closed`` is set while it refuses connections or has closed
-    them, as after a crash. ``blamed_runs`` are those that were blamed for its crash.
+    monotonic seconds. ``closed_at`` is since when it refuses connections or has closed
+    them, as after a crash, in monotonic seconds. ``blamed_runs`` are those that were
+    blamed for its crash.
     """
 
     info: WorkerInfo
@@ -85,10 +88,15 @@
     failures: int = 0
     missing_since: float | None = None
     alive_at: float | None = None
-    closed: bool = False
+    closed_at: float | None = None
     blamed_runs: dict[TaskRef, float] = field(default_factory=dict)
     tracked_by_ref: dict[TaskRef, TrackedRun] = field(default_factory=dict)
 
+    @property
+    def closed(self) -> bool:
+        """Whether the worker refuses connections or has closed them."""
+        return self.closed_at is not None
+
     @property
     def is_available(self) -> bool:
         """Whether the worker has accepted the token and responds."""
@@ -127,7 +135,7 @@
         self.fenced = True
         self.failures = 0
         self.alive_at = now
-        self.closed = False
+        self.closed_at = None
 
     def record_closed(self, was_sent: bool, now: float) -> None:
         """Record that the worker refused a connection for a call, or closed it.
@@ -137,4 +145,9 @@
         """
         if was_sent and not self.closed:
             self.alive_at = now
-        self.closed = True
+        self.mark_closed(now)
+
+    def mark_closed(self, now: float) -> None:
+        """Record that the worker's process has ended, unless that is known already."""
+        if self.closed_at is None:
+            self.closed_at = now
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -125,3 +125,24 @@
     world.add_worker("other")
     # The lease that this owner has granted ends after 3 s.
     world.run_until(lambda: "other" in running_workers(world, "a" * 16), 5.0)
+
+
+def restart_all_workers(world):
+    """Restart each worker at once under its id."""
+    for worker in world.worker_by_id.values():
+        worker.restart(world.clock.mono)
+
+
+def test_crash_before_a_task_was_placed_is_not_blamed_on_it():
+    world = StepWorld(entries=1, workers=2)
+    world.run(7.0)
+    restart_all_workers(world)
+    for worker_id in world.worker_by_id:
+        world.add_worker(worker_id)
+    # The owner sees the connections close, and places the task before it has learned
+    # of the new incarnations.
+    world.run(0.03)
+    world.submit("b" * 16, step(processors=16000), payload="seconds=4")
+    world.run(1.0)
+    record = world.owner().owner._term.record_by_id["b" * 16]
+    assert not record.crashes_by_task
