--- a/tests/owner/test_takeover.py
+++ b/tests/owner/test_takeover.py
@@ -6,7 +6,8 @@
 
 import pytest
 from tests.support.step_documents import WORKERS_PREFIX
-from tests.support.steps import StepWorld, size_of_answer, step
+from tests.support.step_store import size_of_answer
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.owner.role import OwnerRole
 from lagoonpulley.store.messages import ReadRange, Transaction
