--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -54,10 +54,10 @@
 # An unanswered write is retried for this long: a submission expects its key to be
 # absent, so it is not stored twice, and a repeated cancellation changes nothing.
 MAX_WRITE_S = 1.6
+# No attempt begins if less of that time is left.
+MIN_ATTEMPT_S = 0.1
 # How often a cancellation is tried if the job changes meanwhile.
 CANCEL_ATTEMPTS = 2
-# A shorter rest of that time is not used for another attempt.
-MIN_ATTEMPT_S = 0.1
 
 
 class IntakeRole(FlowRole):
