Ignore a directory record of an earlier incarnation than the worker has reported

Cause: the owner took any other birth time for a new incarnation. After a restart the worker reports its new one at once, while its record in the directory may show the former one until its next check-in; the owner then took the former for newer, ended the runs there as crashed, and ended them again when the worker answered, twice a second. Each time the task that had just started was blamed, and after two it was given up.

Change: a record with an earlier birth time than the known one counts as one of the known incarnation. What the worker itself reports still decides, whatever its clock shows.

Test: test_directory_that_lags_behind_a_restart_shows_no_crash failed before (the job was given up within 2 s) and passes now, with one execution. test_crashes.py: 15 passed.

--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -198,8 +198,14 @@
         return min(self.max_lease_s, left_s)
 
     def put_worker(self, info: WorkerInfo) -> WorkerState:
-        """Add or update a worker; a new incarnation ends the previous one's runs."""
+        """Add or update a worker; a new incarnation ends the previous one's runs.
+
+        A record of an earlier incarnation than the known one lags behind: the worker
+        itself has reported its restart.
+        """
         worker = self.worker_by_id.get(info.id)
+        if worker is not None and info.born < worker.info.born:
+            info = replace(info, born=worker.info.born)
         if worker is None:
             worker = self._add_worker(info)
         elif self.is_new_incarnation(worker, info.born):
@@ -207,8 +213,6 @@
             still_tracked = worker.tracked_by_ref
             worker = self._add_worker(info)
             worker.tracked_by_ref = still_tracked
-        if info.born == 0 and worker.info.born:
-            info = replace(info, born=worker.info.born)
         worker.info = info
         worker.missing_since = None
         crashed_at = self.crashed_at_by_address.get(info.address)
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -146,3 +146,16 @@
     world.run(1.0)
     record = world.owner().owner._term.record_by_id["b" * 16]
     assert not record.crashes_by_task
+
+
+def test_directory_that_lags_behind_a_restart_shows_no_crash():
+    world = StepWorld(entries=1, workers=2)
+    world.run(7.0)
+    restart_all_workers(world)
+    # The workers' records keep their former incarnations until the next check-in.
+    world.run(0.5)
+    world.submit("b" * 16, step(processors=16000), payload="seconds=4")
+    world.run(2.0)
+    record = world.owner().owner._term.record_by_id["b" * 16]
+    assert not record.crashes_by_task
+    assert len(world.executions("b" * 16)) == 1
