Repeat a commit at once when its whole timeout has passed

Cause: after a lost answer, the owner waited another 0.05 s before it repeated the commit. The pause is for calls that fail early, as while connections are refused.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -311,15 +311,18 @@
         began = self.now.mono
         while not term.has_ended:
             sent_at = self.now.mono
-            result = yield Call(STORE, transaction, self._commit_timeout.timeout_s)
+            timeout_s = self._commit_timeout.timeout_s
+            result = yield Call(STORE, transaction, timeout_s)
             if term.has_ended:
                 return
+            took_s = self.now.mono - sent_at
             if isinstance(result, CallFailed):
                 self._commit_timeout.record_failure()
                 log_event("commit_failed", reason=result.reason, ran=result.ran)
-                yield Sleep(RETRY_DELAY_S)
+                if took_s < timeout_s:
+                    yield Sleep(RETRY_DELAY_S)
                 continue
-            self._commit_timeout.record_answer(self.now.mono - sent_at)
+            self._commit_timeout.record_answer(took_s)
             if result.ok:
                 self._jobs.record_commit(transaction, result.revision)
                 self._load_log.record_commit(self.now.mono - began)
