--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -148,6 +148,6 @@
         self.mark_closed(now)
 
     def mark_closed(self, now: float) -> None:
-        """Record that the worker's process has ended, unless that is known already."""
+        """Record that the worker has closed its connections, unless it had before."""
         if self.closed_at is None:
             self.closed_at = now
