--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -37,7 +37,9 @@
     :param closed_at: when the worker closed its connections, in monotonic seconds;
         ``None`` if it was not seen to.
     """
-    started = [run for run in runs if run.has_run and not _follows(run, closed_at)]
+    started = [
+        run for run in runs if run.has_run and not _was_placed_after(run, closed_at)
+    ]
     recent = [run for run in started if not _is_settled(run, alive_at)]
     jobs = len({run.ref.job_id for run in recent})
     blame = {run.ref: 0.0 for run in started}
@@ -105,7 +107,7 @@
         del record.crashes_by_task[tracked.ref.key]
 
 
-def _follows(run: TrackedRun, closed_at: float | None) -> bool:
+def _was_placed_after(run: TrackedRun, closed_at: float | None) -> bool:
     return closed_at is not None and run.placed_at > closed_at
 
 
--- a/tests/intake/test_role.py
+++ b/tests/intake/test_role.py
@@ -152,7 +152,7 @@
     assert sorted(took_s)[len(took_s) * 8 // 10] < SHORTEST_AIM_S
 
 
-def test_submission_is_given_up_before_a_caller_with_little_time(world):
+def test_submission_without_answers_is_given_up_in_bounded_time(world):
     world.lose_answers = 1.0
     began = world.clock.mono
     assert perform(world, submission(world)).kind is OutcomeKind.UNKNOWN
