Give the owner its ticks only during a term; retry a submission whose outcome is open

Cause: every entry's owner role received five ticks a second without a term.

Change: a flow of the term checks at an interval; the next attempt of a submission follows while there is time. An attempt that certainly had no effect, with none before it, still refuses at once. gRPC loads when a term begins, as the owner asks for advice.

Measured: tests/owner, intake, platform and planning pass.

--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -9,7 +9,7 @@
 from ..observability.events import log_event
 from ..observability.prometheus import count_refused_submission, observe_request
 from ..owner.pending import PENDING_KEY
-from ..runtime.flows import Call, Flow, FlowRole
+from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.role import STORE, CallFailed, Request
 from ..store.answer_timeout import AnswerTimeout
 from ..store.messages import (
@@ -58,6 +58,7 @@
 MIN_ATTEMPT_S = 0.1
 # How often a cancellation is tried if the job changes meanwhile.
 CANCEL_ATTEMPTS = 2
+RETRY_DELAY_S = 0.1
 
 
 class IntakeRole(FlowRole):
@@ -186,9 +187,13 @@
                 self._write_timeout.record_answer(self.now.mono - sent_at)
                 return result
             ran = ran.combine(result.ran)
-            if result.ran is Ran.NO:
+            if ran is Ran.NO:
                 break
-            self._write_timeout.record_failure()
+            if result.ran is Ran.NO:
+                # Only another attempt can tell whether an earlier one took effect.
+                yield Sleep(RETRY_DELAY_S)
+            else:
+                self._write_timeout.record_failure()
             left_s = ends_at - self.now.mono
             if left_s < MIN_ATTEMPT_S:
                 break
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -6,11 +6,12 @@
 
 from ..observability.events import log_event
 from ..observability.prometheus import observe_start_wait
+from ..peers.on_demand import PreparePeers
 from ..planning.planner import Planner
 from ..policy.messages import PolicyChanged
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.load import NoLoad
-from ..runtime.role import STORE, WAKE, CallFailed, Tick, WakeAfter
+from ..runtime.role import PEERS, STORE, WAKE, CallFailed, WakeAfter
 from ..store.answer_timeout import AnswerTimeout
 from ..upstream.tasks import Advice
 from .advisors import AdvisorBalancer
@@ -53,6 +54,7 @@
     """Schedules the tasks of all workers while this entry is the owner."""
 
     name = "owner"
+    tick_interval_s = None
 
     def __init__(
         self,
@@ -75,13 +77,12 @@
         self._advisors = AdvisorBalancer(self, settings)
         self._load_log = OwnerLoadLog(settings, load or NoLoad())
         self._handover = HandoverMonitor(settings)
-        self._next_check_at = 0.0
         self._next_round_at = 0.0
         self._wake_requested = False
         self._next_wait_log_at = 0.0
 
     def receive(self, message: Any) -> None:
-        """Process an election result, a session extension, a new policy or a tick."""
+        """Process an election result, a session extension or a new policy."""
         match message:
             case Elected():
                 self._begin_term(message)
@@ -94,8 +95,6 @@
                 self._policy = policy
                 if self._term is not None:
                     self._term.apply_policy(policy)
-            case Tick():
-                self._tick()
         self.plan_and_commit()
 
     def handle(self, message: Any, now: Any) -> list[Any]:
@@ -120,8 +119,10 @@
         self._handover.begin_term(elected.passed_over_lives, self.now.mono)
         self._start_backlog = StartBacklog(self.now.mono)
         log_event("ownership_began", token=elected.token)
+        self.emit(PEERS, PreparePeers())
         self.start(self._advisors.poll_entries(term, self._consider_handover))
         self.start(self._take_over(term))
+        self.start(self._check_periodically(term))
 
     def step_down(self, reason: str) -> None:
         """See :class:`~.flow_host.FlowHost`."""
@@ -175,13 +176,15 @@
         self.start(self._jobs.watch(term, jobs))
         self.start(self._workers.monitor(term))
 
-    def _tick(self) -> None:
-        term = self._term
-        if term is not None:
+    def _check_periodically(self, term: OwnerTerm) -> Flow:
+        """Check at an interval what no message announces, while the term lasts."""
+        while not term.has_ended:
             self._load_log.write_if_due(term, self.now.mono)
-        if term is None or not term.loaded or self.now.mono < self._next_check_at:
-            return
-        self._next_check_at = self.now.mono + CHECK_INTERVAL_S
+            if term.loaded:
+                self._check(term)
+            yield Sleep(CHECK_INTERVAL_S)
+
+    def _check(self, term: OwnerTerm) -> None:
         for record in list(term.repeating_by_id.values()):
             term.refresh_demands(record)
         for worker in list(term.worker_by_id.values()):
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -18,6 +18,7 @@
 from lagoonpulley.owner.session import SessionRole
 from lagoonpulley.owner.settings import OwnerSettings
 from lagoonpulley.peers.calls import AdviceAnswer, PeerCall
+from lagoonpulley.peers.on_demand import PreparePeers
 from lagoonpulley.peers.service import METHOD_BY_REQUEST
 from lagoonpulley.peers.store_relay import StoreRelayRole
 from lagoonpulley.policy.role import PolicyRole
@@ -478,6 +479,8 @@
         return self.permit_expires_at[command.ref.job_id, worker_id] < self.clock.mono
 
     def _call_peer(self, entry: StepEntry, request: Request) -> None:
+        if isinstance(request, PreparePeers):
+            return
         call: PeerCall = request.operation
         if not isinstance(call.message, AskAdvice):
             self._call_entry(entry, request)
