--- a/src/lagoonpulley/platform/deploy.py
+++ b/src/lagoonpulley/platform/deploy.py
@@ -13,9 +13,7 @@
 __all__ = ["DeployFile", "DeployRole", "read_deploy_file"]
 
 MAX_TEMPLATE_BYTES = 64 * 1024
-# ``-S``: all libraries lie beside the program, none in the interpreter's own folders.
-_INTERPRETER = ["python3", "-S"]
-_PROGRAM = ["-m", "lagoonpulley"]
+_PROGRAM_COMMAND = ["python3", "-m", "lagoonpulley"]
 
 
 class DeployRole(BaseModel):
@@ -36,11 +34,9 @@
     def arguments(self) -> list[str] | None:
         """Return the arguments of ``lagoonpulley``, or ``None`` for another program."""
         words = self.run.split()
-        for interpreter in (_INTERPRETER, _INTERPRETER[:1]):
-            command = [*interpreter, *_PROGRAM]
-            if words[: len(command)] == command:
-                return words[len(command) :]
-        return None
+        if words[: len(_PROGRAM_COMMAND)] != _PROGRAM_COMMAND:
+            return None
+        return words[len(_PROGRAM_COMMAND) :]
 
 
 class DeployFile(BaseModel):
