--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: setup demo test lint check bench takeover fuzz slopes dist dist-check clean
+.PHONY: setup demo test lint check bench footprint takeover fuzz slopes dist dist-check clean
 
 $(VENV)/.ready: pyproject.toml
 	python3.11 -m venv $(VENV)
@@ -23,6 +23,9 @@
 bench: setup
 	$(PYTHON) -m benchmarks.decisions
 
+footprint: setup
+	$(PYTHON) -m benchmarks.footprint --follower
+
 takeover: setup
 	$(PYTHON) -m benchmarks.takeover
 
--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -68,6 +68,9 @@
         if record.is_final or tracked.stop_requested or not worker.fenced:
             self._end_unstarted_run(term, worker, ref, "no longer needed")
             return
+        if term.is_draining(worker):
+            self._end_unstarted_run(term, worker, ref, "the worker is draining")
+            return
         if term.cell.is_overcommitted(worker_id):
             reason = "the worker's capacity is smaller now"
             self._end_unstarted_run(term, worker, ref, reason)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -16,6 +16,7 @@
 from ..upstream.tasks import Advice
 from .advisors import AdvisorBalancer
 from .dispatch import Dispatcher
+from .drains import DrainFollower, NoDrains
 from .handover import HandoverMonitor
 from .jobs import JobWatcher
 from .journal import Journal
@@ -36,6 +37,7 @@
     from ..store.health import StoreHealth
     from ..store.messages import KeyValue, Transaction
     from ..upstream.directory import DirectoryDecoder
+    from .drains import DrainDecoder
     from .settings import OwnerSettings
 
 __all__ = ["OwnerRole"]
@@ -62,6 +64,7 @@
         directory: DirectoryDecoder,
         health: StoreHealth,
         load: LoadSource | None = None,
+        drains: DrainDecoder | None = None,
     ) -> None:
         super().__init__("owner")
         self._settings = settings
@@ -70,6 +73,7 @@
         self._jobs = JobWatcher(self, settings.retention_s)
         self._dispatcher = Dispatcher(self)
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
+        self._drains = DrainFollower(self, drains or NoDrains())
         self._commit_timeout = AnswerTimeout()
         self._pending = PendingCounts()
         self._status = OwnerStatusWriter()
@@ -174,6 +178,7 @@
             took_s=round(self.now.mono - began, 3),
         )
         self.start(self._jobs.watch(term, jobs))
+        self.start(self._drains.follow(term))
         self.start(self._workers.monitor(term))
 
     def _check_periodically(self, term: OwnerTerm) -> Flow:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -41,7 +41,8 @@
     Flows may outlive their term, so they check ``has_ended`` after every call.
     ``began_at`` is when the term began, in monotonic seconds.
     ``idle_worker_by_id`` holds the workers without a sync in flight. ``known_workers``
-    counts the workers that became known during the term.
+    counts the workers that became known during the term. ``draining_data_centres`` is
+    ``None`` before the operators' requests are read.
     """
 
     token: int
@@ -64,6 +65,7 @@
     policy: Policy | None = None
     loaded: bool = False
     workers_listed_at: float | None = None
+    draining_data_centres: frozenset[str] | None = None
     session_expires_at: float = float("-inf")
     has_ended: bool = False
     needs_planning: bool = True
@@ -223,10 +225,32 @@
     def refresh_accepting(self, worker: WorkerState) -> None:
         """Recompute whether tasks may be placed on a worker."""
         is_listed = worker.missing_since is None and bool(worker.info.address)
-        accepting = is_listed and worker.is_available and not worker.info.draining
+        accepting = is_listed and worker.is_available and not self.is_draining(worker)
         if self.cell.set_accepting(worker.info.id, accepting):
             self.needs_planning = True
 
+    def is_draining(self, worker: WorkerState) -> bool:
+        """Return whether a worker, or its whole data centre, gets no new tasks."""
+        draining = self.draining_data_centres or frozenset()
+        return worker.info.draining or worker.info.data_centre in draining
+
+    def workers_in(self, data_centre: str) -> list[WorkerState]:
+        """Return the workers of a data centre."""
+        return [
+            worker
+            for worker in self.worker_by_id.values()
+            if worker.info.data_centre == data_centre
+        ]
+
+    def set_draining_data_centres(self, draining: frozenset[str]) -> None:
+        """Set the data centres that get no new tasks."""
+        if draining == self.draining_data_centres:
+            return
+        self.draining_data_centres = draining
+        for worker in self.worker_by_id.values():
+            self.refresh_accepting(worker)
+        self.needs_planning = True
+
     def may_plan(self) -> bool:
         """Return whether enough is known about the workers to place tasks.
 
@@ -235,6 +259,8 @@
         """
         if not self.loaded or self.policy is None or self.workers_listed_at is None:
             return False
+        if self.draining_data_centres is None:
+            return False
         if self.now.mono - self.workers_listed_at > FENCE_WAIT_S:
             return True
         return all(worker.fenced for worker in self.worker_by_id.values())
--- a/src/lagoonpulley/platform/documents.py
+++ b/src/lagoonpulley/platform/documents.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from ..store.messages import KeyValue
 
-__all__ = ["PlatformDirectory", "PlatformPolicy"]
+__all__ = ["PlatformDirectory", "PlatformDrains", "PlatformPolicy"]
 
 MS_PER_S = 1000
 
@@ -193,3 +193,13 @@
                 drain_remaining_s=server.drain_remaining_ms / MS_PER_S,
             )
         )
+
+
+class PlatformDrains:
+    """Decoder of the operators' requests to drain a data centre."""
+
+    prefix = "op/evacuate/"
+
+    def data_centre_of(self, item: KeyValue) -> str:
+        """Return the data centre of a request, which its key names."""
+        return item.key.removeprefix(self.prefix)
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -23,7 +23,7 @@
 from ..runtime.load import LoadMeter
 from ..runtime.role import PEERS, STORE, UPSTREAM
 from ..store.health import StoreHealthTracker
-from .documents import PlatformDirectory, PlatformPolicy
+from .documents import PlatformDirectory, PlatformDrains, PlatformPolicy
 from .gateway import PlatformGateway, ReadinessApp
 from .ports import HttpPort, StoreHttpPort
 from .store import PlatformStoreCodec
@@ -176,6 +176,7 @@
             PlatformDirectory(),
             self._store_health,
             self._load.add_reader(),
+            PlatformDrains() if settings.drains_data_centres else None,
         )
         rng = random.Random(f"{settings.entry_id}:{time.time_ns()}")
         for role in (
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -30,9 +30,14 @@
 
 
 class _Bounds(BaseModel):
-    """Time limits; ``configMs`` is how soon a stored policy must be in force."""
+    """Time limits; ``configMs`` is how soon a stored policy must be in force.
+
+    ``evacMs`` is how soon the drain of a data centre must be in force; without it,
+    operators do not drain data centres.
+    """
 
     config_ms: int = Field(2000, alias="configMs", gt=0)
+    evacuate_ms: int | None = Field(None, alias="evacMs")
     hold_max_ms: int = Field(6000, alias="holdMaxMs")
     stop_ms: int = Field(200, alias="stopMs")
     gang_ms: int = Field(3000, alias="gangMs")
@@ -85,6 +90,7 @@
     ``stop_deadline_s`` the longest time of a drain. The rates of store calls are those
     that all entries together may make; ``None`` means unknown. ``processors_milli`` is
     in thousandths of a processor and ``link_mbps`` in Mbit/s; 0 means unknown.
+    ``drains_data_centres`` says whether operators may drain whole data centres.
     """
 
     entry_id: str
@@ -107,6 +113,7 @@
     store_reads_per_s: float | None
     processors_milli: int
     link_mbps: float
+    drains_data_centres: bool = False
 
     @property
     def link_bytes_per_s(self) -> float | None:
@@ -179,4 +186,5 @@
         store_reads_per_s=file.platform.reads_per_s,
         processors_milli=round(limits.cpu_share * limits.cores * MILLI_PER_PROCESSOR),
         link_mbps=limits.link_mbps,
+        drains_data_centres=bounds.evacuate_ms is not None,
     )
--- a/tests/support/step_documents.py
+++ b/tests/support/step_documents.py
@@ -12,6 +12,7 @@
 
 POLICY_KEY = "test/policy"
 WORKERS_PREFIX = "test/workers/"
+DRAINS_PREFIX = "test/drains/"
 
 
 class JsonPolicy:
@@ -57,3 +58,12 @@
         values["capacity"] = Resources(*values["capacity"])
         values["labels"] = tuple(values["labels"])
         return Ok(WorkerInfo(**values))
+
+
+class KeyDrains:
+    """Decodes requests to drain a data centre, which their keys name."""
+
+    prefix = DRAINS_PREFIX
+
+    def data_centre_of(self, item):
+        return item.key.removeprefix(self.prefix)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -47,7 +47,13 @@
 from lagoonpulley.workload.documents import JobKeys, decode_final
 from lagoonpulley.workload.spec import JobSpec, StepSpec
 
-from .step_documents import POLICY_KEY, WORKERS_PREFIX, JsonDirectory, JsonPolicy
+from .step_documents import (
+    POLICY_KEY,
+    WORKERS_PREFIX,
+    JsonDirectory,
+    JsonPolicy,
+    KeyDrains,
+)
 from .step_entry import StepEntry
 from .step_store import POLL_INTERVAL_S, StepStore
 
@@ -126,12 +132,17 @@
         change = Transaction(puts=(Write(key, value),))
         self.store.apply(change, self.clock.mono)
 
+    def delete(self, key: str) -> None:
+        """Delete a key of the store."""
+        self.store.apply(Transaction(deletes=(key,)), self.clock.mono)
+
     def add_worker(
         self,
         worker_id: str,
         draining: bool = False,
         address: str = "",
         capacity: Resources = CAPACITY,
+        data_centre: str = "a",
     ) -> None:
         """List a worker, and start it if it does not run yet."""
         worker = self.worker_by_id.get(worker_id)
@@ -144,7 +155,7 @@
             "id": worker_id,
             "service": "service",
             "address": self.address_by_worker_id[worker_id],
-            "data_centre": "a",
+            "data_centre": data_centre,
             "capacity": list(capacity[:3]),
             "labels": ["kind", "rack"],
             "rack": "rack",
@@ -196,7 +207,7 @@
             SessionRole(document, "owner", rng),
             IntakeRole(store_health, rng),
             AdvisorRole(),
-            OwnerRole(settings, JsonDirectory(), store_health),
+            OwnerRole(settings, JsonDirectory(), store_health, drains=KeyDrains()),
         )
         role_by_name = {role.name: role for role in roles}
         entry = StepEntry(
