Keep accepting submissions when two answers in a row are lost

Change: submissions are refused at once only after 0.5 s without any answer; an attempt that could not be sent is repeated within the submission's time. A repeated read of a job that has begun needs one store call in place of two.

--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -42,6 +42,7 @@
     SubmitJob,
 )
 from .owner_follower import OwnerFollower
+from .recent_ids import RecentIds
 
 if TYPE_CHECKING:
     import random
@@ -59,6 +60,9 @@
 # How often a cancellation is tried if the job changes meanwhile.
 CANCEL_ATTEMPTS = 2
 RETRY_DELAY_S = 0.1
+MAX_BEGUN_JOBS = 5000
+# Two calls in a row may lose their answers while others get theirs.
+MIN_SILENCE_S = 0.5
 
 
 class IntakeRole(FlowRole):
@@ -78,6 +82,7 @@
         self._write_timeout = AnswerTimeout()
         self._admission = Admission(rng)
         self._owner_follower = OwnerFollower(self, self._admission)
+        self._begun_jobs = RecentIds(MAX_BEGUN_JOBS)
         self._running = False
 
     def receive(self, message: Any) -> None:
@@ -93,7 +98,7 @@
         operation = request.operation
         started_at = self.now.mono
         outcome = Outcome(OutcomeKind.REFUSED, "no contact with the store")
-        if not self._health.is_unreachable():
+        if not self._is_store_away():
             outcome = yield from self._perform(request)
         took_s = self.now.mono - started_at
         observe_request(type(operation).__name__, outcome.kind.value, took_s)
@@ -108,6 +113,11 @@
             )
         self.answer(request, outcome)
 
+    def _is_store_away(self) -> bool:
+        """Return whether calls fail, and not only because two answers were lost."""
+        is_silent = self._health.silence_s() >= MIN_SILENCE_S
+        return is_silent and self._health.is_unreachable()
+
     def _perform(self, request: Request) -> Flow:
         match request.operation:
             case SubmitJob() as operation:
@@ -187,10 +197,11 @@
                 self._write_timeout.record_answer(self.now.mono - sent_at)
                 return result
             ran = ran.combine(result.ran)
-            if ran is Ran.NO:
+            if ran is Ran.NO and self._is_store_away():
                 break
             if result.ran is Ran.NO:
-                # Only another attempt can tell whether an earlier one took effect.
+                # The next attempt may reach the store, and only it can tell whether an
+                # unanswered one before took effect.
                 yield Sleep(RETRY_DELAY_S)
             else:
                 self._write_timeout.record_failure()
@@ -237,10 +248,15 @@
             return Outcome(OutcomeKind.OTHER_TEAM)
         if keys.cancel in by_key:
             return Outcome(OutcomeKind.DONE, state=JobState.CANCELLED)
+        if operation.job_id in self._begun_jobs:
+            # A job that has begun is running until it is final.
+            return Outcome(OutcomeKind.DONE, state=JobState.RUNNING)
         progress = yield Call(STORE, Get(keys.progress), READ_TIMEOUT_S)
         if isinstance(progress, CallFailed):
             return _outcome_of_failure(progress)
         state = _state_of_progress(progress.entry)
+        if state is JobState.RUNNING:
+            self._begun_jobs.add(operation.job_id)
         return Outcome(OutcomeKind.DONE, state=state)
 
     def _read_pending(self, operation: ReadPending) -> Flow:
--- a/src/lagoonpulley/store/health.py
+++ b/src/lagoonpulley/store/health.py
@@ -23,6 +23,10 @@
         """Return whether the latest calls failed; a relayed call counts once."""
         ...
 
+    def silence_s(self) -> float:
+        """Return the seconds since the last answer, infinite before the first."""
+        ...
+
 
 class StoreHealthTracker:
     """Tracks consecutive failures of store calls and the time of the last answer.
