Share a full cell by weight and past use, and place by learned speeds

Cause: waiting work was ordered by priority and due time alone, so that under overload what was late already went first, and a team with many jobs delayed all others. Workers counted as equally fast: a gang with one member on a slow worker took 2.2 times its time.

Change: planning/order.py orders by usefulness, excess over the team's weighted share with past use, punctuality and due time, where the deployment's settings have shares; planning/team_use.py keeps the averages, which survive a change of the owner. planning/worker_speed.py learns tiers of speed from ended tasks; gangs and urgent work go to fast workers. Fast advisors are asked only when there is room.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -7,7 +7,9 @@
 from ..observability.events import log_event
 from ..observability.prometheus import observe_start_wait
 from ..peers.on_demand import PreparePeers
+from ..planning.order import SharePolicy, order_demands
 from ..planning.planner import Planner
+from ..planning.team_use import TeamUse
 from ..policy.messages import PolicyChanged
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.load import NoLoad
@@ -26,11 +28,13 @@
 from .session import SessionRole
 from .start_backlog import StartBacklog
 from .status import OwnerStatusWriter
+from .team_use import TeamUseStore
 from .term import OwnerTerm
 from .workers import WorkerMonitor
 
 if TYPE_CHECKING:
     from ..planning.advice_requests import AdviceRequest
+    from ..planning.demand import Demand
     from ..planning.planner import Start
     from ..policy.values import Policy
     from ..runtime.load import LoadSource
@@ -78,6 +82,7 @@
         self._drains = DrainFollower(self, drains or NoDrains())
         self._commit_timeout = AnswerTimeout()
         self._pending = PendingCounts()
+        self._team_use_store = TeamUseStore()
         self._status = OwnerStatusWriter()
         self._start_backlog = StartBacklog(0.0)
         self._advisors = AdvisorBalancer(self, settings)
@@ -112,12 +117,14 @@
 
     def _begin_term(self, elected: Elected) -> None:
         self._end_term("elected again")
+        shares = self._settings.shares
         term = OwnerTerm(
             token=elected.token,
             journal=Journal(elected.token, elected.head_revision),
             max_lease_s=self._settings.longest_worker_lease_s,
             early_s=self._settings.early_s,
             began_at=self.now.mono,
+            team_use=TeamUse(shares.half_life_s) if shares else None,
         )
         term.now = self.now
         self._term = term
@@ -129,6 +136,8 @@
         self.start(self._advisors.poll_entries(term, self._consider_handover))
         self.start(self._take_over(term))
         self.start(self._check_periodically(term))
+        if term.team_use is not None:
+            self.start(self._team_use_store.read(term))
 
     def step_down(self, reason: str) -> None:
         """See :class:`~.flow_host.FlowHost`."""
@@ -200,6 +209,9 @@
         term.needs_planning = True
         self._log_waiting_steps(term)
         self._pending.write_if_due(term, self.now)
+        if term.team_use is not None:
+            term.team_use.update(term.cell, self.now.mono)
+            self._team_use_store.write_if_due(term, self.now)
         self._status.write_if_due(
             term, self._start_backlog, self._jobs.known_revision, self.now
         )
@@ -256,7 +268,7 @@
             self.emit(WAKE, WakeAfter(self.name, wait_s))
 
     def _plan(self, term: OwnerTerm) -> None:
-        demands = term.backlog.in_order()
+        demands = self._order(term, term.backlog.in_order())
         if not demands:
             return
         planner = Planner(
@@ -265,6 +277,7 @@
             term.policy.team_by_name,
             self.now.mono,
             self._advisors,
+            self.now.wall,
         )
         plan = planner.plan(demands, MAX_STARTS_PER_ROUND)
         if len(plan.starts) >= MAX_STARTS_PER_ROUND:
@@ -276,6 +289,18 @@
         for request in plan.advice_requests:
             self.start(self._request_advice(term, request))
 
+    def _order(self, term: OwnerTerm, demands: list[Demand]) -> list[Demand]:
+        """Return the waiting steps in the order of this round."""
+        shares = self._settings.shares
+        if shares is None:
+            return demands
+        policy = SharePolicy(
+            term.team_use, term.policy.team_by_name, shares.max_past_excess
+        )
+        teams = (demand.record.spec.team for demand in demands)
+        excess_by_team = policy.excess_steps(teams, term.cell)
+        return order_demands(demands, excess_by_team, self.now.wall)
+
     def _dispatch(self, term: OwnerTerm, start: Start) -> None:
         """Enqueue a placement; its start commands are sent once it is durable."""
         record = start.record
--- a/src/lagoonpulley/owner/settings.py
+++ b/src/lagoonpulley/owner/settings.py
@@ -8,7 +8,19 @@
 if TYPE_CHECKING:
     from .entries import EntryCapacity
 
-__all__ = ["OwnerSettings"]
+__all__ = ["OwnerSettings", "ShareSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class ShareSettings:
+    """How teams share a full cell.
+
+    Past use counts half after each ``half_life_s`` seconds. What exceeds a team's share
+    on average counts as ``max_past_excess`` shares of present use at most.
+    """
+
+    half_life_s: float
+    max_past_excess: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +32,8 @@
     start, and ``retention_s`` how long a final state is kept. The rates of store calls
     are those that all entries together may make, and ``link_bytes_per_s`` is the
     bandwidth of this entry's link; both are only reported. ``capacity`` is that of this
-    entry. ``None`` means unknown.
+    entry. ``None`` means unknown. ``shares`` is how teams share a full cell; ``None``
+    serves jobs by priority and due time alone.
     """
 
     entry_id: str
@@ -31,3 +44,4 @@
     store_reads_per_s: float | None = None
     link_bytes_per_s: float | None = None
     capacity: EntryCapacity | None = None
+    shares: ShareSettings | None = None
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -12,6 +12,7 @@
 from ..planning.demand import Demand
 from ..planning.permits import PermitTable
 from ..planning.worker_failures import WorkerFailureTracker
+from ..planning.worker_speed import SpeedTier, WorkerSpeeds
 from ..upstream.directory import WorkerInfo
 from ..upstream.tasks import TaskRef
 from ..workload.record import EndKind, JobRecord, JobState
@@ -20,6 +21,7 @@
 from .worker_state import TrackedRun, WorkerState
 
 if TYPE_CHECKING:
+    from ..planning.team_use import TeamUse
     from ..policy.values import Policy, Queue
     from ..runtime.role import Now
     from ..workload.documents import FinalDocument, ProgressDocument
@@ -41,7 +43,8 @@
     Flows may outlive their term, so they check ``has_ended`` after every call.
     ``began_at`` is when the term began, in monotonic seconds.
     ``idle_worker_by_id`` holds the workers without a sync in flight. ``known_workers``
-    counts the workers that became known during the term. ``draining_data_centres`` is
+    counts the workers that became known during the term. ``team_use`` is ``None`` where
+    teams have no shares. ``draining_data_centres`` is
     ``None`` before the operators' requests are read.
     """
 
@@ -50,8 +53,10 @@
     max_lease_s: float
     early_s: float
     began_at: float
+    team_use: TeamUse | None = None
     cell: Cell = field(default_factory=Cell)
     permits: PermitTable = field(default_factory=PermitTable)
+    worker_speeds: WorkerSpeeds = field(default_factory=WorkerSpeeds)
     worker_failures: WorkerFailureTracker = field(default_factory=WorkerFailureTracker)
     record_by_id: dict[str, JobRecord] = field(default_factory=dict)
     worker_by_id: dict[str, WorkerState] = field(default_factory=dict)
@@ -268,6 +273,7 @@
     def remove_worker(self, worker: WorkerState, reason: str) -> None:
         """End the runs of a permanently lost worker and drop its state."""
         self.worker_failures.forget(worker.info.id)
+        self.worker_speeds.forget(worker.info.id)
         self.end_all_runs(worker, reason)
         self.worker_by_id.pop(worker.info.id, None)
         self.idle_worker_by_id.pop(worker.info.id, None)
@@ -280,6 +286,8 @@
         which has the same id. Its run stays tracked until the worker confirms a stop.
         """
         record_crash(self, worker)
+        self.worker_speeds.forget(worker.info.id)
+        self.cell.set_speed_tier(worker.info.id, SpeedTier.USUAL)
         for ref, tracked in list(worker.tracked_by_ref.items()):
             if tracked.listed:
                 reason = "worker restarted"
@@ -385,7 +393,7 @@
         reason: str = "",
     ) -> JobRecord | None:
         """Record the end of a run; return the job's record if it changed."""
-        worker.tracked_by_ref.pop(ref, None)
+        tracked = worker.tracked_by_ref.pop(ref, None)
         self.cell.release(worker.info.id, ref)
         self.needs_planning = True
         record = self.record_by_id.get(ref.job_id)
@@ -405,6 +413,8 @@
             reason=reason,
         )
         self._record_worker_outcome(worker, ref, kind)
+        if kind is EndKind.DONE and tracked is not None:
+            self._record_run_time(worker, record, tracked)
         if record.step_of(ref.key).gang and kind is not EndKind.DONE:
             self._stop_gang(record, ref)
         self._finish_if_decided(record, ref, kind)
@@ -412,6 +422,21 @@
         self.enqueue_record(record)
         return record
 
+    def _record_run_time(
+        self, worker: WorkerState, record: JobRecord, tracked: TrackedRun
+    ) -> None:
+        """Learn the worker's speed from a task that ended on its own."""
+        step = record.step_of(tracked.ref.key)
+        began_at = tracked.start_resolved_at
+        if step.gang or step.long_running or began_at in (None, BEFORE_THIS_TERM):
+            return
+        self.worker_speeds.record_run(
+            worker.info.id, record.spec.queue, step.estimate_s, self.now.mono - began_at
+        )
+        tier = self.worker_speeds.tier_of(worker.info.id)
+        if self.cell.set_speed_tier(worker.info.id, tier):
+            log_event("worker_speed", worker=worker.info.id, tier=tier.name.lower())
+
     def _stop_gang(self, record: JobRecord, ref: TaskRef) -> None:
         """Request a stop of the other members of a gang after one has ended."""
         for key, task in record.tasks_of(ref.key.step_key):
--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -22,6 +22,8 @@
 
 # The advisor accepts at most this many workers in one request.
 MAX_WORKERS_PER_REQUEST = 100
+# Room is not kept free for a demand whose advisor takes longer to name its workers.
+MAX_HELD_S = 0.1
 # How much more room than needed the workers of a request should have.
 SPARE_RATIO = 1.5
 
@@ -114,8 +116,8 @@
         missing = count - room
         if missing <= 0 or not unknown:
             return []
-        unknown.sort(key=lambda item: -item[0])
-        if permits.allowed_ids and not unknown[0][0]:
+        unknown.sort(key=_gang_order if step.gang else _most_room_first)
+        if not unknown[0][0] and not self._asks_ahead(demand, permits):
             return []
         # The advisor decides on workers: one with much room may still be refused.
         limited = [(min(copies, missing), worker) for copies, worker in unknown]
@@ -123,6 +125,17 @@
         asked = _first_with_room(limited, wanted, step)
         return asked if self._request(demand, permits, asked) else []
 
+    @staticmethod
+    def _asks_ahead(demand: Demand, permits: StepPermits) -> bool:
+        """Return whether to ask before any of the workers has room.
+
+        An advisor that answers soon is asked when there is room: its permits would
+        expire before. A gang needs many workers at once, and reserves room on them.
+        """
+        if permits.allowed_ids:
+            return False
+        return demand.step.gang or demand.queue.advice.cost_s(1) > MAX_HELD_S
+
     def is_exhausted_for(self, queue: Queue) -> bool:
         """Return whether no request of a queue can be sent any more in this round."""
         return queue.advice.cost_s(1) >= self._refused_cost_s
@@ -156,6 +169,16 @@
         return True
 
 
+def _most_room_first(item: tuple[int, CellWorker]) -> int:
+    return -item[0]
+
+
+def _gang_order(item: tuple[int, CellWorker]) -> tuple[bool, int, int]:
+    """Return the sort key by which fast workers with room come first."""
+    copies, worker = item
+    return not copies, worker.speed_tier, -copies
+
+
 def _first_with_room(
     workers: list[tuple[int, CellWorker]], wanted: float, step: StepSpec
 ) -> list[CellWorker]:
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..model.resources import ZERO, Resources
+from .worker_speed import SpeedTier
 
 if TYPE_CHECKING:
     from ..upstream.directory import WorkerInfo
@@ -45,6 +46,7 @@
     probation_until: float = 0.0
     placed_at: float = float("-inf")
     crashed_at: float | None = None
+    speed_tier: SpeedTier = SpeedTier.USUAL
     used: Resources = ZERO
     free: Resources = field(init=False)
     claim_by_ref: dict[TaskRef, Claim] = field(default_factory=dict)
@@ -143,6 +145,14 @@
         self._teams_with_releases = set()
         return changes
 
+    def capacity(self) -> Resources:
+        """Return the capacity of all workers that accept tasks."""
+        total = ZERO
+        for worker in self.worker_by_id.values():
+            if worker.accepting:
+                total = total.plus(worker.info.capacity)
+        return total
+
     def avoid(self, worker_id: str, until: float) -> None:
         """Exclude a worker from placement until a monotonic time in seconds."""
         worker = self.worker_by_id.get(worker_id)
@@ -191,6 +201,14 @@
         self._freed_by_id[worker_id] = worker
         return True
 
+    def set_speed_tier(self, worker_id: str, tier: SpeedTier) -> bool:
+        """Set the speed of a worker; return whether it changed."""
+        worker = self.worker_by_id.get(worker_id)
+        if worker is None or worker.speed_tier is tier:
+            return False
+        worker.speed_tier = tier
+        return True
+
     def is_overcommitted(self, worker_id: str) -> bool:
         """Return whether a worker's runs need more than its present capacity."""
         worker = self.worker_by_id.get(worker_id)
--- a/src/lagoonpulley/planning/demand.py
+++ b/src/lagoonpulley/planning/demand.py
@@ -42,7 +42,9 @@
     ``lacks_capacity_since`` is in monotonic seconds. ``held_workers`` are kept free,
     one entry for each task, until the advisor answers. ``order`` is the sort key among
     all demands; the lowest is served first. ``request`` is what one task counts
-    against a worker's capacity.
+    against a worker's capacity. ``scheduled_at`` is when the job was submitted or due
+    to begin, in seconds of the wall clock, and ``remaining_s`` the declared run time
+    from the step to the end of the job, in seconds.
     """
 
     record: JobRecord
@@ -55,9 +57,14 @@
     order: tuple[int, float, str, StepKey] = field(init=False)
     step: StepSpec = field(init=False)
     request: Resources = field(init=False)
+    scheduled_at: float = field(init=False)
+    remaining_s: float = field(init=False)
 
     def __post_init__(self) -> None:
-        job_id = self.record.spec.id
+        spec = self.record.spec
+        job_id = spec.id
+        self.scheduled_at = spec.scheduled_at(self.key.occurrence)
+        self.remaining_s = spec.remaining_path_s(self.key.step)
         self.order = (self.queue.priority, self.due_at, job_id, self.key)
         self.step = self.record.step_of(self.key)
         self.request = self.step.capacity_request
--- a/src/lagoonpulley/planning/packing.py
+++ b/src/lagoonpulley/planning/packing.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from ..model.resources import Resources
+from .worker_speed import SpeedTier
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -13,6 +15,7 @@
     from .cell import Cell, CellWorker
 
 __all__ = [
+    "SpeedPreference",
     "StepTaskCounts",
     "eligible_workers",
     "least_at_risk",
@@ -26,6 +29,17 @@
 RECENT_PLACEMENT_S = 0.5
 
 
+class SpeedPreference(Enum):
+    """Which workers the tasks of a step go to first; a gang always goes to fast ones.
+
+    Work that can wait goes to slow workers, and leaves the fast ones to the rest.
+    """
+
+    NONE = 0
+    FAST = 1
+    SLOW = -1
+
+
 class StepTaskCounts:
     """Number of tasks of one step that each worker already has."""
 
@@ -70,13 +84,15 @@
     count: int,
     task_counts: StepTaskCounts,
     reserved_by_worker_id: dict[str, Resources],
+    preference: SpeedPreference = SpeedPreference.NONE,
 ) -> list[CellWorker]:
     """Choose workers for up to ``count`` independent tasks, best fit first.
 
     :param reserved_by_worker_id: capacity that is reserved for other steps.
+    :param preference: the speed goes before the fit.
     :returns: one worker per task; fewer if capacity is lacking.
     """
-    state = _PackingState(step, workers, task_counts, reserved_by_worker_id)
+    state = _PackingState(step, workers, task_counts, reserved_by_worker_id, preference)
     chosen = []
     for _ in range(count):
         worker = state.place_next()
@@ -112,12 +128,37 @@
 ) -> list[CellWorker]:
     """Choose workers for all tasks of a gang.
 
-    If the step asks for a single rack, the first rack that can hold the whole gang
-    is used. Otherwise, or if no rack can, best fit keeps the number of workers low.
+    A gang is as slow as its slowest worker, so slower workers are used only if the
+    faster ones cannot hold it.
 
     :returns: one worker per task; empty if the gang does not fit as a whole.
     """
     workers = list(workers)
+    tried = 0
+    for slowest in SpeedTier:
+        group = [worker for worker in workers if worker.speed_tier <= slowest]
+        if len(group) == tried:
+            continue
+        tried = len(group)
+        chosen = _pack_whole(step, group, task_counts, reserved_by_worker_id)
+        if chosen:
+            return chosen
+    return []
+
+
+def _pack_whole(
+    step: StepSpec,
+    workers: list[CellWorker],
+    task_counts: StepTaskCounts,
+    reserved_by_worker_id: dict[str, Resources],
+) -> list[CellWorker]:
+    """Choose workers for all tasks of a step.
+
+    If the step asks for a single rack, the first rack that can hold all tasks is used.
+    Otherwise, or if no rack can, best fit keeps the number of workers low.
+
+    :returns: one worker per task; empty if the tasks do not all fit.
+    """
     if step.same_rack:
         for group in _by_rack(workers).values():
             chosen = pack_tasks(
@@ -138,8 +179,10 @@
         workers: Iterable[CellWorker],
         task_counts: StepTaskCounts,
         reserved_by_worker_id: dict[str, Resources],
+        preference: SpeedPreference,
     ) -> None:
         self._step = step
+        self._speed_sign = preference.value
         self._request = step.capacity_request
         self._count_by_worker_id = dict(task_counts.count_by_worker_id)
         # Sorted so that the best fit is last. Placing a task on the best fit leaves it
@@ -176,12 +219,13 @@
 
     def _sort_key(
         self, candidate: tuple[CellWorker, Resources]
-    ) -> tuple[bool, int, int]:
+    ) -> tuple[bool, int, int, int]:
         worker, free = candidate
         off_rack = bool(self._step.data_rack) and (
             self._step.data_rack not in worker.info.labels
         )
-        return off_rack, free.processors_milli, free.memory_mb
+        speed_rank = worker.speed_tier * self._speed_sign
+        return off_rack, speed_rank, free.processors_milli, free.memory_mb
 
     def _is_below_task_limit(self, worker: CellWorker) -> bool:
         max_per_worker = self._step.most_per_worker
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -7,11 +7,12 @@
 
 from ..upstream.tasks import TaskRef
 from ..workload.spec import TaskKey
-from .advice_requests import AdviceRequests
+from .advice_requests import MAX_HELD_S, AdviceRequests
 from .cell import Claim
 from .demand import AVOID_FAILED_WORKERS_S, BlockReason
 from .gang_reservations import RESERVE_AFTER_S, GangReservations
 from .packing import (
+    SpeedPreference,
     StepTaskCounts,
     eligible_workers,
     least_at_risk,
@@ -37,8 +38,8 @@
 MIN_WORKERS_FOR_PROBATION = 4
 # Share of the workers that may have such a task at a time; a wide gang may exceed it.
 MAX_PROBATION_SHARE = 0.5
-# Room is not kept free for a demand whose advisor takes longer to name its workers.
-MAX_HELD_S = 0.1
+# How much longer than declared a task may take on a slow worker.
+SLOW_RUN_RATIO = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +68,7 @@
 
     :param now: monotonic time of the round in seconds.
     :param advice_budget: limits the requests to advisors.
+    :param wall: wall time of the round in seconds.
     """
 
     def __init__(
@@ -76,12 +78,14 @@
         limits_by_team: dict[str, TeamLimits],
         now: float,
         advice_budget: AdviceBudget,
+        wall: float = 0.0,
     ) -> None:
         self._advice = AdviceRequests(cell, advice_budget, now)
         self._cell = cell
         self._permits = permits
         self._limits_by_team = limits_by_team
         self._now = now
+        self._wall = wall
         self._starts: list[Start] = []
         self._reservations = GangReservations()
 
@@ -194,6 +198,8 @@
             if not permits.allowed_ids:
                 if permits.request_pending:
                     demand.block_reason = BlockReason.ADVICE
+                elif permits.may_request(self._now):
+                    self._set_lacks_capacity(demand)
                 return 0
         # Most jobs have no task that a worker has crashed under.
         if not demand.record.crashes_by_task:
@@ -317,11 +323,19 @@
         task_counts = StepTaskCounts.from_workers(workers, step, record.spec.id, key)
         reserved = self._reservations.reserved_by_worker_id
         if not step.gang:
-            return pack_tasks(step, workers, allowed, task_counts, reserved)
+            preference = self._speed_preference(demand)
+            return pack_tasks(step, workers, allowed, task_counts, reserved, preference)
         if allowed < step.count:
             return []
         return pack_gang(step, workers, task_counts, reserved)
 
+    def _speed_preference(self, demand: Demand) -> SpeedPreference:
+        """Return whether a step has the time that slow workers take."""
+        left_s = demand.due_at - self._wall
+        if left_s >= demand.remaining_s * SLOW_RUN_RATIO:
+            return SpeedPreference.SLOW
+        return SpeedPreference.FAST
+
     def _is_within_team_limit(self, demand: Demand) -> bool:
         """Return whether the team's limit allows one more task, or the whole gang."""
         step = demand.step
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -172,6 +172,7 @@
                 store_reads_per_s=settings.store_reads_per_s,
                 link_bytes_per_s=settings.link_bytes_per_s,
                 capacity=capacity,
+                shares=settings.shares,
             ),
             PlatformDirectory(),
             self._store_health,
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -4,13 +4,14 @@
 
 import json
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, Field, ValidationError
 
+from ..owner.settings import ShareSettings
 from .validation_errors import format_validation_error
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
@@ -65,6 +66,24 @@
     link_mbps: float = Field(0.0, alias="linkMbps", ge=0, allow_inf_nan=False)
 
 
+class _Shares(BaseModel):
+    """How teams share a full cell; see :class:`~.owner.settings.ShareSettings`."""
+
+    half_life_s: float = Field(gt=0, allow_inf_nan=False)
+    max_past_excess: float = Field(1.0, ge=0, allow_inf_nan=False)
+
+    def to_settings(self) -> ShareSettings:
+        """Return the settings of the owner role."""
+        return ShareSettings(self.half_life_s, self.max_past_excess)
+
+
+class _Wrapped(BaseModel):
+    """The platform's settings of a process, and those of this deployment beside it."""
+
+    process: dict[str, Any]
+    shares: _Shares | None = None
+
+
 class _File(BaseModel):
     node: str
     zone: str
@@ -90,7 +109,8 @@
     ``stop_deadline_s`` the longest time of a drain. The rates of store calls are those
     that all entries together may make; ``None`` means unknown. ``processors_milli`` is
     in thousandths of a processor and ``link_mbps`` in Mbit/s; 0 means unknown.
-    ``drains_data_centres`` says whether operators may drain whole data centres.
+    ``drains_data_centres`` says whether operators may drain whole data centres, and
+    ``shares`` how teams share a full cell, ``None`` if they have no shares.
     """
 
     entry_id: str
@@ -114,6 +134,7 @@
     processors_milli: int
     link_mbps: float
     drains_data_centres: bool = False
+    shares: ShareSettings | None = None
 
     @property
     def link_bytes_per_s(self) -> float | None:
@@ -131,14 +152,23 @@
         return Error(f"no settings file is given and {SETTINGS_VARIABLE} is empty")
     try:
         content = _parse(Path(path).read_text(encoding="utf-8"))
-        file = _File.model_validate(content)
+        wrapped = _Wrapped.model_validate(_wrap(content))
+        file = _File.model_validate(wrapped.process)
     except OSError as error:
         return Error(f"{path}: {error.strerror}")
     except ValidationError as error:
         return Error(f"{path}: {format_validation_error(error)}")
     except ValueError as error:
         return Error(f"{path}: not YAML: {error}")
-    return Ok(_to_settings(file))
+    shares = wrapped.shares.to_settings() if wrapped.shares else None
+    return Ok(replace(_to_settings(file), shares=shares))
+
+
+def _wrap(content: Any) -> Any:
+    """Return a file that holds the settings of a process alone as a wrapped one."""
+    if isinstance(content, dict) and "process" in content:
+        return content
+    return {"process": content}
 
 
 def _parse(text: str) -> Any:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+import json
+from pathlib import Path
+
+import yaml
+from tests.platform.conftest import SETTINGS
+
+from lagoonpulley.owner.settings import ShareSettings
 from lagoonpulley.platform.settings import read_settings
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 def test_settings_ignore_unknown_fields(settings_file):
     settings = read_settings(str(settings_file)).ok
@@ -51,3 +60,26 @@
     settings = read_settings(str(settings_file)).ok
     assert settings.processors_milli == 2151
     assert settings.link_mbps == 200.0
+
+
+def test_settings_of_a_deployment_stand_beside_those_of_the_process(tmp_path):
+    process = yaml.safe_load(SETTINGS)
+    path = tmp_path / "boot.json"
+    shares = {"half_life_s": 3600.0}
+    path.write_text(json.dumps({"process": process, "shares": shares}))
+    settings = read_settings(str(path)).ok
+    assert settings.entry_id == "edge-1"
+    assert settings.shares == ShareSettings(3600.0, 1.0)
+
+
+def test_settings_error_names_an_invalid_share(tmp_path):
+    process = yaml.safe_load(SETTINGS)
+    path = tmp_path / "boot.json"
+    shares = {"half_life_s": 0}
+    path.write_text(json.dumps({"process": process, "shares": shares}))
+    assert "half_life_s" in read_settings(str(path)).error
+
+
+def test_deployment_template_is_json_around_the_settings_of_the_process():
+    text = (ROOT / "deploy" / "boot.json").read_text().replace("{{.|json}}", "{}")
+    assert json.loads(text)["process"] == {}
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -16,7 +16,7 @@
 from lagoonpulley.owner.entries import EntryCapacity, EntryDocument
 from lagoonpulley.owner.role import OwnerRole
 from lagoonpulley.owner.session import SessionRole
-from lagoonpulley.owner.settings import OwnerSettings
+from lagoonpulley.owner.settings import OwnerSettings, ShareSettings
 from lagoonpulley.peers.calls import AdviceAnswer, PeerCall
 from lagoonpulley.peers.on_demand import PreparePeers
 from lagoonpulley.peers.service import METHOD_BY_REQUEST
@@ -76,8 +76,15 @@
     The capacity of an entry that is not in ``capacity_by_name`` is unknown.
     """
 
-    def __init__(self, entries: int = 2, workers: int = 3, seed: int = 1) -> None:
+    def __init__(
+        self,
+        entries: int = 2,
+        workers: int = 3,
+        seed: int = 1,
+        shares: ShareSettings | None = None,
+    ) -> None:
         super().__init__(random.Random(seed))
+        self.shares = shares
         self.incarnation_count = 0
         self.request_count = 0
         self.last_spec: JobSpec | None = None
@@ -198,7 +205,9 @@
             capacity=self.capacity_by_name.get(name),
             writes_status=True,
         )
-        settings = OwnerSettings(name, LEASE_S, capacity=document.capacity)
+        settings = OwnerSettings(
+            name, LEASE_S, capacity=document.capacity, shares=self.shares
+        )
         store_health = StoreHealthTracker(lambda: self.clock.now)
         rng = random.Random(self.incarnation_count)
         roles = (
