--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -94,36 +94,49 @@
         if self.is_exhausted_for(demand.queue):
             permits.request_postponed = True
             return []
+        room, unknown = self._find_room(demand, permits, reserved_by_worker_id)
+        missing = count - room
+        if missing <= 0 or not unknown:
+            return []
+        step = demand.step
+        unknown.sort(key=_gang_order if step.gang else _most_room_first)
+        if not unknown[0][0] and not self._asks_ahead(demand, permits):
+            return []
+        # The advisor decides on workers: one with much room may still be refused.
+        limited = [(min(copies, missing), worker) for copies, worker in unknown]
+        wanted = missing / allowed_share * SPARE_RATIO
+        asked = _first_with_room(limited, wanted, step)
+        return asked if self._request(demand, permits, asked) else []
+
+    def _find_room(
+        self,
+        demand: Demand,
+        permits: StepPermits,
+        reserved_by_worker_id: dict[str, Resources],
+    ) -> tuple[int, list[tuple[int, CellWorker]]]:
+        """Return for how many tasks the allowed workers have room now, and the others.
+
+        The workers that the advisor was not asked about come with the number of tasks
+        that fit there.
+        """
         step = demand.step
-        service = demand.queue.service
-        workers = eligible_workers(self._cell, service, step, self._now, None)
         request = step.capacity_request
+        service = demand.queue.service
         room = 0
         unknown: list[tuple[int, CellWorker]] = []
-        for worker in workers:
-            is_known = worker.info.id in permits.known_ids
-            if is_known and worker.info.id not in permits.allowed_ids:
+        for worker in eligible_workers(self._cell, service, step, self._now, None):
+            if not permits.may_run_on(worker.info.id):
                 continue
             if not request.fits_in(worker.info.capacity):
                 continue
             reserved = reserved_by_worker_id.get(worker.info.id)
             free = worker.free.minus(reserved) if reserved else worker.free
             copies = request.copies_in(free)
-            if is_known:
+            if worker.info.id in permits.allowed_ids:
                 room += copies
             else:
                 unknown.append((copies, worker))
-        missing = count - room
-        if missing <= 0 or not unknown:
-            return []
-        unknown.sort(key=_gang_order if step.gang else _most_room_first)
-        if not unknown[0][0] and not self._asks_ahead(demand, permits):
-            return []
-        # The advisor decides on workers: one with much room may still be refused.
-        limited = [(min(copies, missing), worker) for copies, worker in unknown]
-        wanted = missing / allowed_share * SPARE_RATIO
-        asked = _first_with_room(limited, wanted, step)
-        return asked if self._request(demand, permits, asked) else []
+        return room, unknown
 
     @staticmethod
     def _asks_ahead(demand: Demand, permits: StepPermits) -> bool:
--- a/tests/owner/test_capacity.py
+++ b/tests/owner/test_capacity.py
@@ -33,23 +33,13 @@
 
 def test_placement_that_waits_for_its_commit_keeps_a_smaller_capacity(world):
     world.submit("a" * 16, step(count=1, processors=CAPACITY[0]), payload="seconds=1")
-    owner = world.owner().owner
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 5.0)
-    sent = owner._send_commit
-    held = []
-
-    def hold(term, transaction):
-        held.append(lambda: owner.start(sent(term, transaction)))
-        yield from ()
-
-    owner._send_commit = hold
+    release = world.hold_commits()
     world.submit("b" * 16, step(count=1, processors=CAPACITY[0]), payload="seconds=1")
     world.run(0.5)
     for worker_id in list(world.worker_by_id):
         world.add_worker(worker_id, capacity=Resources(3000, 65536, 0))
     world.run(SHRINK_BOUND_S)
-    owner._send_commit = sent
-    for resume in held:
-        resume()
+    release()
     world.run(1.0)
     assert not world.executions("b" * 16)
--- a/tests/owner/test_drains.py
+++ b/tests/owner/test_drains.py
@@ -76,22 +76,12 @@
 
 
 def test_placement_that_waits_for_its_commit_is_not_sent_to_a_drained_centre(world):
-    owner = world.owner().owner
-    sent = owner._send_commit
-    held = []
-
-    def hold(term, transaction):
-        held.append(lambda: owner.start(sent(term, transaction)))
-        yield from ()
-
-    owner._send_commit = hold
+    release = world.hold_commits()
     world.submit(JOB, step(count=4, processors=CAPACITY[0]), payload="seconds=0.5")
     world.run(0.5)
     drain(world, "a")
     world.run(1.0)
-    owner._send_commit = sent
-    for resume in held:
-        resume()
+    release()
     world.run(3.0)
     assert workers_of(world, JOB) == {"w1", "w3"}
 
--- a/tests/planning/test_advice_requests.py
+++ b/tests/planning/test_advice_requests.py
@@ -72,7 +72,8 @@
     demand.block_reason = BlockReason.NONE
 
 
-def test_freed_room_is_asked_about_by_no_more_steps_than_it_holds(cell):
+def fill_and_free_one_worker(cell):
+    """Fill the cell while many steps wait, whose permits expire; free one worker."""
     occupy(cell)
     permits = PermitTable()
     demands = [make_demand(number) for number in range(WAITING)]
@@ -81,20 +82,18 @@
         allow(permits, demand, everyone, 0.0)
     plan(cell, permits, demands, 1.0)
     release(cell, 7)
+    return permits, demands
+
+
+def test_freed_room_is_asked_about_by_no_more_steps_than_it_holds(cell):
+    permits, demands = fill_and_free_one_worker(cell)
     asked = plan(cell, permits, demands, 10.0).advice_requests
     assert [request.record for request in asked] == [d.record for d in demands[:4]]
     assert not plan(cell, permits, demands, 10.1).advice_requests
 
 
 def test_answer_starts_the_steps_whose_room_was_kept(cell):
-    occupy(cell)
-    permits = PermitTable()
-    demands = [make_demand(number) for number in range(WAITING)]
-    everyone = tuple(cell.worker_by_id)
-    for demand in demands:
-        allow(permits, demand, everyone, 0.0)
-    plan(cell, permits, demands, 1.0)
-    release(cell, 7)
+    permits, demands = fill_and_free_one_worker(cell)
     plan(cell, permits, demands, 10.0)
     allow(permits, demands[2], ("w7",), 10.1)
     starts = plan(cell, permits, demands, 10.1).starts
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -318,6 +319,24 @@
         entry = self.store.key_value_by_key.get(JobKeys(job_id).final)
         return decode_final(entry.value).ok.state.value if entry else None
 
+    def hold_commits(self) -> Callable[[], None]:
+        """Hold the commits of the present owner; return what sends them after all."""
+        owner = self.owner().owner
+        send = owner._send_commit
+        held = []
+
+        def hold(term, transaction):
+            held.append((term, transaction))
+            yield from ()
+
+        def release() -> None:
+            owner._send_commit = send
+            for term, transaction in held:
+                owner.start(send(term, transaction))
+
+        owner._send_commit = hold
+        return release
+
     def executions(self, job_id: str) -> list:
         """Return all runs of a job on any worker."""
         return [
