--- a/src/lagoonpulley/policy/values.py
+++ b/src/lagoonpulley/policy/values.py
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TeamLimits:
-    """A team's limit, 0 for no limit; ``weight`` does not affect planning."""
+    """A team's limit, 0 for no limit, and its weight when teams share a full cell."""
 
     name: str
     weight: float = 1.0
--- a/src/lagoonpulley/runtime/actors.py
+++ b/src/lagoonpulley/runtime/actors.py
@@ -94,7 +94,7 @@
         """
         now = time.monotonic()
         for role, interval_s in interval_by_role.items():
-            self._pending_wakes.append((now, role))
+            heapq.heappush(self._pending_wakes, (now, role))
             if interval_s is not None:
                 self._interval_by_role[role] = interval_s
         self._thread.start()
--- a/tests/platform/test_reload.py
+++ b/tests/platform/test_reload.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from expression import Error
 
+from lagoonpulley.platform import reload as reload_module
 from lagoonpulley.platform.reload import SettingsReloader
 from lagoonpulley.platform.settings import read_settings
 
+REFUSED = Error("not parsed in this test")
+
 
 @pytest.fixture
 def applied():
@@ -39,3 +43,16 @@
     reloader.request_reload()
     reloader.reload_if_changed()
     assert applied == []
+
+
+def test_unchanged_file_is_read_once(settings_file, reloader, monkeypatch):
+    parsed = []
+    monkeypatch.setattr(
+        reload_module, "read_settings", lambda path: parsed.append(path) or REFUSED
+    )
+    for _ in range(3):
+        reloader.reload_if_changed()
+    assert len(parsed) == 1
+    settings_file.write_text(settings_file.read_text() + "\n")
+    reloader.reload_if_changed()
+    assert len(parsed) == 2
