--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -16,17 +15,9 @@
 
 HEAD_KEY = "lagoonpulley/head"
 
-# The store accepts 32 rows per transaction; the head needs two of them. Each record
-# puts up to two.
+# The store accepts 32 rows per transaction; the head needs two of them and each record
+# up to four.
 MAX_COMMIT_ROWS = 30
-MAX_PUTS_PER_RECORD = 2
-# Rows of each transaction that deletions of finished jobs get while records wait. A job
-# that ends adds a row and two deletions, so two thirds of the rows hold the deletions
-# at a number. One that waits longer than a final state is kept could hit a job that is
-# submitted anew.
-MIN_DELETE_ROWS = 6
-MAX_DELAYED_DELETES = 300
-DELETE_ROWS_WHEN_DELAYED = 20
 # Progress documents in one transaction. Encoded in base64 they reach the store within
 # the timeout of a commit on a link of 2 Mbit/s that carries other traffic as well.
 MAX_COMMIT_BYTES = 64_000
@@ -67,7 +58,6 @@
         self._callbacks_by_id: dict[str, list[Callback]] = {}
         self._value_by_key: dict[str, str] = {}
         self._progress_stored_ids: set[str] = set()
-        self._due_deletes: deque[str] = deque()
         self.in_flight: Commit | None = None
 
     @property
@@ -93,46 +83,31 @@
         """Return the next transaction to send, or ``None`` if nothing is due."""
         if self.in_flight is not None:
             return None
-        if not (self._record_by_id or self._value_by_key or self._due_deletes):
+        if not self._record_by_id and not self._value_by_key:
             return None
         self._number += 1
         head = HeadDocument(token=self._token, number=self._number)
         puts = [Write(HEAD_KEY, head.model_dump_json())]
         puts += [Write(key, value) for key, value in self._value_by_key.items()]
         self._value_by_key = {}
+        deletes: list[str] = []
         callbacks: list[Callback] = []
         size = 0
-        max_puts = MAX_COMMIT_ROWS - self._reserved_delete_rows()
         for job_id in list(self._record_by_id):
-            is_full = len(puts) + MAX_PUTS_PER_RECORD > max_puts
-            if is_full or size >= MAX_COMMIT_BYTES:
+            if (
+                len(puts) + len(deletes) + 4 > MAX_COMMIT_ROWS
+                or size >= MAX_COMMIT_BYTES
+            ):
                 break
             record = self._record_by_id.pop(job_id)
             callbacks += self._callbacks_by_id.pop(job_id, [])
-            size += self._add_rows(record, puts)
-        deletes = self._pop_deletes(MAX_COMMIT_ROWS - len(puts))
+            size += self._add_rows(record, puts, deletes)
         transaction = Transaction(
-            ((HEAD_KEY, self._head_revision),), tuple(puts), deletes
+            ((HEAD_KEY, self._head_revision),), tuple(puts), tuple(deletes)
         )
         self.in_flight = Commit(self._number, transaction, callbacks)
         return self.in_flight
 
-    def _reserved_delete_rows(self) -> int:
-        """Return how many rows of the next transaction are for deletions."""
-        if len(self._due_deletes) > MAX_DELAYED_DELETES:
-            return DELETE_ROWS_WHEN_DELAYED
-        return min(MIN_DELETE_ROWS, len(self._due_deletes))
-
-    def _pop_deletes(self, max_count: int) -> tuple[str, ...]:
-        """Remove and return the deletions that wait longest.
-
-        They free space and tell nobody anything, so while the store is slow they make
-        way for placements and ends. After a change of the owner, the next one deletes
-        what is left of a finished job.
-        """
-        count = min(max_count, len(self._due_deletes))
-        return tuple(self._due_deletes.popleft() for _ in range(count))
-
     def apply_result(self, result: StoreResult) -> bool:
         """Apply the store's response to the transaction in flight.
 
@@ -165,7 +140,9 @@
                 return item.revision
         return 0
 
-    def _add_rows(self, record: JobRecord, puts: list[Write]) -> int:
+    def _add_rows(
+        self, record: JobRecord, puts: list[Write], deletes: list[str]
+    ) -> int:
         """Append the rows of one record; return the size of its progress document."""
         job_id = record.spec.id
         keys = JobKeys(job_id)
@@ -183,10 +160,10 @@
             puts.append(Write(keys.progress, document))
             self._progress_stored_ids.add(job_id)
             return len(document)
-        self._due_deletes.append(keys.submission)
+        deletes.append(keys.submission)
         if record.cancel_requested:
-            self._due_deletes.append(keys.cancel)
+            deletes.append(keys.cancel)
         if job_id in self._progress_stored_ids:
-            self._due_deletes.append(keys.progress)
+            deletes.append(keys.progress)
             self._progress_stored_ids.discard(job_id)
         return 0
