--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -44,8 +44,8 @@
     ``began_at`` is when the term began, in monotonic seconds.
     ``idle_worker_by_id`` holds the workers without a sync in flight. ``known_workers``
     counts the workers that became known during the term. ``team_use`` is ``None`` where
-    teams have no shares. ``draining_data_centres`` is
-    ``None`` before the operators' requests are read.
+    teams have no shares, ``draining_data_centres`` before the operators' requests are
+    read.
     """
 
     token: int
