Compute what is free beside reservations in one place

Cause: free room less reservations stood four times: Changes.may_fit and AdviceRequests._find_room (new), packing and GangReservations._free. Change: CellWorker.free_beside serves all four; behaviour is as before.

--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -129,9 +129,7 @@
                 continue
             if not request.fits_in(worker.info.capacity):
                 continue
-            reserved = reserved_by_worker_id.get(worker.info.id)
-            free = worker.free.minus(reserved) if reserved else worker.free
-            copies = request.copies_in(free)
+            copies = request.copies_in(worker.free_beside(reserved_by_worker_id))
             if worker.info.id in permits.allowed_ids:
                 room += copies
             else:
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -67,6 +67,11 @@
     def _refresh_free(self) -> None:
         self.free = self.info.capacity.minus(self.used)
 
+    def free_beside(self, reserved_by_worker_id: dict[str, Resources]) -> Resources:
+        """Return what is free here and not reserved."""
+        reserved = reserved_by_worker_id.get(self.info.id)
+        return self.free.minus(reserved) if reserved else self.free
+
     def count_of(self, job_id: str, step_key: StepKey) -> int:
         """Return how many tasks of a step have a claim here."""
         count = 0
@@ -104,10 +109,9 @@
             return False
         fits = False
         for worker in self.freed:
-            if not worker.accepting or not request.fits_in(worker.free):
+            if not worker.accepting:
                 continue
-            reserved = reserved_by_worker_id.get(worker.info.id)
-            if reserved and not request.fits_in(worker.free.minus(reserved)):
+            if not request.fits_in(worker.free_beside(reserved_by_worker_id)):
                 continue
             fits = True
             if permits is None or permits.may_run_on(worker.info.id):
--- a/src/lagoonpulley/planning/gang_reservations.py
+++ b/src/lagoonpulley/planning/gang_reservations.py
@@ -72,20 +72,19 @@
     ) -> None:
         """Reserve what is free on the emptiest workers, for one task each."""
         by_free_processors = sorted(
-            workers, key=lambda worker: -self._free(worker).processors_milli
+            workers,
+            key=lambda worker: (
+                -worker.free_beside(self.reserved_by_worker_id).processors_milli
+            ),
         )
         for worker in by_free_processors[:missing]:
-            free = self._free(worker)
+            free = worker.free_beside(self.reserved_by_worker_id)
             part = [
                 min(want, max(0, have))
                 for want, have in zip(step.capacity_request, free)
             ]
             self._add_reservation(worker, Resources(*part))
 
-    def _free(self, worker: CellWorker) -> Resources:
-        reserved = self.reserved_by_worker_id.get(worker.info.id)
-        return worker.free.minus(reserved) if reserved else worker.free
-
     def _add_reservation(self, worker: CellWorker, amount: Resources) -> None:
         reserved = self.reserved_by_worker_id.get(worker.info.id, Resources())
         self.reserved_by_worker_id[worker.info.id] = reserved.plus(amount)
--- a/src/lagoonpulley/planning/packing.py
+++ b/src/lagoonpulley/planning/packing.py
@@ -196,10 +196,7 @@
         """Return the workers with room and their free capacity, best fit first."""
         found = []
         for worker in workers:
-            free = worker.free
-            reserved = reserved_by_worker_id.get(worker.info.id)
-            if reserved is not None:
-                free = free.minus(reserved)
+            free = worker.free_beside(reserved_by_worker_id)
             if self._request.fits_in(free):
                 found.append((worker, free))
         found.sort(key=self._sort_key)
