Log ends that change nothing, restarts of workers and suspensions

A listed end whose run is no longer the current one left no line at all, nor did the moment in which another incarnation of a worker became known; and nothing told that a process had stood still while its steady clock did as well.

New events: end_ignored (what was listed, what is recorded instead, whether that is durable), worker_restarted (both incarnations, up to which end was processed and acknowledged, whether a call was in flight), process_suspended.

--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -34,10 +34,14 @@
 
 @dataclass(slots=True, eq=False)
 class Commit:
-    """One transaction in flight, and the callbacks to run once it is durable."""
+    """One transaction in flight, and the callbacks to run once it is durable.
+
+    ``job_ids`` are the jobs whose records it stores.
+    """
 
     number: int
     transaction: Transaction
+    job_ids: frozenset[str]
     callbacks: list[Callback] = field(default_factory=list)
 
 
@@ -71,6 +75,11 @@
         if on_durable is not None:
             self._callbacks_by_id.setdefault(record.spec.id, []).append(on_durable)
 
+    def is_pending(self, job_id: str) -> bool:
+        """Return whether a change of a record is not known to be durable yet."""
+        in_flight = self.in_flight is not None and job_id in self.in_flight.job_ids
+        return in_flight or job_id in self._record_by_id
+
     def enqueue_value(self, key: str, value: str) -> None:
         """Enqueue a single value for the next commit."""
         self._value_by_key[key] = value
@@ -92,6 +101,7 @@
         self._value_by_key = {}
         deletes: list[str] = []
         callbacks: list[Callback] = []
+        job_ids = set()
         size = 0
         for job_id in list(self._record_by_id):
             if (
@@ -100,12 +110,15 @@
             ):
                 break
             record = self._record_by_id.pop(job_id)
+            job_ids.add(job_id)
             callbacks += self._callbacks_by_id.pop(job_id, [])
             size += self._add_rows(record, puts, deletes)
         transaction = Transaction(
             ((HEAD_KEY, self._head_revision),), tuple(puts), tuple(deletes)
         )
-        self.in_flight = Commit(self._number, transaction, callbacks)
+        self.in_flight = Commit(
+            self._number, transaction, frozenset(job_ids), callbacks
+        )
         return self.in_flight
 
     def apply_result(self, result: StoreResult) -> bool:
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -34,7 +34,7 @@
     :returns: listed runs that are not tracked and should be stopped.
     """
     if term.is_new_incarnation(worker, report.born):
-        term.end_previous_incarnation(worker)
+        term.end_previous_incarnation(worker, report.born)
         worker = _set_incarnation(term, worker, report.born)
     else:
         retract_crash(term, worker)
@@ -63,6 +63,7 @@
 def _apply_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
     record = term.end_run(worker, ended.ref, ended.kind, ended.checkpoint)
     if record is None:
+        _log_ignored_end(term, worker, ended)
         return
     worker.pending_commits += 1
 
@@ -75,6 +76,28 @@
     term.journal.enqueue(record, acknowledge)
 
 
+def _log_ignored_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
+    """Log an end that changes nothing, and what the owner has recorded instead."""
+    ref = ended.ref
+    record = term.record_by_id.get(ref.job_id)
+    task = record.task_by_key.get(ref.key) if record else None
+    log_event(
+        "end_ignored",
+        job=ref.job_id,
+        task=list(ref.key),
+        run=ref.run,
+        worker=worker.info.id,
+        born=worker.info.born,
+        number=ended.number,
+        end=ended.kind,
+        known=task is not None,
+        done=task is not None and task.done,
+        current_run=task.run.number if task and task.run else 0,
+        last_run=task.last_run if task else 0,
+        committed=not term.journal.is_pending(ref.job_id),
+    )
+
+
 def _compare_running(
     term: OwnerTerm, worker: WorkerState, report: WorkerReport, sent_at: float
 ) -> list[TaskRef]:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -216,7 +216,7 @@
         if worker is None:
             worker = self._add_worker(info)
         elif self.is_new_incarnation(worker, info.born):
-            self.end_previous_incarnation(worker)
+            self.end_previous_incarnation(worker, info.born)
             still_tracked = worker.tracked_by_ref
             worker = self._add_worker(info)
             worker.tracked_by_ref = still_tracked
@@ -279,12 +279,24 @@
         self.idle_worker_by_id.pop(worker.info.id, None)
         self.cell.remove_worker(worker.info.id)
 
-    def end_previous_incarnation(self, worker: WorkerState) -> None:
+    def end_previous_incarnation(self, worker: WorkerState, born: int) -> None:
         """End the runs of a worker's previous incarnation, which has crashed.
 
         A start that is not known to have arrived may still reach the new incarnation,
         which has the same id. Its run stays tracked until the worker confirms a stop.
+
+        :param born: identifies the new incarnation.
         """
+        log_event(
+            "worker_restarted",
+            worker=worker.info.id,
+            born=born,
+            previous_born=worker.info.born,
+            runs=len(worker.tracked_by_ref),
+            processed=worker.processed,
+            acknowledged=worker.acknowledged,
+            syncing=worker.syncing,
+        )
         record_crash(self, worker)
         self.worker_speeds.forget(worker.info.id)
         self.cell.set_speed_tier(worker.info.id, SpeedTier.USUAL)
--- a/src/lagoonpulley/runtime/actors.py
+++ b/src/lagoonpulley/runtime/actors.py
@@ -13,6 +13,7 @@
 from .entry_load import EntryLoadLog
 from .load import LoadMeter
 from .role import CALLERS, WAKE, Now, Reply, Request, Role, Send, Tick, WakeAfter
+from .suspension import SuspensionLog
 
 __all__ = ["CallerPort", "Port", "Runtime", "WakePort", "read_clocks"]
 
@@ -85,6 +86,7 @@
         self._pending_wakes: list[tuple[float, str]] = []
         self._closed = False
         self._interval_by_role: dict[str, float] = {}
+        self._suspension_log = SuspensionLog()
         self._thread = threading.Thread(target=self._run, name="wake", daemon=True)
 
     def start(self, interval_by_role: dict[str, float | None]) -> None:
@@ -115,6 +117,7 @@
     def _run(self) -> None:
         next_tick_by_role = dict.fromkeys(self._interval_by_role, time.monotonic())
         while not self._closed:
+            self._suspension_log.check()
             now = time.monotonic()
             due = self._pop_due_roles(now)
             for role, at in next_tick_by_role.items():
