--- a/tests/owner/test_worker_ends.py
+++ b/tests/owner/test_worker_ends.py
@@ -4,8 +4,11 @@
 
 import pytest
 from tests.support.logged_events import capture_events
+from tests.support.step_documents import WORKERS_PREFIX
 from tests.support.steps import StepWorld, step
 
+from lagoonpulley.workload.record import EndKind
+
 JOB = "a" * 16
 
 
@@ -36,6 +39,61 @@
     assert (ignored["run"], ignored["end"]) == (1, "done")
 
 
+def test_done_of_a_run_that_was_given_up_is_not_run_again(world):
+    give_up_a_run(world)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(JOB) == "completed", 2.0)
+    assert len(world.executions(JOB)) == 1
+
+
+def test_done_of_a_run_that_was_given_up_stops_its_successor():
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.submit(JOB, step(processors=16000), payload="seconds=2.5")
+    world.run(0.3)
+    (first,) = (w for w in world.worker_by_id.values() if w.executions)
+    world.dead_workers.add(first.id)
+    world.run_until(lambda: len(world.executions(JOB)) == 2, 6.0)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(JOB) == "completed", 1.0)
+    second = next(e for e in world.executions(JOB) if e.ref.run == 2)
+    world.run(1.0)
+    assert second.kind is EndKind.STOPPED
+
+
+def test_failure_of_a_run_that_was_given_up_counts_as_an_attempt():
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.submit(JOB, step(processors=16000), payload="fail seconds=2.5")
+    world.run(0.3)
+    (first,) = (w for w in world.worker_by_id.values() if w.executions)
+    world.dead_workers.add(first.id)
+    world.run_until(lambda: len(world.executions(JOB)) == 2, 6.0)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(JOB) == "failed", 6.0)
+    world.run(1.0)
+    assert len(world.executions(JOB)) == 2
+
+
+def test_end_listed_again_by_a_worker_that_was_gone_waits_for_its_commit(world):
+    world.submit(JOB, step(processors=16000))
+    world.run(0.5)
+    release = world.hold_commits()
+    world.run(1.0)
+    world.dead_workers.add("w0")
+    world.delete(WORKERS_PREFIX + "w0")
+    term = world.owner().owner._term
+    world.run_until(lambda: "w0" not in term.worker_by_id, 10.0)
+    world.dead_workers.clear()
+    world.add_worker("w0")
+    world.run(1.5)
+    assert world.worker_by_id["w0"].has_ends()
+    release()
+    world.run(1.5)
+    assert not world.worker_by_id["w0"].has_ends()
+    assert world.final_state(JOB) == "completed"
+
+
 def test_restart_of_a_worker_is_logged(world):
     world.submit(JOB, step(), payload="seconds=3")
     world.run(1.0)
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -116,3 +116,32 @@
     assert (failure.traffic.sent_bytes, failure.traffic.received_bytes) == (0, 0)
     assert failure.ran is Ran.NO
     assert failure.closed
+
+
+def test_request_with_a_body_is_not_sent_again_on_another_connection(loop):
+    """A server that refuses the second request knows nothing of the first."""
+    answer = b"HTTP/1.1 %d OK\r\nContent-Length: 2\r\n\r\nok"
+    last = b"no more requests"
+    received = []
+
+    def close_after_the_second_request(connection, listener):
+        received.append(connection.recv(65536))
+        connection.sendall(answer % 200)
+        received.append(connection.recv(65536))
+        connection.close()
+        while received[-1] != last:
+            other, _ = listener.accept()
+            with other:
+                received.append(other.recv(65536))
+                other.sendall(answer % 503)
+
+    with serve_one_connection(close_after_the_second_request) as url:
+        first = perform(loop, HttpCall("POST", url, b"1", TIMEOUT_S))
+        outcome = perform(loop, HttpCall("POST", url, b"2", TIMEOUT_S))
+        host, _, port = url.removeprefix("http://").rstrip("/").partition(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(last)
+    assert isinstance(first, HttpAnswer)
+    assert len(received) == 3
+    assert isinstance(outcome, HttpFailure)
+    assert (outcome.ran, outcome.closed) == (Ran.MAYBE, True)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -99,6 +99,8 @@
         # Workers that leave a start unanswered and execute it three seconds later.
         self.late_workers: set[str] = set()
         self.late_start_probability = 0.0
+        # Workers that do so with half of the starts and syncs.
+        self.partly_late_workers: set[str] = set()
         # Workers on which every task fails.
         self.failing_workers: set[str] = set()
         # Workers whose process does not run: connections to them are refused.
@@ -435,7 +437,7 @@
                 refused = CallFailed(Ran.NO, "connection refused", closed=True)
                 self._reply(entry, request, refused)
                 return
-            if isinstance(command, StartTask) and self._delays_start(worker_id):
+            if self._delays(worker_id, command):
                 self._execute_late(entry, request, worker)
                 return
             if worker_id in self.failing_workers and isinstance(command, StartTask):
@@ -456,19 +458,27 @@
         self.clock.after(0.001, perform)
 
     def _execute_late(self, entry, request, worker) -> None:
-        """Leave a start unanswered and execute it three seconds later."""
+        """Leave a command unanswered and execute it three seconds later.
+
+        It outlives the incarnation of the worker that it was sent to.
+        """
         failed = CallFailed(Ran.MAYBE, "no answer")
         self.clock.after(request.timeout_s, lambda: self._reply(entry, request, failed))
-        command, born = request.operation, worker.born
+        command = request.operation
 
         def perform() -> None:
-            # A delayed start is lost when the worker process restarts.
-            if worker.born == born:
+            if worker.id not in self.crashed_workers:
                 worker.apply(command, self.clock.mono)
 
         self.clock.after(3.0, perform)
 
-    def _delays_start(self, worker_id: str) -> bool:
+    def _delays(self, worker_id: str, command: object) -> bool:
+        is_start = isinstance(command, StartTask)
+        if worker_id in self.partly_late_workers:
+            is_late = is_start or isinstance(command, SyncWorker)
+            return is_late and self.random.random() < 0.5
+        if not is_start:
+            return False
         is_drawn = self.random.random() < self.late_start_probability
         return is_drawn or worker_id in self.late_workers
 
