Never send a request's body twice without telling its caller

Callers may see a task run twice: libcurl repeats a request on a new connection when the reused one breaks off. If the server refuses the second transmission (409, 429, 503), the start counted as not executed, and the task was placed elsewhere while the first transmission ran.

A body now comes from a function that cannot be rewound, so libcurl gives up with E_SEND_FAIL_REWIND, and the caller, who knows whether a repetition is safe, decides. Requests without a body (reads) are repeated as before.

--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -30,6 +30,7 @@
         pycurl.E_PARTIAL_FILE,
         pycurl.E_RECV_ERROR,
         pycurl.E_SEND_ERROR,
+        pycurl.E_SEND_FAIL_REWIND,
     )
 )
 
@@ -227,7 +228,11 @@
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
         handle.setopt(pycurl.WRITEDATA, buffer)
         if call.body:
-            handle.setopt(pycurl.POSTFIELDS, call.body)
+            # libcurl repeats a request whose reused connection breaks off, unless it
+            # cannot rewind the body. Only the caller knows whether to send it again.
+            handle.setopt(pycurl.POST, 1)
+            handle.setopt(pycurl.POSTFIELDSIZE, len(call.body))
+            handle.setopt(pycurl.READFUNCTION, io.BytesIO(call.body).read)
         transfer = _Transfer(call, complete, buffer, progress_at=time.monotonic())
         self._transfer_by_handle[handle] = transfer
         if call.total_timeout_s is not None:
@@ -293,8 +298,9 @@
         return HttpAnswer(status, body, _traffic_of(handle))
 
     def _failure_of(self, handle: pycurl.Curl, code: int, message: str) -> HttpFailure:
-        # Also counts what was sent on a reused connection that broke off: libcurl then
-        # tries a new one, whose failure says nothing about the first.
+        # Also counts what was sent on a reused connection that broke off: libcurl
+        # repeats a request without a body on a new one, whose failure says nothing
+        # about the first.
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
         traffic = _traffic_of(handle)
         closed = code in _CLOSED_ERRORS
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -92,19 +92,20 @@
     assert (failure.ran, failure.closed) == (Ran.MAYBE, True)
 
 
-def test_request_that_was_sent_before_a_refused_retry_may_have_run(loop):
+@pytest.mark.parametrize("body", [b"", b"2"])
+def test_request_that_was_sent_before_a_refused_retry_may_have_run(loop, body):
     def answer_once_then_close(connection, listener):
         connection.recv(65536)
         connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-        # The client sends the next request on this connection, and again on a new
-        # one when this one is closed without an answer.
+        # The client sends the next request on this connection, and tries a new one
+        # when this one is closed without an answer.
         connection.recv(65536)
         listener.close()
 
     with serve_one_connection(answer_once_then_close) as url:
         answer = perform(loop, HttpCall("POST", url, b"1", TIMEOUT_S))
         assert isinstance(answer, HttpAnswer)
-        failure = perform(loop, HttpCall("POST", url, b"2", TIMEOUT_S))
+        failure = perform(loop, HttpCall("POST", url, body, TIMEOUT_S))
     assert (failure.ran, failure.closed) == (Ran.MAYBE, True)
 
 
