Measure sessions and leases by a clock that counts suspensions

Roles now read CLOCK_BOOTTIME (runtime/clocks.py); elsewhere than on Linux nothing changes.

Evidence: the clock only.

--- a/src/lagoonpulley/entry/entry.py
+++ b/src/lagoonpulley/entry/entry.py
@@ -23,7 +23,8 @@
 from ..peers.on_demand import open_listener
 from ..peers.port import PeersPort
 from ..routing.role import RoutingRole
-from ..runtime.actors import Runtime, read_clocks
+from ..runtime.actors import Runtime
+from ..runtime.clocks import read_clocks
 from ..runtime.role import PEERS, STORE, UPSTREAM
 from ..scheduler.role import SchedulerRole
 from ..store.http import StorePort
--- a/src/lagoonpulley/observability/prometheus.py
+++ b/src/lagoonpulley/observability/prometheus.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -12,6 +10,8 @@
     generate_latest,
 )
 
+from ..runtime.clocks import boot_time
+
 __all__ = [
     "REGISTRY",
     "CallCounters",
@@ -142,7 +142,7 @@
 
 def set_policy_confirmed(at: float) -> None:
     """Record that the applied policy was the newest at a monotonic time in seconds."""
-    _policy_age.set_function(lambda: time.monotonic() - at)
+    _policy_age.set_function(lambda: boot_time() - at)
 
 
 def observe_start_wait(queue: str, duration_s: float) -> None:
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -19,7 +19,8 @@
 from ..peers.on_demand import OnDemandPeersPort
 from ..peers.store_relay import StoreRelayRole
 from ..policy.role import PolicyRole
-from ..runtime.actors import Runtime, read_clocks
+from ..runtime.actors import Runtime
+from ..runtime.clocks import read_clocks
 from ..runtime.load import LoadMeter
 from ..runtime.role import PEERS, STORE, UPSTREAM
 from ..store.health import StoreHealthTracker
--- a/src/lagoonpulley/runtime/actors.py
+++ b/src/lagoonpulley/runtime/actors.py
@@ -5,26 +5,21 @@
 import heapq
 import logging
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, Protocol
 
+from .clocks import boot_time, read_clocks
 from .entry_load import EntryLoadLog
 from .load import LoadMeter
 from .role import CALLERS, WAKE, Now, Reply, Request, Role, Send, Tick, WakeAfter
 from .suspension import SuspensionLog
 
-__all__ = ["CallerPort", "Port", "Runtime", "WakePort", "read_clocks"]
+__all__ = ["CallerPort", "Port", "Runtime", "WakePort"]
 
 _log = logging.getLogger(__name__)
 
 
-def read_clocks() -> Now:
-    """Return the monotonic and the wall clock, in seconds."""
-    return Now(time.monotonic(), time.time())
-
-
 class Port(Protocol):
     """Adapter between the messages of roles and an outside interface."""
 
@@ -94,7 +89,7 @@
 
         :param interval_by_role: intervals in seconds; ``None`` for no further ticks.
         """
-        now = time.monotonic()
+        now = boot_time()
         for role, interval_s in interval_by_role.items():
             heapq.heappush(self._pending_wakes, (now, role))
             if interval_s is not None:
@@ -104,7 +99,7 @@
     def submit(self, message: WakeAfter) -> None:
         """Schedule one tick for a role."""
         with self._condition:
-            wake = (time.monotonic() + message.delay_s, message.role)
+            wake = (boot_time() + message.delay_s, message.role)
             heapq.heappush(self._pending_wakes, wake)
             self._condition.notify()
 
@@ -115,10 +110,10 @@
             self._condition.notify()
 
     def _run(self) -> None:
-        next_tick_by_role = dict.fromkeys(self._interval_by_role, time.monotonic())
+        next_tick_by_role = dict.fromkeys(self._interval_by_role, boot_time())
         while not self._closed:
             self._suspension_log.check()
-            now = time.monotonic()
+            now = boot_time()
             due = self._pop_due_roles(now)
             for role, at in next_tick_by_role.items():
                 if now < at:
@@ -140,7 +135,7 @@
             if until is None:
                 self._condition.wait()
             else:
-                self._condition.wait(max(0.0, until - time.monotonic()))
+                self._condition.wait(max(0.0, until - boot_time()))
 
     def _pop_due_roles(self, now: float) -> list[str]:
         with self._condition:
@@ -161,7 +156,7 @@
     def __init__(
         self,
         clocks: Callable[[], Now] = read_clocks,
-        monotonic: Callable[[], float] = time.monotonic,
+        monotonic: Callable[[], float] = boot_time,
         load: LoadMeter | None = None,
     ) -> None:
         self._clocks = clocks
--- a/src/lagoonpulley/runtime/suspension.py
+++ b/src/lagoonpulley/runtime/suspension.py
@@ -6,24 +6,17 @@
 from typing import TYPE_CHECKING
 
 from ..observability.events import log_event
+from .clocks import boot_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["SuspensionLog", "boot_time"]
+__all__ = ["SuspensionLog"]
 
 # Reading two clocks one after the other takes less.
 MIN_SUSPENSION_S = 0.05
 
 
-def boot_time() -> float:
-    """Return the seconds since the machine started, with those of its suspensions.
-
-    Where the system has no such clock, suspensions are not counted.
-    """
-    return time.clock_gettime(getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC))
-
-
 class SuspensionLog:
     """Writes ``process_suspended`` for time that the monotonic clock has not counted.
 
--- a/tests/runtime/test_clocks.py
+++ b/tests/runtime/test_clocks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lagoonpulley.runtime.actors import read_clocks
+from lagoonpulley.runtime.clocks import read_clocks
 
 
 @pytest.mark.skipif(not hasattr(time, "CLOCK_BOOTTIME"), reason="no such clock here")
