Acknowledge an end only once the record that holds it is durable

Whether an end may be acknowledged was counted per state of a worker. A worker that was removed and is back has a new state and lists its ends again; they change nothing any more, so nothing was pending there, and they were acknowledged before the commit that holds them. An owner that dies then leaves a task that its successor starts again.

--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -77,8 +77,23 @@
 
     def is_pending(self, job_id: str) -> bool:
         """Return whether a change of a record is not known to be durable yet."""
-        in_flight = self.in_flight is not None and job_id in self.in_flight.job_ids
-        return in_flight or job_id in self._record_by_id
+        return job_id in self._record_by_id or self._is_in_flight(job_id)
+
+    def call_once_durable(self, job_id: str, callback: Callback) -> bool:
+        """Call back once every change of a record so far is durable.
+
+        :returns: ``False`` if that is so already; then there is no call.
+        """
+        if job_id in self._record_by_id:
+            self._callbacks_by_id.setdefault(job_id, []).append(callback)
+            return True
+        if self._is_in_flight(job_id):
+            self.in_flight.callbacks.append(callback)
+            return True
+        return False
+
+    def _is_in_flight(self, job_id: str) -> bool:
+        return self.in_flight is not None and job_id in self.in_flight.job_ids
 
     def enqueue_value(self, key: str, value: str) -> None:
         """Enqueue a single value for the next commit."""
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -61,11 +61,9 @@
 
 
 def _apply_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
-    record = term.end_run(worker, ended.ref, ended.kind, ended.checkpoint)
-    if record is None:
+    """Apply a listed end; it is acknowledged once all that it changes is durable."""
+    if term.end_run(worker, ended.ref, ended.kind, ended.checkpoint) is None:
         _log_ignored_end(term, worker, ended)
-        return
-    worker.pending_commits += 1
 
     def acknowledge() -> None:
         worker.pending_commits -= 1
@@ -73,7 +71,8 @@
             worker.acknowledged = worker.processed
             worker.next_sync_at = 0.0
 
-    term.journal.enqueue(record, acknowledge)
+    if term.journal.call_once_durable(ended.ref.job_id, acknowledge):
+        worker.pending_commits += 1
 
 
 def _log_ignored_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
