Let nothing outlive the incarnation of a worker that it was meant for

A worker that restarts under its id counts its ends anew, has a new clock and knows no fencing token.

The runs of the earlier incarnation end only once the new one has accepted that token and does not list them; its first report tells no more than that it exists. Results of calls to an earlier incarnation are ignored. Both ways to learn of a restart, directory and report, now do the same (OwnerTerm.begin_incarnation). A late command may extend leases of the new incarnation, so these are presumed as those of an earlier owner are.

What remains: a start that is late by two restarts of its worker, carried out before the owner's first call to the third incarnation.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -16,7 +16,6 @@
     StopTask,
     SyncWorker,
     TaskRef,
-    WorkerAddress,
     WorkerReport,
 )
 from ..workload.record import EndKind
@@ -65,9 +64,13 @@
         tracked = worker.tracked_by_ref.get(ref) if worker else None
         if term.has_ended or worker is None or tracked is None:
             return
-        if record.is_final or tracked.stop_requested or not worker.fenced:
+        if record.is_final or tracked.stop_requested:
             self._end_unstarted_run(term, worker, ref, "no longer needed")
             return
+        if not worker.fenced:
+            reason = "the worker has not accepted the fencing token"
+            self._end_unstarted_run(term, worker, ref, reason)
+            return
         if term.is_draining(worker):
             self._end_unstarted_run(term, worker, ref, "the worker is draining")
             return
@@ -83,17 +86,21 @@
         )
         permits = term.permits.for_step(record.spec.id, key.step_key)
         command = StartTask(
-            to=WorkerAddress(worker_id, worker.info.address),
+            to=worker.address,
             ref=ref,
             payload=record.spec.payload,
             not_after_ms=tracked.not_after_ms,
-            token=term.token,
+            token=worker.token,
             checkpoint=start.checkpoint,
             permit=permits.permit_by_worker_id.get(worker_id, ""),
         )
+        incarnation = worker.incarnation
         result = yield from self._send_start(term, tracked, command)
         if term.has_ended or worker.tracked_by_ref.get(ref) is not tracked:
             return
+        if not term.is_current(worker, incarnation):
+            # The list of the worker's next incarnation tells what became of the run.
+            return
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
 
@@ -189,11 +196,12 @@
         self._host.start(self._stop_unknown(term, worker, ref))
 
     def _stop(self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun) -> Flow:
-        command = StopTask(
-            WorkerAddress(worker.info.id, worker.info.address), tracked.ref, term.token
-        )
+        command = StopTask(worker.address, tracked.ref, worker.token)
+        incarnation = worker.incarnation
         result = yield Call(UPSTREAM, command, COMMAND_TIMEOUT_S)
-        if isinstance(result, CommandAccepted):
+        if not term.is_current(worker, incarnation):
+            tracked.stop_sent_at = float("-inf")
+        elif isinstance(result, CommandAccepted):
             tracked.start_resolved_at = self._host.now.mono
             yield from self._sync_now(term, worker)
         else:
@@ -201,23 +209,20 @@
 
     def _sync_now(self, term: OwnerTerm, worker: WorkerState) -> Flow:
         """Sync with a worker at once, even if a long poll is in flight there."""
-        to = WorkerAddress(worker.info.id, worker.info.address)
-        command = SyncWorker(to, term.token, worker.acknowledged)
+        command = SyncWorker(worker.address, worker.token, worker.acknowledged)
+        incarnation = worker.incarnation
         sent_at = self._host.now.mono
         result = yield Call(UPSTREAM, command, COMMAND_TIMEOUT_S)
-        known = term.worker_by_id.get(worker.info.id)
-        if (
-            term.has_ended
-            or known is not worker
-            or not isinstance(result, WorkerReport)
-        ):
+        if term.has_ended or not term.is_current(worker, incarnation):
+            return
+        if not isinstance(result, WorkerReport):
             return
         apply_report(term, worker, result, sent_at)
         self._host.plan_and_commit()
 
     def _stop_unknown(self, term: OwnerTerm, worker: WorkerState, ref: TaskRef) -> Flow:
-        to = WorkerAddress(worker.info.id, worker.info.address)
-        result = yield Call(UPSTREAM, StopTask(to, ref, term.token), COMMAND_TIMEOUT_S)
+        command = StopTask(worker.address, ref, worker.token)
+        result = yield Call(UPSTREAM, command, COMMAND_TIMEOUT_S)
         if isinstance(result, CallFailed | CommandRefused):
             log_event(
                 "unknown_run_not_stopped",
--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -64,6 +64,14 @@
         self._progress_stored_ids: set[str] = set()
         self.in_flight: Commit | None = None
 
+    @property
+    def head_revision(self) -> int:
+        """Revision of the journal's head as far as this owner has heard.
+
+        It rises with each commit and is below that of every later owner's election.
+        """
+        return self._head_revision
+
     @property
     def waiting_records(self) -> int:
         """Number of records and values that wait for the next commits."""
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..observability.events import log_event
+from ..workload.record import EndKind
 from .crashes import forgive_crashes, retract_crash
 
 if TYPE_CHECKING:
@@ -29,14 +30,17 @@
 ) -> list[TaskRef]:
     """Apply a worker's report of running and ended runs.
 
+    The first report of another incarnation tells no more than that it exists: only
+    once that has accepted a later token, no command to the previous one can change
+    what it lists.
+
     :param sent_at: when the sync was sent, in monotonic seconds.
     :returns: listed runs that are not tracked and should be stopped.
     """
     if term.is_new_incarnation(worker, report.born):
-        term.end_previous_incarnation(worker, report.born)
-        worker = _set_incarnation(term, worker, report.born)
-    else:
-        retract_crash(term, worker)
+        term.begin_incarnation(worker, report.born)
+        return []
+    retract_crash(term, worker)
     if report.born and not worker.info.born:
         worker.info = replace(worker.info, born=report.born)
     worker.record_report(report, term.now.mono)
@@ -51,14 +55,6 @@
     return unknown
 
 
-def _set_incarnation(term: OwnerTerm, worker: WorkerState, born: int) -> WorkerState:
-    worker.info = replace(worker.info, born=born)
-    worker.processed = worker.acknowledged = 0
-    worker.blamed_runs = {}
-    term.cell.put_worker(worker.info)
-    return worker
-
-
 def _apply_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
     """Apply a listed end; it is acknowledged once all that it changes is durable."""
     record = term.end_run(worker, ended.ref, ended.kind, ended.checkpoint)
@@ -112,6 +108,7 @@
             unknown.append(running.ref)
             continue
         tracked.listed = tracked.has_run = True
+        tracked.sent_to_earlier = False
         if tracked.start_resolved_at is None:
             tracked.start_resolved_at = term.now.mono
         record = term.record_by_id.get(running.ref.job_id)
@@ -171,8 +168,13 @@
         ):
             tracked.start_resolved_at = term.now.mono
         return
-    if sent_at > tracked.start_resolved_at:
-        term.give_up_run(worker, tracked.ref, "worker does not list it")
+    if sent_at < tracked.start_resolved_at:
+        return
+    if tracked.sent_to_earlier:
+        reason = "worker restarted"
+        term.end_run(worker, tracked.ref, EndKind.LAPSED, "", reason)
+        return
+    term.give_up_run(worker, tracked.ref, "worker does not list it")
 
 
 def _set_checkpoint(record: JobRecord, running: Running) -> None:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -18,7 +18,7 @@
 from ..workload.record import EndKind, JobRecord, JobState
 from .crashes import record_crash
 from .journal import Journal
-from .worker_state import TrackedRun, WorkerState
+from .worker_state import TrackedRun, WorkerState, latest_lease_end
 
 if TYPE_CHECKING:
     from ..planning.team_use import TeamUse
@@ -219,10 +219,7 @@
         if worker is None:
             worker = self._add_worker(info)
         elif self.is_new_incarnation(worker, info.born):
-            self.end_previous_incarnation(worker, info.born)
-            still_tracked = worker.tracked_by_ref
-            worker = self._add_worker(info)
-            worker.tracked_by_ref = still_tracked
+            self.begin_incarnation(worker, info.born)
         worker.info = info
         worker.missing_since = None
         crashed_at = self.crashed_at_by_address.get(info.address)
@@ -282,11 +279,11 @@
         self.idle_worker_by_id.pop(worker.info.id, None)
         self.cell.remove_worker(worker.info.id)
 
-    def end_previous_incarnation(self, worker: WorkerState, born: int) -> None:
-        """End the runs of a worker's previous incarnation, which has crashed.
+    def begin_incarnation(self, worker: WorkerState, born: int) -> None:
+        """Record that a worker has crashed and that its next incarnation is known.
 
-        A start that is not known to have arrived may still reach the new incarnation,
-        which has the same id. Its run stays tracked until the worker confirms a stop.
+        The runs of the previous one end once the new one has accepted a later token
+        and does not list them: until then a late start may begin them there.
 
         :param born: identifies the new incarnation.
         """
@@ -303,12 +300,11 @@
         record_crash(self, worker)
         self.worker_speeds.forget(worker.info.id)
         self.cell.set_speed_tier(worker.info.id, SpeedTier.USUAL)
-        for ref, tracked in list(worker.tracked_by_ref.items()):
-            if tracked.listed:
-                reason = "worker restarted"
-                self.end_run(worker, ref, EndKind.LAPSED, "", reason)
-            elif tracked.start_resolved_at != BEFORE_THIS_TERM:
-                tracked.mark_start_unresolved()
+        # Commits preceded every start that was sent, so this token is above theirs.
+        worker.begin_incarnation(born, self.journal.head_revision, self.now.mono)
+        self.idle_worker_by_id[worker.info.id] = worker
+        self.cell.put_worker(worker.info)
+        self.refresh_accepting(worker)
 
     def give_up_all_runs(self, worker: WorkerState, reason: str) -> None:
         """Give up every run on a worker that is certain to run nothing any more."""
@@ -316,19 +312,16 @@
             self.give_up_run(worker, ref, reason)
 
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
-        previous = self.worker_by_id.get(info.id)
-        if previous is None:
-            self._close_predecessors(info.address)
-            self.known_workers += 1
-            position = self.known_workers
+        self._close_predecessors(info.address)
+        self.known_workers += 1
+        worker = WorkerState(
+            info,
+            self.max_lease_s,
             # An earlier owner may have extended leases until its session ended.
-            leases_began_at = self.began_at
-        else:
-            position = previous.position
-            # A late start for the previous incarnation may give this one a lease.
-            leases_began_at = self.now.mono
-        leases_expire_at = leases_began_at + self.max_lease_s * 1.05 + 0.5
-        worker = WorkerState(info, self.max_lease_s, leases_expire_at, position)
+            latest_lease_end(self.began_at, self.max_lease_s),
+            self.journal.head_revision,
+            self.known_workers,
+        )
         self.worker_by_id[info.id] = worker
         self.idle_worker_by_id[info.id] = worker
         self.cell.put_worker(info)
@@ -347,17 +340,22 @@
         worker.syncing = True
         self.idle_worker_by_id.pop(worker.info.id, None)
 
-    def end_sync(self, worker: WorkerState) -> bool:
-        """Record the end of a sync; return whether the worker is still known.
+    def end_sync(self, worker: WorkerState, incarnation: int) -> bool:
+        """Record the end of a sync; return whether its result still counts.
 
-        A worker that restarted meanwhile has another state.
+        It does not if the worker was removed or has restarted meanwhile.
         """
-        worker.syncing = False
-        if self.worker_by_id.get(worker.info.id) is not worker:
+        if not self.is_current(worker, incarnation):
             return False
+        worker.syncing = False
         self.idle_worker_by_id[worker.info.id] = worker
         return True
 
+    def is_current(self, worker: WorkerState, incarnation: int) -> bool:
+        """Return whether an incarnation of a worker is the latest known one."""
+        is_known = self.worker_by_id.get(worker.info.id) is worker
+        return is_known and worker.incarnation == incarnation
+
     def _worker_of_run(self, worker_id: str, born: int) -> WorkerState:
         """Return the worker of a stored run, adding it if it is not listed."""
         worker = self.worker_by_id.get(worker_id)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from ..planning.worker_failures import StallDetector
+from ..upstream.tasks import WorkerAddress
 
 if TYPE_CHECKING:
     from ..upstream.directory import WorkerInfo
     from ..upstream.tasks import TaskRef, WorkerReport
 
-__all__ = ["TrackedRun", "WorkerState"]
+__all__ = ["TrackedRun", "WorkerState", "latest_lease_end"]
 
 MS_PER_S = 1000
 # Share by which a worker's clock may run slower than the owner's.
@@ -20,6 +21,18 @@
 LEASE_MARGIN_S = 0.3
 # Consecutive failed syncs after which a worker counts as unresponsive.
 UNRESPONSIVE_AFTER_FAILURES = 2
+# Of leases that others may have granted: clocks that run slower, and commands on their
+# way.
+UNKNOWN_LEASE_RATIO = 1.05
+UNKNOWN_LEASE_MARGIN_S = 0.5
+
+
+def latest_lease_end(granted_by: float, max_lease_s: float) -> float:
+    """Return by when a lease has surely expired that was granted by some time.
+
+    Times are monotonic seconds.
+    """
+    return granted_by + max_lease_s * UNKNOWN_LEASE_RATIO + UNKNOWN_LEASE_MARGIN_S
 
 
 @dataclass(slots=True, eq=False)
@@ -34,7 +47,8 @@
     ``is_blamed`` is set when the run is counted for a crash of its worker.
     ``not_after_ms`` is the time on the worker's clock after which the worker refuses a
     start command in flight. ``listed`` is set once the worker's current incarnation
-    has listed the run. Times without a unit are monotonic seconds.
+    has listed the run. ``sent_to_earlier`` is set while the run was started on an
+    earlier incarnation only. Times without a unit are monotonic seconds.
     """
 
     ref: TaskRef
@@ -44,25 +58,35 @@
     not_after_ms: int = 0
     start_resolved_at: float | None = None
     listed: bool = False
+    sent_to_earlier: bool = False
     stop_requested: bool = False
     stop_sent_at: float = float("-inf")
     progress: StallDetector = field(default_factory=StallDetector)
 
-    def mark_start_unresolved(self) -> None:
-        """Request a stop, as the start may still reach another incarnation.
+    def begin_incarnation(self, now: float) -> None:
+        """Record that another incarnation of the worker is known.
 
+        A start that was sent before may have reached that one, but does not once it
+        has seen a later token, so its answer to a sync from now on is conclusive.
         ``not_after_ms`` is void there, because each incarnation has its own clock.
         """
-        self.start_resolved_at = None
+        was_sent = bool(self.not_after_ms) or self.start_resolved_at is not None
+        if not was_sent:
+            return
+        self.start_resolved_at = now
         self.not_after_ms = 0
-        self.stop_requested = True
+        self.has_run = self.is_blamed = False
+        self.listed = False
+        self.sent_to_earlier = True
 
 
 @dataclass(slots=True, eq=False)
 class WorkerState:
     """One worker as the owner knows it.
 
-    ``fenced`` is set once the worker has accepted this owner's token and listed its
+    ``token`` is the fencing token of commands to the current incarnation, which is
+    the ``incarnation``-th that this owner knows of; the results of commands to earlier
+    ones are ignored. ``fenced`` is set once it has accepted the token and listed its
     runs. ``leases_expire_at`` is when every lease on the worker has certainly expired
     if nothing more reaches it, in monotonic seconds. ``processed`` and
     ``acknowledged`` are numbers of ended runs in the worker's own numbering; an end is
@@ -76,7 +100,9 @@
     info: WorkerInfo
     max_lease_s: float
     leases_expire_at: float
+    token: int
     position: int = 0
+    incarnation: int = 1
     fenced: bool = False
     clock_ms: int | None = None
     clock_at: float = 0.0
@@ -92,6 +118,11 @@
     blamed_runs: dict[TaskRef, float] = field(default_factory=dict)
     tracked_by_ref: dict[TaskRef, TrackedRun] = field(default_factory=dict)
 
+    @property
+    def address(self) -> WorkerAddress:
+        """The address for commands to the worker."""
+        return WorkerAddress(self.info.id, self.info.address)
+
     @property
     def closed(self) -> bool:
         """Whether the worker refuses connections or has closed them."""
@@ -107,6 +138,30 @@
         """Whether the latest syncs did not all fail; true before the first sync."""
         return self.failures < UNRESPONSIVE_AFTER_FAILURES
 
+    def begin_incarnation(self, born: int, token: int, now: float) -> None:
+        """Forget what holds for the previous incarnation only, which has crashed.
+
+        A command to the previous incarnation may still reach the new one, and extend
+        leases there, until that has seen a later token.
+
+        :param born: identifies the new incarnation.
+        :param token: fencing token for it.
+        """
+        self.info = replace(self.info, born=born)
+        self.incarnation += 1
+        self.token = token
+        self.fenced = False
+        self.clock_ms = None
+        self.processed = self.acknowledged = 0
+        self.syncing = False
+        self.next_sync_at = 0.0
+        self.failures = 0
+        self.alive_at = self.closed_at = None
+        self.blamed_runs = {}
+        self.leases_expire_at = latest_lease_end(now, self.max_lease_s)
+        for tracked in self.tracked_by_ref.values():
+            tracked.begin_incarnation(now)
+
     def min_clock_ms(self, now: float) -> int:
         """Return the lowest time that the worker's clock can show now."""
         elapsed_s = max(0.0, now - self.clock_at) * (1.0 - CLOCK_DRIFT_RATIO)
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -10,7 +10,7 @@
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import UPSTREAM, CallFailed
 from ..store.range_reader import read_range
-from ..upstream.tasks import Refusal, SyncWorker, WorkerAddress, WorkerReport
+from ..upstream.tasks import Refusal, SyncWorker, WorkerReport
 from .crashes import record_crash
 from .dispatch import COMMAND_TIMEOUT_S
 from .reports import apply_report
@@ -139,17 +139,18 @@
             lease_until_ms = worker.grant_lease(sent_at, lease_s)
         waits = worker.fenced and not worker.failures and not worker.pending_commits
         wait_s = SYNC_WAIT_S if waits else 0.0
+        incarnation = worker.incarnation
         command = SyncWorker(
-            to=WorkerAddress(worker.info.id, worker.info.address),
-            token=term.token,
+            to=worker.address,
+            token=worker.token,
             acknowledged=worker.acknowledged,
             lease_until_ms=lease_until_ms,
             wait_s=wait_s,
         )
         timeout_s = wait_s + COMMAND_TIMEOUT_S
         result = yield Call(UPSTREAM, command, timeout_s)
-        is_known = term.end_sync(worker)
-        if term.has_ended or not is_known:
+        is_current = term.end_sync(worker, incarnation)
+        if term.has_ended or not is_current:
             return
         if isinstance(result, WorkerReport):
             self._apply_report(term, worker, result, sent_at)
@@ -171,16 +172,19 @@
     def _apply_report(
         self, term: OwnerTerm, worker: WorkerState, report: WorkerReport, sent_at: float
     ) -> None:
-        first = not worker.fenced
-        if first:
+        was_fenced = worker.fenced
+        unknown = apply_report(term, worker, report, sent_at)
+        if not worker.fenced:
+            self.sync(term, worker)
+            return
+        if not was_fenced:
             log_event(
                 "worker_fenced",
                 worker=worker.info.id,
-                token=term.token,
+                token=worker.token,
                 running=len(report.running),
                 ended=len(report.ended),
             )
-        unknown = apply_report(term, worker, report, sent_at)
         for ref in unknown:
             log_event("unknown_run", worker=worker.info.id, job=ref.job_id, run=ref.run)
             self._dispatcher.stop_unknown(term, worker, ref)
