Acknowledge nothing in the first call after one without an answer

The first call that reaches a restarted worker carried the number up to which ends of its earlier incarnation were acknowledged. Ends of the new one, as of a late start, would have been forgotten unread.

A restart breaks off the call in flight, so the call after a failed one now acknowledges nothing; the next one does again.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -209,7 +209,7 @@
 
     def _sync_now(self, term: OwnerTerm, worker: WorkerState) -> Flow:
         """Sync with a worker at once, even if a long poll is in flight there."""
-        command = SyncWorker(worker.address, worker.token, worker.acknowledged)
+        command = SyncWorker(worker.address, worker.token, worker.acknowledgement)
         incarnation = worker.incarnation
         sent_at = self._host.now.mono
         result = yield Call(UPSTREAM, command, COMMAND_TIMEOUT_S)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -138,6 +138,15 @@
         """Whether the latest syncs did not all fail; true before the first sync."""
         return self.failures < UNRESPONSIVE_AFTER_FAILURES
 
+    @property
+    def acknowledgement(self) -> int:
+        """Number up to which the next sync acknowledges ends.
+
+        0 after a call without an answer: the next one may be the first to reach
+        another incarnation, which numbers its ends anew.
+        """
+        return 0 if self.failures else self.acknowledged
+
     def begin_incarnation(self, born: int, token: int, now: float) -> None:
         """Forget what holds for the previous incarnation only, which has crashed.
 
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -143,7 +143,7 @@
         command = SyncWorker(
             to=worker.address,
             token=worker.token,
-            acknowledged=worker.acknowledged,
+            acknowledged=worker.acknowledgement,
             lease_until_ms=lease_until_ms,
             wait_s=wait_s,
         )
