--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -74,10 +74,15 @@
 
 
 def _log_ignored_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
-    """Log an end that changes nothing, and what the owner has recorded instead."""
+    """Log an end that changes nothing although its task is not done.
+
+    Ends that an earlier owner recorded and did not acknowledge are listed again.
+    """
     ref = ended.ref
     record = term.record_by_id.get(ref.job_id)
     task = record.task_by_key.get(ref.key) if record else None
+    if task is None or task.done:
+        return
     log_event(
         "end_ignored",
         job=ref.job_id,
@@ -87,10 +92,8 @@
         born=worker.info.born,
         number=ended.number,
         end=ended.kind,
-        known=task is not None,
-        done=task is not None and task.done,
-        current_run=task.run.number if task and task.run else 0,
-        last_run=task.last_run if task else 0,
+        current_run=task.run.number if task.run else 0,
+        last_run=task.last_run,
         committed=not term.journal.is_pending(ref.job_id),
     )
 
