--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -20,6 +20,7 @@
 )
 from ..workload.record import EndKind
 from .reports import apply_report
+from .run_ends import end_run
 
 if TYPE_CHECKING:
     from ..planning.planner import Start
@@ -184,7 +185,7 @@
     def _end_unstarted_run(
         term: OwnerTerm, worker: WorkerState, ref: TaskRef, reason: str
     ) -> None:
-        term.end_run(worker, ref, EndKind.STOPPED, "", f"not started: {reason}")
+        end_run(term, worker, ref, EndKind.STOPPED, "", f"not started: {reason}")
 
     def stop(self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun) -> None:
         """Stop a run, then sync to check that it is gone."""
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -8,6 +8,7 @@
 from ..observability.events import log_event
 from ..workload.record import EndKind
 from .crashes import forgive_crashes, retract_crash
+from .run_ends import end_given_up_run, end_run, give_up_run
 
 if TYPE_CHECKING:
     from ..upstream.tasks import Ended, Running, TaskRef, WorkerReport
@@ -57,9 +58,9 @@
 
 def _apply_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
     """Apply a listed end; it is acknowledged once all that it changes is durable."""
-    record = term.end_run(worker, ended.ref, ended.kind, ended.checkpoint)
+    record = end_run(term, worker, ended.ref, ended.kind, ended.checkpoint)
     if record is None:
-        record = term.end_given_up_run(worker, ended.ref, ended.kind)
+        record = end_given_up_run(term, worker, ended.ref, ended.kind)
     if record is None:
         _log_ignored_end(term, worker, ended)
 
@@ -175,9 +176,9 @@
         return
     if tracked.sent_to_earlier:
         reason = "worker restarted"
-        term.end_run(worker, tracked.ref, EndKind.LAPSED, "", reason)
+        end_run(term, worker, tracked.ref, EndKind.LAPSED, "", reason)
         return
-    term.give_up_run(worker, tracked.ref, "worker does not list it")
+    give_up_run(term, worker, tracked.ref, "worker does not list it")
 
 
 def _set_checkpoint(record: JobRecord, running: Running) -> None:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -15,10 +15,16 @@
 from ..planning.worker_speed import SpeedTier, WorkerSpeeds
 from ..upstream.directory import WorkerInfo
 from ..upstream.tasks import TaskRef
-from ..workload.record import EndKind, JobRecord, JobState
+from ..workload.record import JobRecord, JobState
 from .crashes import record_crash
 from .journal import Journal
-from .worker_state import TrackedRun, WorkerState, latest_lease_end
+from .run_ends import give_up_all_runs
+from .worker_state import (
+    BEFORE_THIS_TERM,
+    TrackedRun,
+    WorkerState,
+    latest_lease_end,
+)
 
 if TYPE_CHECKING:
     from ..planning.team_use import TeamUse
@@ -33,8 +39,6 @@
 # How long a new owner waits for every worker to accept its token. Reachable workers
 # answer within a few tens of milliseconds.
 FENCE_WAIT_S = 0.2
-# ``start_resolved_at`` of runs of an earlier owner: before any event of this term.
-BEFORE_THIS_TERM = float("-inf")
 
 
 @dataclass(slots=True, eq=False)
@@ -132,9 +136,10 @@
     def stop_runs(self, record: JobRecord) -> None:
         """Request a stop of every run of a job."""
         for key, _, run in record.runs():
-            self._request_stop(record, key, run)
+            self.request_stop(record, key, run)
 
-    def _request_stop(self, record: JobRecord, key: TaskKey, run: Run) -> None:
+    def request_stop(self, record: JobRecord, key: TaskKey, run: Run) -> None:
+        """Request a stop of one run."""
         worker = self.worker_by_id.get(run.worker_id)
         if worker is None:
             return
@@ -274,7 +279,7 @@
         """End the runs of a permanently lost worker and drop its state."""
         self.worker_failures.forget(worker.info.id)
         self.worker_speeds.forget(worker.info.id)
-        self.give_up_all_runs(worker, reason)
+        give_up_all_runs(self, worker, reason)
         self.worker_by_id.pop(worker.info.id, None)
         self.idle_worker_by_id.pop(worker.info.id, None)
         self.cell.remove_worker(worker.info.id)
@@ -306,11 +311,6 @@
         self.cell.put_worker(worker.info)
         self.refresh_accepting(worker)
 
-    def give_up_all_runs(self, worker: WorkerState, reason: str) -> None:
-        """Give up every run on a worker that is certain to run nothing any more."""
-        for ref in list(worker.tracked_by_ref):
-            self.give_up_run(worker, ref, reason)
-
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
         self._close_predecessors(info.address)
         self.known_workers += 1
@@ -397,134 +397,6 @@
         tracked = worker.tracked_by_ref[ref] = TrackedRun(ref, self.now.mono)
         return tracked
 
-    def end_run(
-        self,
-        worker: WorkerState,
-        ref: TaskRef,
-        kind: EndKind,
-        checkpoint: str,
-        reason: str = "",
-    ) -> JobRecord | None:
-        """Record the end of a run; return the job's record if it changed."""
-        tracked = self._untrack(worker, ref)
-        record = self._record_of_current_run(worker, ref)
-        if record is None:
-            return None
-        record.end_run(ref.key, kind, checkpoint)
-        self._log_end("task_ended", worker, ref, kind, reason)
-        self._record_worker_outcome(worker, ref, kind)
-        if kind is EndKind.DONE and tracked is not None:
-            self._record_run_time(worker, record, tracked)
-        self._continue_job(record, ref, kind)
-        return record
-
-    def give_up_run(self, worker: WorkerState, ref: TaskRef, reason: str) -> None:
-        """Record that a run has surely ended, without knowing how.
-
-        Its worker may list the end later, see :meth:`end_given_up_run`.
-        """
-        self._untrack(worker, ref)
-        record = self._record_of_current_run(worker, ref)
-        if record is None:
-            return
-        record.give_up_run(ref.key)
-        self._log_end("task_ended", worker, ref, EndKind.LAPSED, reason)
-        self._continue_job(record, ref, EndKind.LAPSED)
-
-    def end_given_up_run(
-        self, worker: WorkerState, ref: TaskRef, kind: EndKind
-    ) -> JobRecord | None:
-        """Record how a run ended that was given up; return the record if it changed.
-
-        A task that is done needs no other run.
-        """
-        record = self.record_by_id.get(ref.job_id)
-        if record is None or record.is_final or ref.key not in record.task_by_key:
-            return None
-        if not record.end_given_up_run(ref.key, ref.run, kind):
-            return None
-        self._log_end("given_up_run_ended", worker, ref, kind, "")
-        for key, task in record.tasks_of(ref.key.step_key):
-            if task.done and task.run is not None and task.run.number > ref.run:
-                self._request_stop(record, key, task.run)
-        self._continue_job(record, ref, kind)
-        return record
-
-    def _untrack(self, worker: WorkerState, ref: TaskRef) -> TrackedRun | None:
-        self.cell.release(worker.info.id, ref)
-        self.needs_planning = True
-        return worker.tracked_by_ref.pop(ref, None)
-
-    def _record_of_current_run(
-        self, worker: WorkerState, ref: TaskRef
-    ) -> JobRecord | None:
-        """Return the record of a job in which this is the current run of its task."""
-        record = self.record_by_id.get(ref.job_id)
-        task = record.task_by_key.get(ref.key) if record else None
-        if record is None or task is None or task.run is None:
-            return None
-        if task.run.number != ref.run or task.run.worker_id != worker.info.id:
-            return None
-        return record
-
-    @staticmethod
-    def _log_end(
-        event: str, worker: WorkerState, ref: TaskRef, kind: EndKind, reason: str
-    ) -> None:
-        log_event(
-            event,
-            job=ref.job_id,
-            task=list(ref.key),
-            run=ref.run,
-            worker=worker.info.id,
-            end=kind,
-            reason=reason,
-        )
-
-    def _continue_job(self, record: JobRecord, ref: TaskRef, kind: EndKind) -> None:
-        """Draw the conclusions from the end of a run, and enqueue the record."""
-        if record.step_of(ref.key).gang and kind is not EndKind.DONE:
-            self._stop_gang(record, ref)
-        self._finish_if_decided(record, ref, kind)
-        self.refresh_demands(record)
-        self.enqueue_record(record)
-
-    def _record_run_time(
-        self, worker: WorkerState, record: JobRecord, tracked: TrackedRun
-    ) -> None:
-        """Learn the worker's speed from a task that ended on its own."""
-        step = record.step_of(tracked.ref.key)
-        began_at = tracked.start_resolved_at
-        if step.gang or step.long_running or began_at in (None, BEFORE_THIS_TERM):
-            return
-        self.worker_speeds.record_run(
-            worker.info.id, record.spec.queue, step.estimate_s, self.now.mono - began_at
-        )
-        tier = self.worker_speeds.tier_of(worker.info.id)
-        if self.cell.set_speed_tier(worker.info.id, tier):
-            log_event("worker_speed", worker=worker.info.id, tier=tier.name.lower())
-
-    def _stop_gang(self, record: JobRecord, ref: TaskRef) -> None:
-        """Request a stop of the other members of a gang after one has ended."""
-        for key, task in record.tasks_of(ref.key.step_key):
-            if task.run is not None and task.run.number == ref.run:
-                self._request_stop(record, key, task.run)
-
-    def _record_worker_outcome(
-        self, worker: WorkerState, ref: TaskRef, kind: EndKind
-    ) -> None:
-        """Count an outcome for a worker; avoid it after repeated failures."""
-        if kind is EndKind.DONE:
-            self.worker_failures.record_success(worker.info.id)
-        if kind is not EndKind.FAILED:
-            return
-        self.avoid_worker_for_step(worker.info.id, ref)
-        workers = len(self.worker_by_id)
-        until = self.worker_failures.record_failure(
-            worker.info.id, ref, self.now.mono, workers
-        )
-        self.avoid_worker(worker, until)
-
     def avoid_worker(self, worker: WorkerState, until: float | None) -> None:
         """Place nothing on a worker until a monotonic time; ``None`` does nothing."""
         if until is None:
@@ -532,20 +404,3 @@
         self.cell.avoid(worker.info.id, until)
         avoid_s = round(until - self.now.mono, 1)
         log_event("worker_avoided", worker=worker.info.id, avoid_s=avoid_s)
-
-    def _finish_if_decided(
-        self, record: JobRecord, ref: TaskRef, kind: EndKind
-    ) -> None:
-        """Make a job final if the end of this run completes or fails it."""
-        if record.is_final:
-            return
-        if record.is_done():
-            self.finish(record, JobState.COMPLETED, "all tasks are done")
-            return
-        queue = self.queue_of(record)
-        if kind is not EndKind.FAILED or queue is None:
-            return
-        if record.step_of(ref.key).long_running:
-            return
-        if record.failures_of(ref.key) >= queue.max_attempts:
-            self.finish(record, JobState.FAILED, f"{ref.key} failed too often")
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -12,13 +12,15 @@
     from ..upstream.directory import WorkerInfo
     from ..upstream.tasks import TaskRef, WorkerReport
 
-__all__ = ["TrackedRun", "WorkerState", "latest_lease_end"]
+__all__ = ["BEFORE_THIS_TERM", "TrackedRun", "WorkerState", "latest_lease_end"]
 
 MS_PER_S = 1000
 # Share by which a worker's clock may run slower than the owner's.
 CLOCK_DRIFT_RATIO = 0.02
 # Added to the computed end of a lease before the lease counts as expired.
 LEASE_MARGIN_S = 0.3
+# ``start_resolved_at`` of runs of an earlier owner: before any event of this term.
+BEFORE_THIS_TERM = float("-inf")
 # Consecutive failed syncs after which a worker counts as unresponsive.
 UNRESPONSIVE_AFTER_FAILURES = 2
 # Of leases that others may have granted: clocks that run slower, and commands on their
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -14,6 +14,7 @@
 from .crashes import record_crash
 from .dispatch import COMMAND_TIMEOUT_S
 from .reports import apply_report
+from .run_ends import give_up_all_runs
 
 if TYPE_CHECKING:
     from ..store.health import StoreHealth
@@ -229,7 +230,7 @@
         if worker.tracked_by_ref and is_dead:
             if worker.closed:
                 record_crash(term, worker)
-            term.give_up_all_runs(worker, "worker's lease has ended")
+            give_up_all_runs(term, worker, "worker's lease has ended")
         self.sync(term, worker)
         if not worker.info.address:
             # Known only from runs of an earlier owner; the directory has not listed it.
