Believe a worker that a run is done, whatever became of it in the record

A start that seemed refused was ended as not started, and the 'done' of its run was dropped when the worker listed it: the task ran again. A failure still counts only for a run that was given up, as an earlier owner may have counted it.

--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -8,7 +8,7 @@
 from ..observability.events import log_event
 from ..workload.record import EndKind
 from .crashes import forgive_crashes, retract_crash
-from .run_ends import end_given_up_run, end_run, give_up_run
+from .run_ends import apply_late_end, end_run, give_up_run
 
 if TYPE_CHECKING:
     from ..upstream.tasks import Ended, Running, TaskRef, WorkerReport
@@ -60,7 +60,7 @@
     """Apply a listed end; it is acknowledged once all that it changes is durable."""
     record = end_run(term, worker, ended.ref, ended.kind, ended.checkpoint)
     if record is None:
-        record = end_given_up_run(term, worker, ended.ref, ended.kind)
+        record = apply_late_end(term, worker, ended.ref, ended.kind)
     if record is None:
         _log_ignored_end(term, worker, ended)
 
--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -14,7 +14,7 @@
     from .term import OwnerTerm
     from .worker_state import TrackedRun, WorkerState
 
-__all__ = ["end_given_up_run", "end_run", "give_up_all_runs", "give_up_run"]
+__all__ = ["apply_late_end", "end_run", "give_up_all_runs", "give_up_run"]
 
 
 def give_up_all_runs(term: OwnerTerm, worker: WorkerState, reason: str) -> None:
@@ -50,7 +50,7 @@
 ) -> None:
     """Record that a run has surely ended, without knowing how.
 
-    Its worker may list the end later, see :func:`end_given_up_run`.
+    Its worker may list the end later, see :func:`apply_late_end`.
     """
     _untrack(term, worker, ref)
     record = _record_of_current_run(term, worker, ref)
@@ -61,19 +61,21 @@
     _continue_job(term, record, ref, EndKind.LAPSED)
 
 
-def end_given_up_run(
+def apply_late_end(
     term: OwnerTerm, worker: WorkerState, ref: TaskRef, kind: EndKind
 ) -> JobRecord | None:
-    """Record how a run ended that was given up; return the record if it changed.
+    """Record how a run ended that is not the current one of its task.
 
     A task that is done needs no other run.
+
+    :returns: the job's record if it changed.
     """
     record = term.record_by_id.get(ref.job_id)
     if record is None or record.is_final or ref.key not in record.task_by_key:
         return None
-    if not record.end_given_up_run(ref.key, ref.run, kind):
+    if not record.apply_late_end(ref.key, ref.run, kind):
         return None
-    _log_end("given_up_run_ended", worker, ref, kind, "")
+    _log_end("late_end_applied", worker, ref, kind, "")
     for key, task in record.tasks_of(ref.key.step_key):
         if task.done and task.run is not None and task.run.number > ref.run:
             term.request_stop(record, key, task.run)
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -250,15 +250,20 @@
         task.given_up_runs.add(task.run.number)
         self.end_run(key, EndKind.LAPSED, "")
 
-    def end_given_up_run(self, key: TaskKey, run: int, kind: EndKind) -> bool:
-        """Record how a run ended that was given up before.
+    def apply_late_end(self, key: TaskKey, run: int, kind: EndKind) -> bool:
+        """Record how a run ended that is not the current one.
 
-        :returns: whether the run was given up and its end was not known yet.
+        That a task is done is certain, whatever became of the run in this record. A
+        failure counts only for a run that was given up, as it may be counted already.
+
+        :returns: whether anything changed.
         """
         task = self.task_by_key[key]
-        if run not in task.given_up_runs:
-            return False
+        was_given_up = run in task.given_up_runs
         task.given_up_runs.discard(run)
+        is_news = kind is EndKind.DONE and not task.done and run <= task.last_run
+        if not was_given_up and not is_news:
+            return False
         self._apply_outcome(key, run, kind)
         return True
 
--- a/tests/owner/test_worker_ends.py
+++ b/tests/owner/test_worker_ends.py
@@ -10,7 +10,14 @@
 from tests.support.steps import StepWorld, step
 
 from lagoonpulley.owner.reports import apply_report
-from lagoonpulley.upstream.tasks import Ended, Running, WorkerReport
+from lagoonpulley.upstream.tasks import (
+    CommandRefused,
+    Ended,
+    Refusal,
+    Running,
+    StartTask,
+    WorkerReport,
+)
 from lagoonpulley.workload.record import EndKind
 
 JOB = "a" * 16
@@ -80,6 +87,23 @@
     assert second.kind is EndKind.STOPPED
 
 
+def test_done_of_a_run_whose_start_seemed_refused_is_not_run_again(world):
+    reply = world._reply
+    refused = []
+
+    def refuse_first_start(entry, request, result):
+        if isinstance(request.operation, StartTask) and not refused:
+            result = CommandRefused(Refusal.UNHEALTHY)
+            refused.append(result)
+        reply(entry, request, result)
+
+    world._reply = refuse_first_start
+    world.submit(JOB, step(), payload="seconds=0.0005")
+    world.run_until(lambda: world.final_state(JOB) == "completed", 3.0)
+    assert refused
+    assert len(world.executions(JOB)) == 1
+
+
 def test_failure_of_a_run_that_was_given_up_counts_as_an_attempt():
     world = StepWorld(workers=2)
     world.run(8.0)
