Fail just the HTTP call that cannot be prepared

Cause: setting the options of a call may raise: UnicodeEncodeError for a letter outside ASCII, ValueError for a NUL or a timeout that is not a number, OverflowError for an infinite timeout. A completion may raise as well. Either ended the thread of CurlLoop, after which no call of the process completed. The text of a failure may also hold bytes of the server that are not UTF-8, as surrogates that cannot be sent on.

Change: such a call is completed as HttpFailure(Ran.NO), a completion that raises is logged, and the text of a failure can always be encoded.

Measured: on the code before, with waits of 2 s in a trial copy of the tests, all 6 cases of test_call_that_cannot_be_prepared_fails_alone, both test_completion_*_raises_does_not_end_the_loop and test_reason_of_a_failure_is_text_when_the_server_sends_other_bytes failed; test_call_to_an_address_that_is_none_fails_alone (99999, abc, blank, line break) passed before too. All pass now.

--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import logging
 import queue
 import selectors
 import socket
@@ -17,6 +18,8 @@
 
 __all__ = ["CurlLoop", "HttpAnswer", "HttpCall", "HttpFailure", "Traffic"]
 
+_log = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_MS = 1000
 MAX_CACHED_CONNECTIONS = 600
 IDLE_WAIT_S = 1.0
@@ -208,10 +211,26 @@
             if submitted is None:
                 self._closing = True
                 return
-            self._start_transfer(*submitted)
+            self._start_or_fail(*submitted)
+
+    def _start_or_fail(self, call: HttpCall, complete: Completion) -> None:
+        """Start a request; one that libcurl does not take fails alone.
 
-    def _start_transfer(self, call: HttpCall, complete: Completion) -> None:
+        Addresses, headers and times come from records that others write.
+        """
         handle = self._spare_handles.pop() if self._spare_handles else pycurl.Curl()
+        try:
+            self._start_transfer(handle, call, complete)
+        except Exception as error:
+            self._transfer_by_handle.pop(handle, None)
+            self._watched_by_handle.pop(handle, None)
+            handle.close()
+            reason = f"request cannot be sent: {type(error).__name__}: {error}"
+            _complete(complete, HttpFailure(Ran.NO, _to_text(reason)))
+
+    def _start_transfer(
+        self, handle: pycurl.Curl, call: HttpCall, complete: Completion
+    ) -> None:
         buffer = io.BytesIO()
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.CUSTOMREQUEST, call.method)
@@ -296,6 +315,7 @@
         # Also counts what was sent on a reused connection that broke off: libcurl then
         # tries a new one, whose failure says nothing about the first.
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
+        message = _to_text(message)
         traffic = _traffic_of(handle)
         closed = code in _CLOSED_ERRORS
         if not sent:
@@ -309,7 +329,7 @@
         self._multi.remove_handle(handle)
         handle.reset()
         self._spare_handles.append(handle)
-        transfer.complete(outcome)
+        _complete(transfer.complete, outcome)
 
     def _shut_down(self) -> None:
         for handle in list(self._transfer_by_handle):
@@ -325,6 +345,19 @@
         self._wake_writer.close()
 
 
+def _complete(complete: Completion, outcome: HttpOutcome) -> None:
+    try:
+        complete(outcome)
+    except Exception:
+        # The thread must go on for the other requests.
+        _log.exception("completion of a request raised an exception")
+
+
+def _to_text(message: str) -> str:
+    """Return a message with ``?`` for bytes of the server that are not UTF-8."""
+    return message.encode(errors="replace").decode()
+
+
 def _traffic_of(handle: pycurl.Curl) -> Traffic:
     # REQUEST_SIZE covers the headers and the body that were sent.
     received_bytes = handle.getinfo(pycurl.HEADER_SIZE) + int(
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -1,4 +1,4 @@
-"""Bytes that the HTTP client counts, over real sockets."""
+"""Bytes that the HTTP client counts and calls that fail alone, over real sockets."""
 
 from __future__ import annotations
 
@@ -116,3 +116,71 @@
     assert (failure.traffic.sent_bytes, failure.traffic.received_bytes) == (0, 0)
     assert failure.ran is Ran.NO
     assert failure.closed
+
+
+ODD_CALLS = [
+    HttpCall("GET", "http://127.0.0.1\0:1/", b"", TIMEOUT_S),
+    HttpCall("GET", "http://caf\u00e9:1/", b"", TIMEOUT_S),
+    HttpCall("GET", "http://127.0.0.1:1/", b"", TIMEOUT_S, ("Name: \u00e9",)),
+    HttpCall("GET", "http://127.0.0.1:1/", b"", float("inf")),
+    HttpCall("GET", "http://127.0.0.1:1/", b"", float("nan")),
+    HttpCall("GET", "http://127.0.0.1:1/", b"", TIMEOUT_S, (), float("inf")),
+]
+
+
+def perform_ordinary(loop):
+    def answer(connection, listener):
+        connection.recv(65536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    with serve_one_connection(answer) as url:
+        return perform(loop, HttpCall("GET", url, b"", TIMEOUT_S))
+
+
+@pytest.mark.parametrize(
+    "call",
+    ODD_CALLS,
+    ids=["nul", "letter", "header", "infinite", "not-a-number", "infinite-total"],
+)
+def test_call_that_cannot_be_prepared_fails_alone(loop, call):
+    failure = perform(loop, call)
+    assert isinstance(failure, HttpFailure)
+    assert failure.ran is Ran.NO and failure.reason
+    assert perform_ordinary(loop).body == b"ok"
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.1:99999", "10.0.0.1:abc", "10.0.0.1 :80", "10.0.0.1\n:80"]
+)
+def test_call_to_an_address_that_is_none_fails_alone(loop, address):
+    failure = perform(loop, HttpCall("GET", f"http://{address}/", b"", TIMEOUT_S))
+    assert isinstance(failure, HttpFailure) and failure.ran is Ran.NO
+    assert perform_ordinary(loop).body == b"ok"
+
+
+def test_completion_that_raises_does_not_end_the_loop(loop):
+    def complete(outcome):
+        raise OverflowError("cannot convert float infinity to integer")
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    loop.submit(HttpCall("GET", f"http://127.0.0.1:{port}/", b"", TIMEOUT_S), complete)
+    assert perform_ordinary(loop).body == b"ok"
+
+
+def test_completion_of_an_odd_call_that_raises_does_not_end_the_loop(loop):
+    def complete(outcome):
+        raise ValueError("odd")
+
+    loop.submit(ODD_CALLS[0], complete)
+    assert perform_ordinary(loop).body == b"ok"
+
+
+def test_reason_of_a_failure_is_text_when_the_server_sends_other_bytes(loop):
+    def answer(connection, listener):
+        connection.recv(65536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: \xff\r\n\r\n")
+
+    with serve_one_connection(answer) as url:
+        failure = perform(loop, HttpCall("GET", url, b"", TIMEOUT_S))
+    assert failure.reason.encode()
