Answer requests that cannot be encoded, and answers that cannot be decoded

Cause: HttpPort.submit let an exception of the codec out into the role's thread. The request got no reply, so its flow waited for ever, and what the role sent after it was lost. It is reached with data of others: a run number of 5000 digits, an infinite wait or a lease id of a peer. In the other direction only ValueError and TypeError were caught: int() of an infinite percent raises OverflowError, in the thread of the HTTP client.

Change: a request that cannot be encoded is answered with Ran.NO and logged as request_refused; it says nothing about the store's health and is not relayed. Any exception of a decoder is an answer that is not understood.

--- a/src/lagoonpulley/platform/ports.py
+++ b/src/lagoonpulley/platform/ports.py
@@ -22,18 +22,23 @@
 
 __all__ = ["Codec", "HttpPort", "StoreHttpPort"]
 
+MAX_REASON_LENGTH = 200
+
 
 class Codec(Protocol):
     """Translates operations to HTTP calls and their outcomes to results."""
 
     def encode(self, operation: Any, timeout_s: float) -> HttpCall:
-        """Return the HTTP call for an operation."""
+        """Return the HTTP call for an operation.
+
+        An exception means that the operation cannot be sent.
+        """
         ...
 
     def decode(self, operation: Any, outcome: HttpAnswer | HttpFailure) -> Any:
         """Return the result of an operation, decoded from its HTTP outcome.
 
-        A ``ValueError`` or ``TypeError`` counts as an answer that is not understood.
+        An exception counts as an answer that is not understood.
         """
         ...
 
@@ -61,7 +66,13 @@
     def submit(self, message: Request) -> None:
         """Start one operation; the reply follows when it completes."""
         operation = message.operation
-        call = self._codec.encode(operation, message.timeout_s)
+        try:
+            call = self._codec.encode(operation, message.timeout_s)
+        except Exception as error:
+            # Numbers and texts of an operation may come from others. The requesting
+            # role waits for exactly one reply.
+            self._refuse(message, error)
+            return
         call = replace(call, total_timeout_s=message.total_timeout_s)
         started_at = time.monotonic()
 
@@ -75,13 +86,23 @@
 
         self._loop.submit(call, complete)
 
+    def _refuse(self, request: Request, error: Exception) -> None:
+        """Answer a request that cannot be sent; the other side is not concerned."""
+        reason = _describe(error)
+        kind = type(request.operation).__name__
+        log_event("request_refused", operation=kind, reason=reason)
+        failed = CallFailed(Ran.NO, f"request cannot be sent: {reason}")
+        self._deliver(request.reply_to, Reply(request.request_id, failed))
+
     def _decode(self, operation: Any, outcome: HttpAnswer | HttpFailure) -> Any:
         try:
             return self._codec.decode(operation, outcome)
-        except (ValueError, TypeError) as error:
+        except Exception as error:
+            # The other side may have sent anything, and the thread must go on.
+            reason = _describe(error)
             kind = type(operation).__name__
-            log_event("answer_not_understood", operation=kind, reason=str(error))
-            return CallFailed(Ran.MAYBE, f"answer not understood: {error}")
+            log_event("answer_not_understood", operation=kind, reason=reason)
+            return CallFailed(Ran.MAYBE, f"answer not understood: {reason}")
 
     def finish(self, request: Request, result: Any, took_s: float) -> None:
         """Deliver the result of a request.
@@ -95,6 +116,12 @@
         self._loop.close()
 
 
+def _describe(error: Exception) -> str:
+    """Return the kind and the text of an error, without parts that are not UTF-8."""
+    text = str(error)[:MAX_REASON_LENGTH].encode(errors="replace").decode()
+    return f"{type(error).__name__}: {text}"
+
+
 class StoreHttpPort(HttpPort):
     """Calls the store directly, or through another entry when direct calls fail."""
 
