Send a role's other messages when a port raises for one

Cause: Runtime sent the messages of a step in one loop, and the first exception of a port ended it. The later messages were lost without a log line (the exception stayed in a future that nobody reads), and their flows waited for ever.

Change: the exception is logged, its request is answered with Ran.MAYBE, and the other messages are sent.

Measured: test_port_that_raises_fails_that_request_and_not_the_others failed before (no results) and passes now.

--- a/src/lagoonpulley/runtime/actors.py
+++ b/src/lagoonpulley/runtime/actors.py
@@ -10,9 +10,21 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, Protocol
 
+from ..model.verdict import Ran
 from .entry_load import EntryLoadLog
 from .load import LoadMeter
-from .role import CALLERS, WAKE, Now, Reply, Request, Role, Send, Tick, WakeAfter
+from .role import (
+    CALLERS,
+    WAKE,
+    CallFailed,
+    Now,
+    Reply,
+    Request,
+    Role,
+    Send,
+    Tick,
+    WakeAfter,
+)
 
 __all__ = ["CallerPort", "Port", "Runtime", "WakePort", "read_clocks"]
 
@@ -261,4 +273,15 @@
 
     def _send_all(self, sends: list[Send]) -> None:
         for send in sends:
-            self.deliver(send.to, send.message)
+            try:
+                self.deliver(send.to, send.message)
+            except Exception as error:
+                # The messages after this one must be sent, and a request needs a reply.
+                _log.exception("port raised an exception", extra={"port": send.to})
+                self._fail_request(send.message, error)
+
+    def _fail_request(self, message: Any, error: Exception) -> None:
+        if not isinstance(message, Request):
+            return
+        failed = CallFailed(Ran.MAYBE, f"port raised {type(error).__name__}")
+        self.deliver(message.reply_to, Reply(message.request_id, failed))
--- a/tests/runtime/test_actors.py
+++ b/tests/runtime/test_actors.py
@@ -1,15 +1,17 @@
-"""Measurements of the roles that a runtime runs."""
+"""Roles that a runtime runs: their measurements, and ports that raise."""
 
 from __future__ import annotations
 
+import queue
 import threading
 
 import pytest
 
+from lagoonpulley.model.verdict import Ran
 from lagoonpulley.runtime.actors import Runtime
 from lagoonpulley.runtime.flows import Call, FlowRole
 from lagoonpulley.runtime.load import LoadMeter
-from lagoonpulley.runtime.role import Now, Reply, Request, Tick
+from lagoonpulley.runtime.role import CallFailed, Now, Reply, Request, Tick
 from lagoonpulley.store.messages import Get
 
 MAX_WAIT_S = 30.0
@@ -133,3 +135,43 @@
     runtime.deliver("subject", ValueError("expected by this test"))
     work_through(runtime)
     assert load.role_by_name["subject"].totals()["ValueError"].messages == 1
+
+
+class Faulty:
+    """A port that raises for every message."""
+
+    def submit(self, message):
+        """Raise."""
+        raise OverflowError("expected by this test")
+
+    def close(self):
+        """Do nothing."""
+
+
+class Caller(FlowRole):
+    """Calls the faulty port and then the store, and keeps both results."""
+
+    name = "caller"
+    tick_interval_s = None
+
+    def __init__(self):
+        super().__init__("caller")
+        self.results = queue.SimpleQueue()
+
+    def receive(self, message):
+        """Start the calls."""
+        self.start(self._call_both())
+
+    def _call_both(self):
+        results = yield [Call("faulty", "odd", 1.0), Call("store", "sound", 1.0)]
+        self.results.put(results)
+
+
+def test_port_that_raises_fails_that_request_and_not_the_others(runtime):
+    caller = Caller()
+    runtime.add_role(caller)
+    runtime.add_port("faulty", Faulty())
+    runtime.deliver("caller", Tick())
+    failed, sound = caller.results.get(timeout=MAX_WAIT_S)
+    assert isinstance(failed, CallFailed) and failed.ran is Ran.MAYBE
+    assert sound is None
