Do not understand worker answers with numbers out of range

Cause: the rows of a report were converted by int() and float(), which raise OverflowError for an infinite percent and for a number of 400 digits; the port caught only ValueError and TypeError, so the thread of the HTTP client ended.

Change: clocks, lives, run and end numbers and percents are 0 to 2^53, loads and the validity of advice are finite, checkpoints at most 4096 characters; otherwise the answer is one that is not understood. A run whose name has no plain numbers is left out, as one with another format was.

--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+import re
 from typing import Any
 
 from pydantic import BaseModel, Field, ValidationError
@@ -26,8 +28,10 @@
     ThrottleTask,
     WorkerReport,
 )
+from ..workload.documents import MAX_CHECKPOINT_LENGTH, Checkpoint
 from ..workload.record import EndKind
 from ..workload.spec import TaskKey
+from .ranges import MAX_WHOLE, Milliseconds, Whole
 
 __all__ = ["PlatformWorkerCodec", "WorkerOperation"]
 
@@ -53,6 +57,9 @@
     "ticket": Refusal.PERMIT,
 }
 
+# The numbers in a task's name.
+TASK_NUMBER = re.compile(r"[0-9]{1,15}")
+
 
 class _Body(BaseModel):
     """Union of the fields of the workers' and the advisor's answers.
@@ -62,13 +69,15 @@
     permit.
     """
 
-    clock_ms: int | None = Field(None, alias="clockMs")
-    born: int = 0
+    clock_ms: Whole | None = Field(None, alias="clockMs")
+    born: Whole = 0
     reason: str = ""
     running: list[list[Any]] = Field(default_factory=list)
-    finished: list[tuple[int, str, int, str, str]] = Field(default_factory=list)
+    finished: list[tuple[Whole, str, Whole, str, Checkpoint]] = Field(
+        default_factory=list
+    )
     good: list[tuple[str, str]] = Field(default_factory=list)
-    valid_ms: float = Field(0, alias="validMs")
+    valid_ms: Milliseconds = Field(0, alias="validMs")
 
 
 class PlatformWorkerCodec:
@@ -98,11 +107,7 @@
     def decode(
         self, operation: WorkerOperation, outcome: HttpAnswer | HttpFailure
     ) -> Advice | WorkerReport | CommandAccepted | CommandRefused | CallFailed:
-        """Return the result of a command, decoded from its HTTP answer.
-
-        :raises ValueError: when a row of a report holds an invalid value.
-        :raises TypeError: when a row of a report holds a value of the wrong type.
-        """
+        """Return the result of a command, decoded from its HTTP answer."""
         if isinstance(outcome, HttpFailure):
             return CallFailed(outcome.ran, outcome.reason, closed=outcome.closed)
         try:
@@ -119,7 +124,11 @@
         if body.clock_ms is None:
             return CallFailed(Ran.MAYBE, "worker answer has no clock")
         if isinstance(operation, SyncWorker):
-            return _to_report(body)
+            try:
+                return _to_report(body)
+            except (ValueError, TypeError, ArithmeticError) as error:
+                kind = type(error).__name__
+                return CallFailed(Ran.MAYBE, f"worker lists an odd run: {kind}")
         return CommandAccepted(body.clock_ms)
 
 
@@ -177,7 +186,7 @@
 def _parse_ref(name: str, run: int) -> TaskRef | None:
     """Return the run of a named task, or ``None`` if the name has another format."""
     job_id, *parts = name.split(".")
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    if len(parts) != 3 or not all(map(TASK_NUMBER.fullmatch, parts)):
         return None
     return TaskRef(job_id, TaskKey(*map(int, parts)), run)
 
@@ -196,11 +205,14 @@
     for row in body.running:
         if len(row) < 4:
             return CallFailed(Ran.MAYBE, "worker lists a run with too few fields")
-        ref = _parse_ref(str(row[0]), int(row[1]))
+        ref = _parse_ref(str(row[0]), _to_whole(row[1]))
         if ref is None:
             continue
         load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-        running.append(Running(ref, str(row[2] or ""), int(row[3]), load))
+        if not math.isfinite(load):
+            raise ValueError("the load is not finite")
+        checkpoint = _check_checkpoint(str(row[2] or ""))
+        running.append(Running(ref, checkpoint, _to_whole(row[3]), load))
     ended = []
     for number, name, run, kind, checkpoint in body.finished:
         ref = _parse_ref(name, run)
@@ -212,5 +224,26 @@
     )
 
 
+def _to_whole(value: Any) -> int:
+    """Return a value as a whole number.
+
+    :raises ValueError: when it is none, or out of range.
+    """
+    number = int(value)
+    if not 0 <= number <= MAX_WHOLE:
+        raise ValueError("a number is out of range")
+    return number
+
+
+def _check_checkpoint(text: str) -> str:
+    """Return a checkpoint that can be stored.
+
+    :raises ValueError: when it is too long.
+    """
+    if len(text) > MAX_CHECKPOINT_LENGTH:
+        raise ValueError("a checkpoint is too long")
+    return text
+
+
 def _dump(body: dict[str, Any]) -> bytes:
     return json.dumps(body, separators=(",", ":")).encode()
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -13,8 +13,10 @@
 
 __all__ = [
     "CancelDocument",
+    "Checkpoint",
     "FinalDocument",
     "JobKeys",
+    "MAX_CHECKPOINT_LENGTH",
     "ProgressDocument",
     "decode_final",
     "decode_progress",
@@ -30,6 +32,7 @@
 SUBMISSION = "submission"
 FINAL = "final"
 CANCEL = "cancel"
+MAX_CHECKPOINT_LENGTH = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,11 +101,10 @@
     reason: str = ""
 
 
+Checkpoint = Annotated[str, Field(max_length=MAX_CHECKPOINT_LENGTH)]
 # Task in a progress document: occurrence, step, index, last run, worker of the
 # current run (empty if none), incarnation of that worker, done, failures, checkpoint.
-TaskRow = tuple[
-    int, int, int, int, str, int, bool, int, Annotated[str, Field(max_length=4096)]
-]
+TaskRow = tuple[int, int, int, int, str, int, bool, int, Checkpoint]
 
 
 class ProgressDocument(_Document):
