Refuse submissions with numbers out of range

Cause: amounts and times of a submission had no upper bound. An amount of 400 digits is stored, and the owner's share of it raises OverflowError (Resources.largest_fraction_of); sums of times of 10^300 become infinite.

Change: amounts are 0 to 10^9, counts 0 to 2^53, times 0 to 2^53 ms.

Deep nesting and half characters were refused before.

--- a/src/lagoonpulley/platform/submission.py
+++ b/src/lagoonpulley/platform/submission.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import BaseModel, Field, ValidationError, model_validator
 
 from ..model.resources import Resources
 from ..workload.spec import JobSpec, StepSpec
+from .ranges import Amount, Milliseconds, Whole
 from .validation_errors import format_validation_error
 
 __all__ = ["decode_submission_body"]
@@ -16,32 +17,26 @@
 MAX_TASKS = 5000
 
 
-class _Model(BaseModel):
-    """Base class; infinite numbers are refused, because JSON cannot store them."""
-
-    model_config = ConfigDict(allow_inf_nan=False)
-
-
-class _Step(_Model):
+class _Step(BaseModel):
     """A step; ``cpu`` is in thousandths of a core, ``memMb`` in megabytes."""
 
     count: int = Field(1, ge=1, le=MAX_TASKS)
-    cpu: int = Field(0, ge=0)
-    mem_mb: int = Field(0, ge=0, alias="memMb")
-    gpu: int = Field(0, ge=0)
-    estimate_ms: float = Field(0.0, ge=0, alias="estimateMs")
+    cpu: Amount = 0
+    mem_mb: Amount = Field(0, alias="memMb")
+    gpu: Amount = 0
+    estimate_ms: Milliseconds = Field(0.0, alias="estimateMs")
     after: list[int] = Field(default_factory=list)
     gang: bool = False
     same_rack: bool = Field(False, alias="sameRack")
     requires: str = ""
     data_rack: str = Field("", alias="dataRack")
-    max_per_server: int = Field(0, ge=0, alias="maxPerServer")
+    max_per_server: Whole = Field(0, alias="maxPerServer")
     saves_progress: bool = Field(False, alias="savesProgress")
     speculative: bool = False
     long_running: bool = Field(False, alias="longRunning")
-    may_miss: int | None = Field(None, ge=0, alias="mayMiss")
+    may_miss: Whole | None = Field(None, alias="mayMiss")
     image: str = ""
-    target_ms: float = Field(0.0, ge=0, alias="targetMs")
+    target_ms: Milliseconds = Field(0.0, alias="targetMs")
     fills: bool = False
 
     def to_spec(self) -> StepSpec:
@@ -66,13 +61,13 @@
         )
 
 
-class _Submission(_Model):
+class _Submission(BaseModel):
     """A job; ``startAtMs`` is when its first occurrence is due, in ms since 1970."""
 
     spec: str = ""
     steps: list[_Step] = Field(min_length=1)
-    start_at_ms: float = Field(0.0, ge=0, alias="startAtMs")
-    interval_ms: float = Field(0.0, ge=0, alias="intervalMs")
+    start_at_ms: Milliseconds = Field(0.0, alias="startAtMs")
+    interval_ms: Milliseconds = Field(0.0, alias="intervalMs")
     repeat_count: int = Field(0, ge=0, le=MAX_TASKS, alias="repeatCount")
 
     @model_validator(mode="after")
--- a/tests/platform/test_submission.py
+++ b/tests/platform/test_submission.py
@@ -26,3 +26,33 @@
 @pytest.mark.parametrize("field", ["startAtMs", "intervalMs"])
 def test_submission_with_a_time_that_is_not_finite_is_refused(field):
     assert decode(f', "{field}": 1e999').is_error()
+
+
+@pytest.mark.parametrize("value", ["9" * 4000, "9" * 400, "1e300", "-1"])
+@pytest.mark.parametrize("field", ["estimateMs", "targetMs"])
+def test_submission_with_a_step_time_out_of_range_is_refused(field, value):
+    assert decode(step=f', "{field}": {value}').is_error()
+
+
+@pytest.mark.parametrize("value", ["9" * 4000, "9" * 400, "1e300", "-1"])
+@pytest.mark.parametrize("field", ["startAtMs", "intervalMs"])
+def test_submission_with_a_time_out_of_range_is_refused(field, value):
+    assert decode(f', "{field}": {value}').is_error()
+
+
+@pytest.mark.parametrize("value", ["9" * 4000, "9" * 400, "9" * 20, "-1", "1e999"])
+@pytest.mark.parametrize("field", ["cpu", "memMb", "gpu", "mayMiss", "maxPerServer"])
+def test_submission_with_an_amount_out_of_range_is_refused(field, value):
+    assert decode(step=f', "{field}": {value}').is_error()
+
+
+@pytest.mark.parametrize("value", ["0", "1", "2000000"])
+@pytest.mark.parametrize("field", ["cpu", "memMb", "gpu", "mayMiss", "maxPerServer"])
+def test_submission_with_an_ordinary_amount_is_decoded(field, value):
+    assert decode(step=f', "{field}": {value}').is_ok()
+
+
+@pytest.mark.parametrize("value", ["[" * 50_000 + "]" * 50_000, '"\\ud800"'])
+def test_submission_that_is_deeply_nested_or_no_text_is_refused(value):
+    assert decode(f', "unknown": {value}').is_error()
+    assert decode(step=f', "image": {value}').is_error()
