Do not understand store answers with numbers out of range

Cause: revisions and lease times had no range. A revision of 400 digits would be watched from ever after, and a negative one is written as expected. No exception follows from them here, and the time of a lease is not used by the owner.

Change: revisions and lease numbers are 0 to 2^64 - 1 and times finite; otherwise the answer is one that is not understood.

--- a/src/lagoonpulley/platform/ranges.py
+++ b/src/lagoonpulley/platform/ranges.py
@@ -12,6 +12,7 @@
     "BoundedInteger",
     "BoundedNumber",
     "Milliseconds",
+    "Revision",
     "Whole",
 ]
 
@@ -25,6 +26,8 @@
 # A time, a count or a number that only grows.
 Whole = Annotated[int, Field(ge=0, le=MAX_WHOLE)]
 Milliseconds = Annotated[float, Field(ge=0, le=MAX_WHOLE, allow_inf_nan=False)]
+# A revision or a lease of the store, which counts in 64 bits.
+Revision = Annotated[int, Field(ge=0, lt=2**64)]
 # Numbers of the operators, who may use a large or a negative one for "no limit".
 BoundedInteger = Annotated[int, Field(ge=-(2**63), le=2**63)]
 BoundedNumber = Annotated[float, Field(ge=-(2.0**63), le=2.0**63, allow_inf_nan=False)]
--- a/src/lagoonpulley/platform/store.py
+++ b/src/lagoonpulley/platform/store.py
@@ -24,6 +24,7 @@
     Transaction,
     WatchPrefix,
 )
+from .ranges import Milliseconds, Revision
 
 if TYPE_CHECKING:
     from ..store.messages import StoreOperation
@@ -44,8 +45,8 @@
 
     key: str
     value: str = ""
-    revision: int
-    created: int = 0
+    revision: Revision
+    created: Revision = 0
     tombstone: bool = False
 
     def to_key_value(self) -> KeyValue:
@@ -75,14 +76,14 @@
 
     key: str | None = None
     value: str = ""
-    revision: int = 0
-    created: int = 0
+    revision: Revision = 0
+    created: Revision = 0
     items: list[_Item] = Field(default_factory=list)
     events: list[_Item] = Field(default_factory=list)
     truncated: bool = False
-    store_revision: int = Field(0, alias="storeRevision")
-    lease: int = 0
-    ttl_ms: float = Field(0, alias="ttlMs")
+    store_revision: Revision = Field(0, alias="storeRevision")
+    lease: Revision = 0
+    ttl_ms: Milliseconds = Field(0, alias="ttlMs")
 
 
 class PlatformStoreCodec:
