Count a call to an entry whose address is none as not sent

Cause: only TimeoutError and OSError counted as a failure to connect. A port out of range (OverflowError), a port that is no number (ValueError), a NUL or a long label (UnicodeError) came out as "may have run", with a traceback in the log for each call. A store call that may have run is not relayed through another entry.

Change: any failure before something is sent is Ran.NO.

--- a/src/lagoonpulley/peers/port.py
+++ b/src/lagoonpulley/peers/port.py
@@ -102,14 +102,16 @@
         self._deliver(request.reply_to, Reply(request.request_id, result))
 
     async def _call_peer(self, call: PeerCall, timeout_s: float) -> Any:
-        channel = self._channel(call.address)
         try:
+            channel = self._channel(call.address)
             await asyncio.wait_for(
                 channel.__connect__(), min(CONNECT_TIMEOUT_S, timeout_s)
             )
-        except (TimeoutError, OSError) as error:
+        except Exception as error:
+            # Not only OSError: the address comes from a record or another entry, and
+            # may be none. Nothing was sent, so the call may go to another entry.
             self._drop_channel(call.address)
-            return CallFailed(Ran.NO, f"cannot connect to {call.address}: {error}")
+            return CallFailed(Ran.NO, f"cannot connect to {call.address!a}: {error}")
         method = METHOD_BY_REQUEST[type(call.message)]
         unary = UnaryUnaryMethod(
             channel, method.path, method.request_type, method.answer_type
