Skip entry documents with an odd address or capacity

Cause: any text was the address of an entry, and capacities had no range. A capacity of 400 digits raises OverflowError in the comparison that decides on head start and handover, which ends the flow of the session; an infinite or zero limit compares as much stronger or weaker than all others.

Change: the address is IP:PORT and limits are above 0 and finite; any other document is skipped like one that cannot be read (entry_refused).

--- a/src/lagoonpulley/owner/entries.py
+++ b/src/lagoonpulley/owner/entries.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel, Field, ValidationError
 
+from ..model.address import Address
 from ..observability.events import log_event
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
 ENTRIES_PREFIX = "lagoonpulley/entries/"
 # Smaller differences do not decide who owns the workers, as a change costs a takeover.
 MUCH_STRONGER_RATIO = 2.0
+# Larger numbers are no measurements, and their ratios may not be computable.
+MAX_LIMIT = 2**53
 
 
 class EntryCapacity(BaseModel):
@@ -32,8 +35,8 @@
     Processor time is in thousandths of a processor, the network link in Mbit/s.
     """
 
-    processors_milli: int
-    link_mbps: float
+    processors_milli: Annotated[int, Field(gt=0, le=MAX_LIMIT)]
+    link_mbps: Annotated[float, Field(gt=0, le=MAX_LIMIT, allow_inf_nan=False)]
 
     @classmethod
     def from_limits(
@@ -67,7 +70,7 @@
 
     name: str
     life: str
-    peer_address: str
+    peer_address: Address
     data_centre: str
     capacity: EntryCapacity | None = None
     writes_status: bool = False
--- a/tests/owner/test_handover.py
+++ b/tests/owner/test_handover.py
@@ -164,7 +164,11 @@
     """Return a monitor of a weak entry, and the registration of a strong one."""
     monitor = HandoverMonitor(OwnerSettings("w0", 6.0, capacity=WEAK))
     document = EntryDocument(
-        name="s0", life="1", peer_address="s0", data_centre="a", capacity=STRONG
+        name="s0",
+        life="1",
+        peer_address="10.0.0.1:1",
+        data_centre="a",
+        capacity=STRONG,
     )
     key = ENTRIES_PREFIX + document.name
     return monitor, (KeyValue(key, document.model_dump_json(), 1),)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -108,6 +108,7 @@
         self.crashes: list[tuple[float, str]] = []
         self.silent_starts: set[str] = set()
         self.entry_by_name: dict[str, StepEntry] = {}
+        self.name_by_peer_address: dict[str, str] = {}
         self.capacity_by_name: dict[str, EntryCapacity] = {}
         # How many of the next direct calls to the advisor fail.
         self.advice_failures = 0
@@ -195,13 +196,22 @@
         address = self.address_by_worker_id[worker_id]
         self.add_worker(f"{worker_id}+", address=address)
 
+    def _peer_address_of(self, name: str) -> str:
+        """Return the address of an entry, which it keeps when it starts again."""
+        for address, known in self.name_by_peer_address.items():
+            if known == name:
+                return address
+        address = f"10.0.0.1:{len(self.name_by_peer_address) + 1}"
+        self.name_by_peer_address[address] = name
+        return address
+
     def start_entry(self, name: str) -> StepEntry:
         """Start a new process of an entry."""
         self.incarnation_count += 1
         document = EntryDocument(
             name=name,
             life=str(self.incarnation_count),
-            peer_address=name,
+            peer_address=self._peer_address_of(name),
             data_centre="a",
             capacity=self.capacity_by_name.get(name),
             writes_status=True,
@@ -478,7 +488,7 @@
     def _call_entry(self, entry: StepEntry, request: Request) -> None:
         """Deliver a message to another entry, and its answer to the sender."""
         call: PeerCall = request.operation
-        other = self.entry_by_name[call.address]
+        other = self.entry_by_name[self.name_by_peer_address[call.address]]
         if not entry.has_peers or not other.has_peers:
             failed = CallFailed(Ran.MAYBE, "no answer")
             self.clock.after(
