Compute the share of an amount that is too large as infinite

Cause: largest_fraction_of raised OverflowError for an amount of 10^400.

Change: a quotient that is too large for a floating-point number counts as infinite, as that of a resource the total lacks.

--- a/src/lagoonpulley/model/resources.py
+++ b/src/lagoonpulley/model/resources.py
@@ -58,7 +58,8 @@
     def largest_fraction_of(self, total: Resources) -> float:
         """Return the dominant share: the largest component relative to ``total``.
 
-        It is infinite if ``total`` lacks a resource that this vector contains.
+        It is infinite if ``total`` lacks a resource that this vector contains, or if
+        it is too large for a floating-point number.
         """
         share = 0.0
         for amount, total_amount in zip(self, total):
@@ -66,7 +67,10 @@
                 continue
             if total_amount <= 0:
                 return float("inf")
-            share = max(share, amount / total_amount)
+            try:
+                share = max(share, amount / total_amount)
+            except OverflowError:
+                return float("inf")
         return share
 
 
