Bound the length of log lines and the number of those about odd answers

Cause: keys, names and reasons of other writers were logged at any length (a kind of end of a worker may be megabytes). Lines about refused records were two a second already (worker_entry_refused, entry_refused, policy_refused), those about odd answers and kinds of end 300 a second.

Change: texts of a line are cut after 1,000 characters, and events that end in _not_understood or _unknown count as failures, two lines a second.

--- a/src/lagoonpulley/observability/events.py
+++ b/src/lagoonpulley/observability/events.py
@@ -17,7 +17,9 @@
 # Lines written per event and second; the next line carries the number suppressed.
 MAX_LINES_PER_S = 300
 MAX_FAILURE_LINES_PER_S = 2
-FAILURE_SUFFIXES = ("_failed", "_refused", "_away")
+FAILURE_SUFFIXES = ("_failed", "_refused", "_away", "_not_understood", "_unknown")
+# Of one field: keys, names and reasons may come from other writers.
+MAX_TEXT_LENGTH = 1000
 
 _log = logging.getLogger(DECISION_LOGGER)
 
@@ -58,11 +60,20 @@
     return suppressed
 
 
+def _plain(value: Any) -> Any:
+    if isinstance(value, Enum):
+        value = value.value
+    if isinstance(value, str) and len(value) > MAX_TEXT_LENGTH:
+        return value[:MAX_TEXT_LENGTH] + "..."
+    return value
+
+
 def log_event(event: str, **fields: Any) -> None:
     """Count an event and write its log line unless the rate limit is reached.
 
     :param event: name of the event, as listed in the operators' documentation.
-    :param fields: key-value pairs of the line; enum members are written by value.
+    :param fields: key-value pairs of the line; enum members are written by value, and
+        long texts are cut.
     """
     count_event(event)
     if not _log.isEnabledFor(logging.INFO):
@@ -72,8 +83,5 @@
         return
     if suppressed:
         fields["left_out"] = suppressed
-    plain_fields = {
-        name: value.value if isinstance(value, Enum) else value
-        for name, value in fields.items()
-    }
+    plain_fields = {name: _plain(value) for name, value in fields.items()}
     _log.info(event, extra={"event": event, **plain_fields})
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -1,9 +1,11 @@
-"""Fixture with the settings file of an entry on the platform."""
+"""Fixtures of the settings file of an entry, and of logs without earlier lines."""
 
 from __future__ import annotations
 
 import pytest
 
+from lagoonpulley.observability import events
+
 SETTINGS = """
 node: "edge-1"
 zone: "a"
@@ -22,3 +24,9 @@
     path = tmp_path / "boot.yaml"
     path.write_text(SETTINGS)
     return path
+
+
+@pytest.fixture
+def fresh_log_limits(monkeypatch):
+    """Forget the lines of earlier tests, which count towards the limits."""
+    monkeypatch.setattr(events, "_quota_by_event", {})
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -186,6 +186,7 @@
     )
 
 
+@pytest.mark.usefixtures("fresh_log_limits")
 @pytest.mark.parametrize(
     "odd",
     [
--- a/tests/platform/test_ports.py
+++ b/tests/platform/test_ports.py
@@ -104,6 +104,7 @@
     assert not health.is_directly_unreachable()
 
 
+@pytest.mark.usefixtures("fresh_log_limits")
 @pytest.mark.parametrize(
     "error", [OverflowError("inf"), KeyError("k"), RecursionError("deep")]
 )
