End the validation of records and answers at the first faulty item

Cause: every faulty item of a list was described.

Change: the lists of labels, runs, ends, permits, items and events stop at the first fault. Documents without a fault are read as before.

--- a/src/lagoonpulley/platform/documents.py
+++ b/src/lagoonpulley/platform/documents.py
@@ -171,7 +171,8 @@
     state: Literal["ready", "draining"]
     seq: Whole
     capacity: _Capacity
-    labels: list[str]
+    # Counting every fault of a long list would take the owner's time at each reading.
+    labels: list[str] = Field(fail_fast=True)
     born: Whole = 0
     drain_remaining_ms: BoundedNumber = Field(0.0, alias="drainRemainingMs")
 
--- a/src/lagoonpulley/platform/store.py
+++ b/src/lagoonpulley/platform/store.py
@@ -78,8 +78,8 @@
     value: str = ""
     revision: Revision = 0
     created: Revision = 0
-    items: list[_Item] = Field(default_factory=list)
-    events: list[_Item] = Field(default_factory=list)
+    items: list[_Item] = Field(default_factory=list, fail_fast=True)
+    events: list[_Item] = Field(default_factory=list, fail_fast=True)
     truncated: bool = False
     store_revision: Revision = Field(0, alias="storeRevision")
     lease: Revision = 0
--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -72,11 +72,11 @@
     clock_ms: Whole | None = Field(None, alias="clockMs")
     born: Whole = 0
     reason: str = ""
-    running: list[list[Any]] = Field(default_factory=list)
+    running: list[list[Any]] = Field(default_factory=list, fail_fast=True)
     finished: list[tuple[Whole, str, Whole, str, Checkpoint]] = Field(
-        default_factory=list
+        default_factory=list, fail_fast=True
     )
-    good: list[tuple[str, str]] = Field(default_factory=list)
+    good: list[tuple[str, str]] = Field(default_factory=list, fail_fast=True)
     valid_ms: Milliseconds = Field(0, alias="validMs")
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -109,6 +109,11 @@
     assert len(reason) < 200
 
 
+def test_worker_record_with_many_faults_is_refused_at_the_first():
+    labels = "[" + ",".join(["1"] * 10_000) + "]"
+    assert decode(labels=labels).error == "worker record has 1 invalid fields"
+
+
 ROUTE = '"name": "r", "prefix": "/r/", "service": "desk"'
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -53,3 +53,11 @@
     result = decode(GrantLease(1.0), '{"lease": 17, "ttlMs": 1000.5}')
     assert (result.status, result.lease_id) == (StoreStatus.OK, "17")
     assert result.ttl_s == 1.0005
+
+
+@pytest.mark.parametrize("field", ["items", "events"])
+def test_answer_with_many_faults_is_not_understood_at_the_first(field):
+    rows = ",".join(["1"] * 10_000)
+    result = decode(ReadRange("p/"), f'{{"{field}": [{rows}]}}')
+    assert is_not_understood(result)
+    assert result.reason == "store answer has 1 faults"
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -127,3 +127,11 @@
     assert decode(STOP, '{"clockMs": 5}') == CommandAccepted(5)
     text = '{"good": [["i-1", "ticket"]], "validMs": 2000.5}'
     assert decode(ADVICE, text) == Advice({"i-1": "ticket"}, 2.0005)
+
+
+@pytest.mark.parametrize("field", ["running", "finished", "good"])
+def test_answer_with_many_faults_is_not_understood_at_the_first(field):
+    rows = ",".join(["1"] * 10_000)
+    result = decode(SYNC, f'{{"clockMs": 1, "{field}": [{rows}]}}')
+    assert is_not_understood(result)
+    assert result.reason == "worker answer has 1 faults"
