--- a/src/lagoonpulley/platform/documents.py
+++ b/src/lagoonpulley/platform/documents.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Literal
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, Field, ValidationError
 
+from ..model.address import Address
 from ..model.resources import Resources
 from ..policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from ..upstream.directory import WorkerInfo
+from .ranges import Amount, BoundedInteger, BoundedNumber, Whole
 
 if TYPE_CHECKING:
     from ..store.messages import KeyValue
@@ -17,24 +20,32 @@
 __all__ = ["PlatformDirectory", "PlatformDrains", "PlatformPolicy"]
 
 MS_PER_S = 1000
+# Commands to a worker carry its identifier in a header; no key is longer.
+WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
 class _Amounts(BaseModel):
-    cpu: int = 0
-    mem_mb: int = Field(0, alias="memMb")
-    gpu: int = 0
+    cpu: BoundedInteger = 0
+    mem_mb: BoundedInteger = Field(0, alias="memMb")
+    gpu: BoundedInteger = 0
 
     def to_resources(self) -> Resources:
         """Return the amounts as resources; ``cpu`` is in thousandths of a core."""
         return Resources(self.cpu, self.mem_mb, self.gpu)
 
 
+class _Capacity(_Amounts):
+    cpu: Amount = 0
+    mem_mb: Amount = Field(0, alias="memMb")
+    gpu: Amount = 0
+
+
 class _Advice(BaseModel):
     """How long the advisor needs for a request, and how long its answer is valid."""
 
-    decide_ms: float = Field(0.0, alias="decideMs")
-    each_ms: float = Field(0.0, alias="eachMs")
-    valid_ms: float = Field(0.0, alias="validMs")
+    decide_ms: BoundedNumber = Field(0.0, alias="decideMs")
+    each_ms: BoundedNumber = Field(0.0, alias="eachMs")
+    valid_ms: BoundedNumber = Field(0.0, alias="validMs")
 
     def to_policy(self) -> AdvicePolicy:
         """Return the advice policy with its times in seconds."""
@@ -56,11 +67,11 @@
     host: str = ""
     prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = Field(1, alias="maxAttempts")
-    slack_factor: float = Field(1.0, alias="slackFactor")
-    target_ms: float = Field(0.0, alias="targetDurationMs")
-    timeout_ms: float = Field(0.0, alias="timeoutMs")
+    priority: BoundedInteger = 0
+    max_attempts: BoundedInteger = Field(1, alias="maxAttempts")
+    slack_factor: BoundedNumber = Field(1.0, alias="slackFactor")
+    target_ms: BoundedNumber = Field(0.0, alias="targetDurationMs")
+    timeout_ms: BoundedNumber = Field(0.0, alias="timeoutMs")
     public: bool = False
     advice: _Advice | None = None
 
@@ -91,16 +102,16 @@
 
     name: str
     api_keys: list[str] = Field(default_factory=list, alias="apiKeys")
-    weight: float = 1.0
+    weight: BoundedNumber = 1.0
     cap: _Amounts | None = None
 
 
 class _Limits(BaseModel):
-    most_body_bytes: int = Field(0, alias="maxBodyBytes")
+    most_body_bytes: BoundedInteger = Field(0, alias="maxBodyBytes")
 
 
 class _Config(BaseModel):
-    version: int
+    version: BoundedInteger
     routes: list[_Route] = Field(default_factory=list)
     services: list[_Service] = Field(default_factory=list)
     tenants: list[_Tenant] = Field(default_factory=list)
@@ -149,20 +160,21 @@
     """A worker's record; the first of ``labels`` is its kind, the second its rack.
 
     Unused fields are validated too: a record that lacks one was not written by a
-    worker.
+    worker. The remaining time of a drain may have passed.
     """
 
     service: str
-    address: str
+    address: Address
     zone: str
     version: str
-    slots: int
+    slots: Whole
     state: Literal["ready", "draining"]
-    seq: int
-    capacity: _Amounts
-    labels: list[str]
-    born: int = 0
-    drain_remaining_ms: float = Field(0.0, alias="drainRemainingMs")
+    seq: Whole
+    capacity: _Capacity
+    # Counting every fault of a long list would take the owner's time at each reading.
+    labels: list[str] = Field(fail_fast=True)
+    born: Whole = 0
+    drain_remaining_ms: BoundedNumber = Field(0.0, alias="drainRemainingMs")
 
 
 class PlatformDirectory:
@@ -177,8 +189,8 @@
         except ValidationError as error:
             return Error(f"worker record has {error.error_count()} invalid fields")
         worker_id = item.key.removeprefix(self.prefix)
-        if not worker_id or ":" not in server.address:
-            return Error("worker record has no identifier or no IP:PORT address")
+        if WORKER_ID.fullmatch(worker_id) is None:
+            return Error("worker record has no identifier that can be sent")
         return Ok(
             WorkerInfo(
                 id=worker_id,
