Count the crash of a worker once, also across owners

Cause: when a worker has restarted, its owner counts the crash for each run there and commits that at once, but the run stays stored, with the crashed incarnation, until the new one has confirmed that it does not run. An owner that took over meanwhile compared that incarnation with the listed one and counted the same crash again. With a blame of 1 each, the second count gave the job up: one crash failed a sound job.

The history counts one crash at a start, and is right. Two neighbours of the fault, found by the same tests: runs placed on the next incarnation under the former one's number, and runs of the live incarnation stored beside an older run, were blamed by the next owner as well.

Change: record_crash clears the incarnation stored with the worker's runs (0, which already means unknown) in the write that holds the count. A stored run without one is not blamed until its worker has listed it. A worker that several incarnations are stored for gets the latest. The format of the documents is the same. A worker that publishes no incarnation (born 0) gives the next owner less to go by: its stored runs are not blamed for a crash before the next owner's first report from it.

--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -54,6 +54,7 @@
     A job is given up once one of its tasks must not be started again. Draining
     workers do not crash: they leave.
     """
+    _forget_incarnation(term, worker)
     if worker.info.draining:
         return
     runs = [run for run in worker.tracked_by_ref.values() if not run.is_blamed]
@@ -107,6 +108,21 @@
         del record.crashes_by_task[tracked.ref.key]
 
 
+def _forget_incarnation(term: OwnerTerm, worker: WorkerState) -> None:
+    """Store that the runs on a worker belong to no known incarnation any more.
+
+    A run may stay stored for some time after the crash, until it is certain that it
+    does not run. Another owner would take the incarnation stored with it for one that
+    has crashed since, and count the crash again.
+    """
+    for ref in worker.tracked_by_ref:
+        record = term.record_by_id.get(ref.job_id)
+        if record is None or record.is_final:
+            continue
+        record.forget_incarnation(ref.key, ref.run)
+        term.journal.enqueue(record)
+
+
 def _was_placed_after(run: TrackedRun, closed_at: float | None) -> bool:
     return closed_at is not None and run.placed_at > closed_at
 
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -97,7 +97,8 @@
             # A worker that has seen the new token refuses starts with an older one.
             tracked = self._track(worker, record, ref)
             tracked.start_resolved_at = BEFORE_THIS_TERM
-            tracked.has_run = True
+            # Without an incarnation, an earlier owner has seen the worker's crash.
+            tracked.has_run = run.born != 0
         self.refresh_demands(record)
 
     def restore_final(self, record: JobRecord, document: FinalDocument) -> None:
@@ -344,9 +345,14 @@
         return True
 
     def _worker_of_run(self, worker_id: str, born: int) -> WorkerState:
-        """Return the worker of a stored run, adding it if it is not listed."""
+        """Return the worker of a stored run, adding it if it is not listed.
+
+        Runs of several incarnations may be stored; the latest one is the worker's.
+        """
         worker = self.worker_by_id.get(worker_id)
         if worker is not None:
+            if born > worker.info.born:
+                worker.info = replace(worker.info, born=born)
             return worker
         info = WorkerInfo(worker_id, "", "", "", ZERO, (), "", born)
         worker = self._add_worker(info)
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -99,7 +99,8 @@
 
 
 # Task in a progress document: occurrence, step, index, last run, worker of the
-# current run (empty if none), incarnation of that worker, done, failures, checkpoint.
+# current run (empty if none), incarnation of that worker (0 if unknown), done,
+# failures, checkpoint.
 TaskRow = tuple[
     int, int, int, int, str, int, bool, int, Annotated[str, Field(max_length=4096)]
 ]
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from .spec import JobSpec, StepKey, StepSpec, TaskKey
@@ -56,7 +56,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One run of a task on a worker; ``born`` identifies the worker's incarnation."""
+    """One run of a task on a worker.
+
+    ``born`` identifies the worker's incarnation; 0 means unknown, as after a crash.
+    """
 
     number: int
     worker_id: str
@@ -227,6 +230,12 @@
             self.state = JobState.RUNNING
         return task.run
 
+    def forget_incarnation(self, key: TaskKey, number: int) -> None:
+        """Record that the incarnation that has a run, if any, is not known any more."""
+        task = self.task_by_key.get(key)
+        if task and task.run and task.run.number == number:
+            task.run = replace(task.run, born=0)
+
     def next_run_number(self, keys: list[TaskKey]) -> int:
         """Return the run number for starting these tasks together."""
         return 1 + max(self.task_by_key[key].last_run for key in keys)
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from tests.support.logged_events import capture_events
 from tests.support.steps import StepWorld, step
 
 DEADLY = "d" * 16
@@ -159,3 +160,100 @@
     record = world.owner().owner._term.record_by_id["b" * 16]
     assert not record.crashes_by_task
     assert len(world.executions("b" * 16)) == 1
+
+
+def replace_owner(world):
+    world.kill(world.owner())
+    world.run(2.0)
+
+
+def crashes_of(world, job_id):
+    record = world.owner().owner._term.record_by_id[job_id]
+    return record.crashes_by_task
+
+
+# Seeds 901 (one task) and 908 (two tasks) of benchmarks.step_fuzz.
+@pytest.mark.parametrize("count", [1, 2])
+def test_crash_that_an_owner_has_counted_is_not_counted_by_the_next(count):
+    world = StepWorld(entries=2, workers=1)
+    world.run(7.0)
+    world.submit("b" * 16, step(count=count, processors=7000), payload="seconds=4")
+    world.run(0.05)
+    restart_all_workers(world)
+    # The owner sees the connection close and the new incarnation listed. It cannot
+    # reach it, so the runs of the former one do not end before the owner does.
+    world.run(0.03)
+    world.dead_workers.add("w0")
+    world.add_worker("w0")
+    with capture_events() as events:
+        world.run(0.8)
+        assert len(events.named("worker_crashed")) == 1
+        world.dead_workers.clear()
+        replace_owner(world)
+    assert [event["runs"] for event in events.named("worker_crashed")] == [count]
+    assert {history.count for history in crashes_of(world, "b" * 16).values()} == {1}
+    world.run_until(lambda: world.final_state("b" * 16) == "completed", 10.0)
+    assert set(starts_of(world, "b" * 16).values()) == {2}
+
+
+def test_run_that_the_next_incarnation_started_is_not_blamed_by_the_next_owner():
+    world = StepWorld(entries=2, workers=1)
+    world.run(7.05)
+    restart_all_workers(world)
+    # The worker's record keeps its former incarnation until the next check-in, and the
+    # task is placed there.
+    world.run(0.03)
+    with capture_events() as events:
+        world.submit("b" * 16, payload="seconds=9")
+        world.run_until(lambda: events.named("worker_crashed"), 1.0)
+        assert running_workers(world, "b" * 16) == {"w0"}
+        world.add_worker("w0")
+        replace_owner(world)
+    suspects = [event["suspects"] for event in events.named("worker_crashed")]
+    assert not any(suspects)
+    assert starts_of(world, "b" * 16) == {(0, 0, 0): 1}
+
+
+def restart_between_two_runs(world):
+    """Restart the only worker between the starts of two jobs, and return their ids.
+
+    The owner has counted the crash. It has not ended the run of the first job yet.
+    """
+    # An owner reads the jobs in the order of their ids.
+    lost, live = "a" * 16, "b" * 16
+    world.submit(lost, payload="seconds=9")
+    world.run(0.05)
+    restart_all_workers(world)
+    world.add_worker("w0")
+    world.run_until(lambda: crashes_of(world, lost), 2.0)
+    world.submit(live, payload="seconds=9")
+    world.run_until(lambda: running_workers(world, live), 1.0)
+    record = world.owner().owner._term.record_by_id[lost]
+    assert record.task_by_key[0, 0, 0].run.number == 1
+    return lost, live
+
+
+def test_runs_of_the_live_incarnation_are_not_blamed_beside_those_of_a_former_one():
+    world = StepWorld(entries=2, workers=1)
+    world.run(7.0)
+    lost, live = restart_between_two_runs(world)
+    with capture_events() as events:
+        replace_owner(world)
+    assert not events.named("worker_crashed")
+    assert starts_of(world, live) == {(0, 0, 0): 1}
+    assert {history.count for history in crashes_of(world, lost).values()} == {1}
+
+
+def test_crash_between_two_owners_is_counted_for_runs_of_the_latest_incarnation():
+    world = StepWorld(entries=2, workers=1)
+    world.run(7.0)
+    lost, live = restart_between_two_runs(world)
+    with capture_events() as events:
+        world.kill(world.owner())
+        restart_all_workers(world)
+        world.add_worker("w0")
+        world.run(2.0)
+    suspects = [event["suspects"] for event in events.named("worker_crashed")]
+    assert suspects == [[live]]
+    assert {history.count for history in crashes_of(world, live).values()} == {1}
+    assert {history.count for history in crashes_of(world, lost).values()} == {1}
