Blame no run whose start was sent after its worker had closed

Cause: a run that was placed before its worker closed its connections, and whose start was sent after that, was blamed for the crash. Only the next incarnation can have carried the start out. The commit of a placement lies between the two, so this takes a restart within some milliseconds, or a slow store.

The owner saw w1 close at 7.10844 s, in the same instant in which it placed four tasks of there; they started on the next incarnation at 7.114 and were blamed with 1.0. A crash at 7.25, shared with another job, gave the job up at 1.5.

Change: TrackedRun has start_sent_at, which the dispatcher sets, and the rule compares that with the end of the connections, in place of placed_at.

--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -29,8 +29,8 @@
     """Return the blame of each run that a worker had when it crashed.
 
     The blame is shared by the jobs with a run that had started shortly before; other
-    runs have none. Runs that were placed after the worker had closed its connections
-    are not among those that it had: its next incarnation has started them.
+    runs have none. Runs whose start was sent after the worker had closed its
+    connections are not among those that it had: its next incarnation has started them.
 
     :param alive_at: when the worker was last known to live, in monotonic seconds;
         ``None`` if it never answered this owner.
@@ -38,7 +38,7 @@
         ``None`` if it was not seen to.
     """
     started = [
-        run for run in runs if run.has_run and not _was_placed_after(run, closed_at)
+        run for run in runs if run.has_run and not _was_sent_after(run, closed_at)
     ]
     recent = [run for run in started if not _is_settled(run, alive_at)]
     jobs = len({run.ref.job_id for run in recent})
@@ -123,8 +123,10 @@
         term.journal.enqueue(record)
 
 
-def _was_placed_after(run: TrackedRun, closed_at: float | None) -> bool:
-    return closed_at is not None and run.placed_at > closed_at
+def _was_sent_after(run: TrackedRun, closed_at: float | None) -> bool:
+    if closed_at is None or run.start_sent_at is None:
+        return False
+    return run.start_sent_at > closed_at
 
 
 def _is_settled(run: TrackedRun, alive_at: float | None) -> bool:
--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -91,6 +91,7 @@
             checkpoint=start.checkpoint,
             permit=permits.permit_by_worker_id.get(worker_id, ""),
         )
+        tracked.start_sent_at = self._host.now.mono
         result = yield from self._send_start(term, tracked, command)
         if term.has_ended or worker.tracked_by_ref.get(ref) is not tracked:
             return
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -27,6 +27,8 @@
     """A run that occupies, or may occupy, capacity on a worker.
 
     ``placed_at`` is when the task was placed here, or read from the store.
+    ``start_sent_at`` is when its start was first sent, ``None`` before that and for a
+    run that was read from the store.
     ``start_resolved_at`` is when it became certain that no start command in flight
     can start the run any more, ``None`` before that; a sync sent later shows whether
     the run exists.
@@ -42,6 +44,7 @@
     has_run: bool = False
     is_blamed: bool = False
     not_after_ms: int = 0
+    start_sent_at: float | None = None
     start_resolved_at: float | None = None
     listed: bool = False
     stop_requested: bool = False
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -149,6 +149,24 @@
     assert not record.crashes_by_task
 
 
+# Seeds 7023 of benchmarks.step_fuzz and 901 of its histories of unequal entries.
+def test_crash_before_a_start_was_sent_is_not_blamed_on_its_run():
+    world = StepWorld(entries=1, workers=1)
+    world.run(7.05)
+    release = world.hold_commits()
+    world.submit("b" * 16, payload="seconds=4")
+    restart_all_workers(world)
+    # The owner sees the connection close while it commits the placement, and sends the
+    # start before it has learned of the new incarnation.
+    world.run(0.03)
+    with capture_events() as events:
+        release()
+        world.run(0.5)
+    assert [event["runs"] for event in events.named("worker_crashed")] == [0]
+    assert not crashes_of(world, "b" * 16)
+    assert {run.started_at > 7.1 for run in world.executions("b" * 16)} == {True}
+
+
 def test_directory_that_lags_behind_a_restart_shows_no_crash():
     world = StepWorld(entries=1, workers=2)
     world.run(7.0)
