--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -29,8 +29,8 @@
     """Return the blame of each run that a worker had when it crashed.
 
     The blame is shared by the jobs with a run that had started shortly before; other
-    runs have none. Runs that were placed after the worker had closed its connections
-    are not among those that it had: its next incarnation has started them.
+    runs have none. Runs whose start was sent after the worker had closed its
+    connections are not among those that it had: its next incarnation has started them.
 
     :param alive_at: when the worker was last known to live, in monotonic seconds;
         ``None`` if it never answered this owner.
@@ -38,7 +38,7 @@
         ``None`` if it was not seen to.
     """
     started = [
-        run for run in runs if run.has_run and not _was_placed_after(run, closed_at)
+        run for run in runs if run.has_run and not _was_sent_after(run, closed_at)
     ]
     recent = [run for run in started if not _is_settled(run, alive_at)]
     jobs = len({run.ref.job_id for run in recent})
@@ -54,6 +54,7 @@
     A job is given up once one of its tasks must not be started again. Draining
     workers do not crash: they leave.
     """
+    _forget_incarnation(term, worker)
     if worker.info.draining:
         return
     runs = [run for run in worker.tracked_by_ref.values() if not run.is_blamed]
@@ -107,8 +108,25 @@
         del record.crashes_by_task[tracked.ref.key]
 
 
-def _was_placed_after(run: TrackedRun, closed_at: float | None) -> bool:
-    return closed_at is not None and run.placed_at > closed_at
+def _forget_incarnation(term: OwnerTerm, worker: WorkerState) -> None:
+    """Store that the runs on a worker belong to no known incarnation any more.
+
+    A run may stay stored for some time after the crash, until it is certain that it
+    does not run. Another owner would take the incarnation stored with it for one that
+    has crashed since, and count the crash again.
+    """
+    for ref in worker.tracked_by_ref:
+        record = term.record_by_id.get(ref.job_id)
+        if record is None or record.is_final:
+            continue
+        record.forget_incarnation(ref.key, ref.run)
+        term.journal.enqueue(record)
+
+
+def _was_sent_after(run: TrackedRun, closed_at: float | None) -> bool:
+    if closed_at is None or run.start_sent_at is None:
+        return False
+    return run.start_sent_at > closed_at
 
 
 def _is_settled(run: TrackedRun, alive_at: float | None) -> bool:
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -42,6 +42,8 @@
     """A run that occupies, or may occupy, capacity on a worker.
 
     ``placed_at`` is when the task was placed here, or read from the store.
+    ``start_sent_at`` is when its start was first sent, ``None`` before that and for a
+    run that was read from the store.
     ``start_resolved_at`` is when it became certain that no start command in flight
     can start the run any more, ``None`` before that; a sync sent later shows whether
     the run exists.
@@ -58,6 +60,7 @@
     has_run: bool = False
     is_blamed: bool = False
     not_after_ms: int = 0
+    start_sent_at: float | None = None
     start_resolved_at: float | None = None
     listed: bool = False
     sent_to_earlier: bool = False
@@ -72,7 +75,7 @@
         has seen a later token, so its answer to a sync from now on is conclusive.
         ``not_after_ms`` is void there, because each incarnation has its own clock.
         """
-        was_sent = bool(self.not_after_ms) or self.start_resolved_at is not None
+        was_sent = self.start_sent_at is not None or self.start_resolved_at is not None
         if not was_sent:
             return
         self.start_resolved_at = now
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 import pytest
-from tests.support.steps import StepWorld, step
+from tests.support.logged_events import capture_events
+from tests.support.steps import CAPACITY, StepWorld, step
+
+from lagoonpulley.upstream.directory import WorkerInfo
+from lagoonpulley.workload.documents import ProgressDocument
+from lagoonpulley.workload.record import JobRecord
+from lagoonpulley.workload.spec import JobSpec, TaskKey
 
 DEADLY = "d" * 16
 # A task may be started twice more after three workers have crashed under it.
@@ -148,6 +154,24 @@
     assert not record.crashes_by_task
 
 
+# Seeds 7023 of benchmarks.step_fuzz and 901 of its histories of unequal entries.
+def test_crash_before_a_start_was_sent_is_not_blamed_on_its_run():
+    world = StepWorld(entries=1, workers=1)
+    world.run(7.05)
+    release = world.hold_commits()
+    world.submit("b" * 16, payload="seconds=4")
+    restart_all_workers(world)
+    # The owner sees the connection close while it commits the placement, and sends the
+    # start before it has learned of the new incarnation.
+    world.run(0.03)
+    with capture_events() as events:
+        release()
+        world.run(0.5)
+    assert [event["runs"] for event in events.named("worker_crashed")] == [0]
+    assert not crashes_of(world, "b" * 16)
+    assert {run.started_at > 7.1 for run in world.executions("b" * 16)} == {True}
+
+
 def test_directory_that_lags_behind_a_restart_shows_no_crash():
     world = StepWorld(entries=1, workers=2)
     world.run(7.0)
@@ -159,3 +183,105 @@
     record = world.owner().owner._term.record_by_id["b" * 16]
     assert not record.crashes_by_task
     assert len(world.executions("b" * 16)) == 1
+
+
+def replace_owner(world):
+    world.kill(world.owner())
+    world.run(2.0)
+
+
+def crashes_of(world, job_id):
+    record = world.owner().owner._term.record_by_id[job_id]
+    return record.crashes_by_task
+
+
+# Seeds 901 (one task) and 908 (two tasks) of benchmarks.step_fuzz.
+@pytest.mark.parametrize("count", [1, 2])
+def test_crash_that_an_owner_has_counted_is_not_counted_by_the_next(count):
+    world = StepWorld(entries=2, workers=1)
+    world.run(7.0)
+    world.submit("b" * 16, step(count=count, processors=7000), payload="seconds=4")
+    world.run(0.05)
+    restart_all_workers(world)
+    # The owner sees the connection close and the new incarnation listed. It cannot
+    # reach it, so the runs of the former one do not end before the owner does.
+    world.run(0.03)
+    world.dead_workers.add("w0")
+    world.add_worker("w0")
+    with capture_events() as events:
+        world.run(0.8)
+        assert len(events.named("worker_crashed")) == 1
+        world.dead_workers.clear()
+        replace_owner(world)
+    assert [event["runs"] for event in events.named("worker_crashed")] == [count]
+    assert {history.count for history in crashes_of(world, "b" * 16).values()} == {1}
+    world.run_until(lambda: world.final_state("b" * 16) == "completed", 10.0)
+    assert set(starts_of(world, "b" * 16).values()) == {2}
+
+
+def test_run_that_the_next_incarnation_started_is_not_blamed_by_the_next_owner():
+    world = StepWorld(entries=2, workers=1)
+    world.run(7.05)
+    restart_all_workers(world)
+    # The worker's record keeps its former incarnation until the next check-in, and the
+    # task is placed there.
+    world.run(0.03)
+    with capture_events() as events:
+        world.submit("b" * 16, payload="seconds=9")
+        world.run_until(lambda: events.named("worker_crashed"), 1.0)
+        assert running_workers(world, "b" * 16) == {"w0"}
+        world.add_worker("w0")
+        replace_owner(world)
+    suspects = [event["suspects"] for event in events.named("worker_crashed")]
+    assert not any(suspects)
+    assert starts_of(world, "b" * 16) == {(0, 0, 0): 1}
+
+
+LOST, LIVE = "a" * 16, "b" * 16
+BORN = 7000
+
+
+def restore_run(term, job_id, born):
+    """Let an owner read a job with a run that an earlier owner started on w9."""
+    spec = JobSpec(job_id, "reviews", "north", "", (step(),), 0.0)
+    stored = JobRecord.from_spec(spec)
+    stored.begin_run(TaskKey(0, 0, 0), 1, "w9", born)
+    record = term.add_job(spec)
+    term.restore(record, ProgressDocument.from_record(stored))
+    return record
+
+
+def list_worker(term, born):
+    """Let an owner read the directory's record of w9; return the logged crashes."""
+    with capture_events() as events:
+        term.put_worker(
+            WorkerInfo("w9", "service", "w9", "a", CAPACITY, (), "rack", born)
+        )
+    return events.named("worker_crashed")
+
+
+@pytest.mark.parametrize("jobs", [(LOST, LIVE), (LIVE, LOST)])
+def test_runs_of_the_live_incarnation_are_not_blamed_beside_those_of_a_former_one(jobs):
+    world = StepWorld(entries=1, workers=1)
+    world.run(1.0)
+    term = world.owner().owner._term
+    born_by_job = {LOST: BORN, LIVE: BORN + 1000}
+    for job_id in jobs:
+        restore_run(term, job_id, born_by_job[job_id])
+    assert not list_worker(term, BORN + 1000)
+
+
+@pytest.mark.parametrize("jobs", [(LOST, LIVE), (LIVE, LOST)])
+def test_crash_between_two_owners_is_counted_for_runs_of_the_latest_incarnation(jobs):
+    world = StepWorld(entries=1, workers=1)
+    world.run(1.0)
+    term = world.owner().owner._term
+    # The earlier owner has counted the crash of the incarnation that had the lost run.
+    born_by_job = {LOST: 0, LIVE: BORN}
+    record_by_id = {
+        job_id: restore_run(term, job_id, born_by_job[job_id]) for job_id in jobs
+    }
+    crashes = list_worker(term, BORN + 1000)
+    assert [event["suspects"] for event in crashes] == [[LIVE]]
+    assert not record_by_id[LOST].crashes_by_task
+    assert record_by_id[LIVE].crashes_by_task
