Log a late call of another entry as an event, without a traceback

Cause: two paths of grpclib write them. (1) "Failed to handle cancellation": the handler waited for the role's answer by asyncio.wait_for, which on Python 3.11 drops a cancellation if the answer is there in the same turn of the event loop, as happens when the loop is behind; the handler went on to send the answer. (2) "Timeout occurred": the deadline has passed when the call arrives, before any handler is called.

Change: asyncio.wait never drops a cancellation, so (1) ends as grpclib intends, without a traceback. For (2) a filter of grpclib's logger takes only records whose error is its own passed deadline. Both write peer_call_late, two lines a second at most. Answering shortly before the caller's deadline was not chosen: behind by a turn of the loop, both timers fire at once, so the race would remain.

--- a/src/lagoonpulley/observability/events.py
+++ b/src/lagoonpulley/observability/events.py
@@ -17,7 +17,7 @@
 # Lines written per event and second; the next line carries the number suppressed.
 MAX_LINES_PER_S = 300
 MAX_FAILURE_LINES_PER_S = 2
-FAILURE_SUFFIXES = ("_failed", "_refused", "_away")
+FAILURE_SUFFIXES = ("_failed", "_refused", "_away", "_late")
 
 _log = logging.getLogger(DECISION_LOGGER)
 
--- a/src/lagoonpulley/peers/port.py
+++ b/src/lagoonpulley/peers/port.py
@@ -14,6 +14,7 @@
 from grpclib.server import Server
 
 from ..model.verdict import Ran
+from ..observability.events import log_event
 from ..runtime.role import PEERS, CallFailed, Reply, Request
 from .calls import PeerCall
 from .codec import JsonCodec
@@ -34,6 +35,9 @@
 INCOMING_TIMEOUT_S = 30.0
 CHANNEL_DRAIN_S = 20.0
 
+GRPC_SERVER_LOGGER = "grpclib.server"
+GRPC_DEADLINE_REASON = "Deadline exceeded"
+
 _NOT_RUN_STATUSES = frozenset((Status.UNIMPLEMENTED, Status.UNAUTHENTICATED))
 
 
@@ -51,12 +55,14 @@
         self._future_by_request_id: dict[str, asyncio.Future[Any]] = {}
         self._incoming_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, name="peers-port", daemon=True
         )
         self._thread.start()
         self._server: Server | None = None
+        logging.getLogger(GRPC_SERVER_LOGGER).addFilter(_late_call_filter)
         self.address = self._run(self._listen(listener))
 
     def submit(self, message: Any) -> None:
@@ -145,6 +151,18 @@
         self, method: PeerMethod, stream: Stream[Any, Any]
     ) -> None:
         """Pass an incoming call to its role and send the role's answer back."""
+        began_at = self._loop.time()
+        try:
+            await self._answer_incoming(method, stream)
+        except asyncio.CancelledError:
+            # By grpclib, at the caller's deadline or when the caller hangs up.
+            if not self._closing:
+                _log_late_call(method, self._loop.time() - began_at)
+            raise
+
+    async def _answer_incoming(
+        self, method: PeerMethod, stream: Stream[Any, Any]
+    ) -> None:
         message = await stream.recv_message()
         self._incoming_count += 1
         request_id = f"peer:{self._incoming_count}"
@@ -153,15 +171,18 @@
         request = Request(request_id, PEERS, message, _remaining_s(stream))
         self._deliver(method.role, request)
         try:
-            # At the caller's deadline, grpclib cancels this call.
-            result = await asyncio.wait_for(future, INCOMING_TIMEOUT_S)
-        except TimeoutError:
-            raise GRPCError(Status.DEADLINE_EXCEEDED) from None
+            # If the answer and the cancellation come at once, wait_for would drop the
+            # cancellation, which grpclib reports as a fault.
+            await asyncio.wait((future,), timeout=INCOMING_TIMEOUT_S)
         finally:
             self._future_by_request_id.pop(request_id, None)
-        await stream.send_message(result)
+        if not future.done():
+            _log_late_call(method, INCOMING_TIMEOUT_S)
+            raise GRPCError(Status.DEADLINE_EXCEEDED)
+        await stream.send_message(future.result())
 
     async def _shut_down(self) -> None:
+        self._closing = True
         self._server.close()
         for channel in self._channel_by_address.values():
             channel.close()
@@ -182,6 +203,30 @@
     return min(INCOMING_TIMEOUT_S, stream.deadline.time_remaining())
 
 
+def _log_late_call(method: PeerMethod, waited_s: float) -> None:
+    call = method.request_type.__name__
+    log_event("peer_call_late", call=call, waited_s=round(waited_s, 3))
+
+
+class _LateCallFilter(logging.Filter):
+    """Replaces grpclib's tracebacks of a passed deadline by an event.
+
+    grpclib writes one for a call whose deadline has passed when it arrives, before
+    any handler is called.
+    """
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether grpclib is to write a log record."""
+        error = record.exc_info[1] if record.exc_info else None
+        if not isinstance(error, TimeoutError) or error.args != (GRPC_DEADLINE_REASON,):
+            return True
+        log_event("peer_call_late", call="unknown", waited_s=0.0)
+        return False
+
+
+_late_call_filter = _LateCallFilter()
+
+
 class _Service:
     """The gRPC service, which passes each call to the port."""
 
