Let a silent read wait for a small answer, so that it notices the store's return

Cause: each call of which nothing arrived doubled the timeout of the next one, up to 8 s, from fear of answers that are on their way over a slow link. During an outage the calls followed each other, so that one of 4 or 8 s was in flight when the store was back.

Change: after a call of which nothing arrived for 0.5 s or more, the read asks for a key that does not exist, with a timeout of 0.5 s, until that is answered, and only then for the next page. The timeouts grow as before, but at most once in an outage. A call that fails early is repeated at once as before. Sessions are renewed in the same 0.5 s, so an owner without a small answer in this time has no session either.

--- a/src/lagoonpulley/store/range_reader.py
+++ b/src/lagoonpulley/store/range_reader.py
@@ -9,7 +9,7 @@
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import STORE, CallFailed
-from .messages import ReadRange
+from .messages import Get, ReadRange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,6 +25,8 @@
 INITIAL_TIMEOUT_S = 1.0
 MAX_TIMEOUT_S = 8.0
 TOTAL_TIMEOUT_S = 10.0
+# Of a small answer. A session is renewed in this time or lapses.
+PROBE_TIMEOUT_S = 0.5
 RETRY_DELAY_S = 0.05
 INITIAL_CALLS_IN_FLIGHT = 2
 MAX_CALLS_IN_FLIGHT = 16
@@ -119,7 +121,8 @@
     read by narrower prefixes, one for each character that may follow. Fewer calls are
     in flight while calls take long, and a call that used up its timeout makes later
     ones have a longer one: answers may be on their way over a slow link, which other
-    calls need as well.
+    calls need as well. After calls of which nothing arrived for long, the read goes on
+    once a small answer arrives, so that no long timeout runs while the store is away.
 
     :param has_ended: whether to stop early.
     :param likely_characters: the characters that usually follow the prefix; without
@@ -157,9 +160,23 @@
         if took_s >= timeout_s:
             timeout_s = min(MAX_TIMEOUT_S, 2 * timeout_s)
         yield Sleep(RETRY_DELAY_S)
+        was_silent = not all(_has_arrived(result) for result in results)
+        if was_silent and took_s >= PROBE_TIMEOUT_S:
+            yield from _wait_for_small_answer(prefix, has_ended)
     return read
 
 
+def _wait_for_small_answer(prefix: str, has_ended: Callable[[], bool]) -> Flow:
+    """Wait until the store answers the read of a key that does not exist."""
+    probe = Call(STORE, Get(prefix), PROBE_TIMEOUT_S)
+    while not has_ended():
+        (result,) = yield [probe]
+        if not isinstance(result, CallFailed):
+            return
+        log_event("store_read_failed", prefix=prefix, reason=result.reason)
+        yield Sleep(RETRY_DELAY_S)
+
+
 def _has_arrived(result: StoreResult | CallFailed) -> bool:
     """Return whether at least a part of an answer arrived."""
     return not isinstance(result, CallFailed) or result.partial
--- a/tests/store/test_range_reader.py
+++ b/tests/store/test_range_reader.py
@@ -11,10 +11,11 @@
 from lagoonpulley.runtime.flows import Call, Sleep
 from lagoonpulley.runtime.role import CallFailed, Now
 from lagoonpulley.standin.store import StoreState
-from lagoonpulley.store.messages import Transaction, Write
+from lagoonpulley.store.messages import Get, Transaction, Write
 from lagoonpulley.store.range_reader import (
     MAX_CALLS_IN_FLIGHT,
     MAX_TIMEOUT_S,
+    PROBE_TIMEOUT_S,
     WHOLE_TIMEOUT_S,
     read_range,
 )
@@ -30,8 +31,9 @@
 class Reading:
     """Runs a read against a store; each batch of calls takes a given time.
 
-    ``failure_of`` returns the failure of a call, or ``None`` if the store answers it.
-    With ``is_split``, a page of the whole prefix times out.
+    ``failure_of`` returns the failure of a page, or ``None`` if the store answers it;
+    ``probe_failure_of`` that of a small read. With ``is_split``, a page of the whole
+    prefix times out.
     """
 
     def __init__(self, likely=HEX, took_s=0.01, is_split=False):
@@ -42,6 +44,8 @@
         self.is_split = is_split
         self.batches = []
         self.failure_of = lambda call: None
+        self.probes = []
+        self.probe_failure_of = lambda call: None
 
     def put(self, key, value="value"):
         self.store.apply(Transaction(puts=(Write(key, value),)), 0.0)
@@ -58,6 +62,9 @@
             if isinstance(yielded, Sleep):
                 self._advance(yielded.duration_s)
                 continue
+            if isinstance(yielded[0].operation, Get):
+                results = [self._probe(*yielded)]
+                continue
             if self.is_split and _is_whole(yielded[0]):
                 results = [TIMED_OUT]
                 self._advance(WHOLE_TIMEOUT_S)
@@ -70,6 +77,12 @@
         failed = self.failure_of(call)
         return failed or self.store.apply(call.operation, 0.0)
 
+    def _probe(self, call: Call):
+        self.probes.append(call)
+        failed = self.probe_failure_of(call)
+        self._advance(call.timeout_s if failed else 0.0)
+        return failed or self.store.apply(call.operation, 0.0)
+
     def _advance(self, seconds):
         self.clock.now = Now(self.clock.now.mono + seconds, 0.0)
 
@@ -184,6 +197,50 @@
     assert timeouts == [1.0] * 4
 
 
+def test_silent_read_goes_on_once_a_small_answer_arrives():
+    reading = Reading(likely="", took_s=1.0)
+    reading.put(PREFIX + "a")
+
+    def fail_for_long(call):
+        return TIMED_OUT if reading.clock.now.mono < 20.0 else None
+
+    reading.failure_of = reading.probe_failure_of = fail_for_long
+    assert reading.run().items
+    # No page is asked for before a small answer arrives.
+    assert len(reading.batches) == 2
+    assert reading.probes[-1].operation == Get(PREFIX)
+    assert {call.timeout_s for call in reading.probes} == {PROBE_TIMEOUT_S}
+
+
+def test_silence_of_one_call_beside_an_answer_is_noticed():
+    reading = Reading(is_split=True, took_s=1.0)
+    before = []
+
+    def fail_first_call(call):
+        before.append(call)
+        return TIMED_OUT if len(before) == 1 else None
+
+    reading.failure_of = fail_first_call
+    reading.run()
+    # One small read after the whole page, one after the call that was silent.
+    assert len(reading.probes) == 2
+
+
+def test_call_that_failed_early_is_repeated_without_a_small_read():
+    reading = Reading(likely="", took_s=0.1)
+    failed = CallFailed(Ran.NO, "connection refused")
+    reading.failure_of = lambda call: failed if len(reading.batches) < 4 else None
+    reading.run()
+    assert not reading.probes
+
+
+def test_silent_read_stops_when_it_is_no_longer_needed():
+    reading = Reading(likely="", took_s=1.0)
+    reading.failure_of = reading.probe_failure_of = lambda call: TIMED_OUT
+    reading.run(has_ended=lambda: len(reading.probes) >= 3)
+    assert len(reading.probes) == 3
+
+
 @pytest.mark.parametrize(("took_s", "most"), [(0.01, MAX_CALLS_IN_FLIGHT), (0.4, 1)])
 def test_number_of_calls_in_flight_is_bounded(took_s, most):
     reading = Reading(took_s=took_s, is_split=True)
