End direct reads of pages after a second of silence, and grow only relayed timeouts

Cause: the timeout of calls of which nothing arrived grew to 8 s also for direct calls. Their first timeout is one on silence, beside a total one of 10 s, and of a transfer over a slow link something arrives; so silence is a lost answer or a dead connection. Only the answer of a relayed call arrives all at once.

Evidence: test_takeover_ends_soon_after_answers_were_lost (tests/owner): a takeover while half, nine tenths or all of the answers with pages are lost for 3.0 to 8.1 s.

Change: a direct call keeps a silence of 1.0 s; Call and Request have relayed_timeout_s, which grows from 1 to 8 s as the timeout did. An entry that reads a page for another one likewise gives up after 1.0 s without a byte. test_call_that_used_up_its_timeout_gets_a_longer_one asserted the growth of every call; it was wrong for direct ones and is replaced by test_relay_that_used_up_its_timeout_gets_a_ longer_one, with the same figures for relayed calls and fixed ones for direct calls.

--- a/src/lagoonpulley/peers/store_relay.py
+++ b/src/lagoonpulley/peers/store_relay.py
@@ -25,6 +25,8 @@
 # Added to the timeout of the relayed call itself for the hop to the other entry.
 RELAY_OVERHEAD_S = 0.2
 MIN_RELAYED_TIMEOUT_S = 0.1
+# Of a page that is read for another entry, without any part of it arriving.
+PAGE_SILENCE_S = 1.0
 PROBE_INTERVAL_S = 0.3
 PROBE_TIMEOUT_S = 0.5
 # After a relayed call fails, calls that follow within this time fail at once.
@@ -86,7 +88,11 @@
             self.answer(request, refused)
             return
         timeout_s = max(MIN_RELAYED_TIMEOUT_S, request.timeout_s - RELAY_OVERHEAD_S)
-        result = yield Call(STORE, request.operation, timeout_s)
+        call = Call(STORE, request.operation, timeout_s)
+        if isinstance(request.operation, ReadRange):
+            silence_s = min(PAGE_SILENCE_S, timeout_s)
+            call = Call(STORE, request.operation, silence_s, timeout_s)
+        result = yield call
         if isinstance(result, CallFailed):
             self.answer(request, StoreAnswer(None, result.ran, result.reason))
         else:
@@ -124,7 +130,10 @@
 
     def _call_relay(self, address: str, request: Request) -> Flow:
         call = PeerCall(address, request.operation)
-        answer = yield Call(PEERS, call, request.timeout_s + RELAY_OVERHEAD_S)
+        timeout_s = request.timeout_s
+        if request.relayed_timeout_s is not None:
+            timeout_s = request.relayed_timeout_s
+        answer = yield Call(PEERS, call, timeout_s + RELAY_OVERHEAD_S)
         if isinstance(answer, CallFailed):
             return answer
         if answer.result is None:
--- a/src/lagoonpulley/runtime/flows.py
+++ b/src/lagoonpulley/runtime/flows.py
@@ -24,6 +24,7 @@
     operation: Any
     timeout_s: float
     total_timeout_s: float | None = None
+    relayed_timeout_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +147,7 @@
                 call.operation,
                 call.timeout_s,
                 call.total_timeout_s,
+                call.relayed_timeout_s,
             )
             self.emit(call.to, request)
 
--- a/src/lagoonpulley/runtime/role.py
+++ b/src/lagoonpulley/runtime/role.py
@@ -53,7 +53,8 @@
 
     ``timeout_s`` is the timeout in seconds, after which a port replies with
     :class:`CallFailed`. With a ``total_timeout_s``, the call may take up to that time,
-    and ``timeout_s`` limits how long no part of the answer arrives.
+    and ``timeout_s`` limits how long no part of the answer arrives. A store call that
+    another entry relays may take up to ``relayed_timeout_s``, if it is given.
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     operation: Any
     timeout_s: float
     total_timeout_s: float | None = None
+    relayed_timeout_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/store/range_reader.py
+++ b/src/lagoonpulley/store/range_reader.py
@@ -21,7 +21,9 @@
 
 # Of a page of a read that is not split yet.
 WHOLE_TIMEOUT_S = 0.5
-# Of calls during which nothing arrives, or which another entry relays.
+# Of other calls, while no part of the answer arrives.
+SILENCE_TIMEOUT_S = 1.0
+# Of calls that another entry relays: their answers arrive all at once.
 INITIAL_TIMEOUT_S = 1.0
 MAX_TIMEOUT_S = 8.0
 TOTAL_TIMEOUT_S = 10.0
@@ -55,12 +57,12 @@
     after: str = ""
     split_order: str = ""
 
-    def call(self, timeout_s: float) -> Call:
+    def call(self, relayed_timeout_s: float) -> Call:
         """Return the call that reads the first page."""
         read = ReadRange(self.prefix, self.after)
         if self.split_order:
             return Call(STORE, read, WHOLE_TIMEOUT_S)
-        return Call(STORE, read, timeout_s, TOTAL_TIMEOUT_S)
+        return Call(STORE, read, SILENCE_TIMEOUT_S, TOTAL_TIMEOUT_S, relayed_timeout_s)
 
     def split(self) -> list[_Part]:
         """Return parts with narrower prefixes that cover the same keys.
--- a/tests/owner/test_reads_after_an_outage.py
+++ b/tests/owner/test_reads_after_an_outage.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from tests.owner.test_takeover import store_jobs
+from tests.owner.test_takeover import has_owner, store_jobs
 from tests.owner.test_watch_recovery import put_submission, replace_watch_answers
 from tests.support.steps import StepWorld
 
@@ -50,3 +50,33 @@
         world = rereading_world(entries, final_count)
         delay_by_outage_s[outage_s] = start_delay_s(world, outage_s, cuts_peers)
     assert max(delay_by_outage_s.values()) <= BACK_AT_WORK_S, delay_by_outage_s
+
+
+def is_loaded(world):
+    return has_owner(world) and world.owner().owner._term.loaded
+
+
+def load_delay_s(entries, loses, losses_last_s, seed):
+    """Lose answers with pages while a new owner loads; return how long it goes on."""
+    world = StepWorld(entries=entries, seed=seed)
+    world.run(1.0)
+    store_jobs(world, open_count=300, final_count=1000)
+    world.kill(world.owner())
+    world.lose_answers = loses
+    world.losing_operations = ("ReadRange",)
+    world.run_until(lambda: has_owner(world), 5.0)
+    world.run(losses_last_s)
+    world.lose_answers = 0.0
+    return world.run_until(lambda: is_loaded(world), 30.0)
+
+
+# A loss of all pages is a store that answers only what is small.
+@pytest.mark.parametrize("loses", [0.5, 0.9, 1.0])
+@pytest.mark.parametrize("entries", [2, 4])
+def test_takeover_ends_soon_after_answers_were_lost(entries, loses):
+    delays = [
+        load_delay_s(entries, loses, losses_last_s, seed)
+        for losses_last_s in (3.0, 5.3, 8.1)
+        for seed in range(3)
+    ]
+    assert max(delays) <= BACK_AT_WORK_S, delays
--- a/tests/peers/test_store_relay.py
+++ b/tests/peers/test_store_relay.py
@@ -11,10 +11,14 @@
 import pytest
 from tests.support.steps import StepWorld, step
 
-from lagoonpulley.peers.store_relay import RELAY_OVERHEAD_S, StoreRelayRole
+from lagoonpulley.peers.store_relay import (
+    PAGE_SILENCE_S,
+    RELAY_OVERHEAD_S,
+    StoreRelayRole,
+)
 from lagoonpulley.runtime.role import PEERS, STORE, Now, Request
 from lagoonpulley.store.health import StoreHealthTracker
-from lagoonpulley.store.messages import Get
+from lagoonpulley.store.messages import Get, ReadRange, WatchPrefix
 from lagoonpulley.store.route import STORE_RELAY, RelayCall
 
 
@@ -82,6 +86,45 @@
     assert not entry.store_health.is_unreachable()
 
 
+@pytest.fixture
+def relay():
+    health = StoreHealthTracker(lambda: Now(0.0, 0.0))
+    return StoreRelayRole("e0", health, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("relayed_timeout_s", "expected_s"), [(None, 1.0), (4.0, 4.0), (0.5, 0.5)]
+)
+def test_relayed_call_has_the_timeout_of_a_whole_answer(
+    relay, relayed_timeout_s, expected_s
+):
+    relay._last_relay = "e1"
+    call = Request("id", "owner", ReadRange("jobs/"), 1.0, 10.0, relayed_timeout_s)
+    (send,) = relay.handle(RelayCall(call), Now(0.0, 0.0))
+    assert send.to == PEERS
+    assert send.message.timeout_s == pytest.approx(expected_s + RELAY_OVERHEAD_S)
+
+
+@pytest.mark.parametrize(
+    ("timeout_s", "silence_s"), [(0.7, 0.5), (8.2, PAGE_SILENCE_S)]
+)
+def test_page_for_another_entry_is_given_up_when_nothing_arrives(
+    relay, timeout_s, silence_s
+):
+    request = Request("id", PEERS, ReadRange("jobs/"), timeout_s)
+    (send,) = relay.handle(request, Now(0.0, 0.0))
+    assert send.message.timeout_s == pytest.approx(silence_s)
+    total_s = timeout_s - RELAY_OVERHEAD_S
+    assert send.message.total_timeout_s == pytest.approx(total_s)
+
+
+def test_watch_for_another_entry_may_be_silent_while_nothing_changes(relay):
+    request = Request("id", PEERS, WatchPrefix("jobs/", 1, 1.6), 2.2)
+    (send,) = relay.handle(request, Now(0.0, 0.0))
+    assert send.message.timeout_s == pytest.approx(2.0)
+    assert send.message.total_timeout_s is None
+
+
 @pytest.mark.parametrize("timeout_s", [0.7, 3.2])
 def test_relayed_call_ends_before_the_calling_entry_gives_up(timeout_s):
     health = StoreHealthTracker(lambda: Now(0.0, 0.0))
--- a/tests/store/test_range_reader.py
+++ b/tests/store/test_range_reader.py
@@ -16,6 +16,8 @@
     MAX_CALLS_IN_FLIGHT,
     MAX_TIMEOUT_S,
     PROBE_TIMEOUT_S,
+    SILENCE_TIMEOUT_S,
+    TOTAL_TIMEOUT_S,
     WHOLE_TIMEOUT_S,
     read_range,
 )
@@ -179,13 +181,17 @@
     assert read.failures == sum(map(len, reading.batches)) - len(answered) + 1
 
 
-def test_call_that_used_up_its_timeout_gets_a_longer_one():
+def test_relay_that_used_up_its_timeout_gets_a_longer_one():
     reading = Reading(likely="", took_s=MAX_TIMEOUT_S)
     failed = CallFailed(Ran.MAYBE, "timeout")
     reading.failure_of = lambda call: failed if len(reading.batches) < 6 else None
     reading.run()
-    timeouts = [call.timeout_s for batch in reading.batches for call in batch]
+    calls = [call for batch in reading.batches for call in batch]
+    timeouts = [call.relayed_timeout_s for call in calls]
     assert timeouts == [1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
+    # A direct call shows by its first bytes that its answer is on the way.
+    assert {call.timeout_s for call in calls} == {SILENCE_TIMEOUT_S}
+    assert {call.total_timeout_s for call in calls} == {TOTAL_TIMEOUT_S}
 
 
 def test_call_that_failed_early_keeps_its_timeout():
@@ -193,8 +199,9 @@
     failed = CallFailed(Ran.NO, "connection refused")
     reading.failure_of = lambda call: failed if len(reading.batches) < 4 else None
     reading.run()
-    timeouts = [call.timeout_s for batch in reading.batches for call in batch]
-    assert timeouts == [1.0] * 4
+    calls = [call for batch in reading.batches for call in batch]
+    assert [call.timeout_s for call in calls] == [1.0] * 4
+    assert [call.relayed_timeout_s for call in calls] == [1.0] * 4
 
 
 def test_silent_read_goes_on_once_a_small_answer_arrives():
