Read a page again that the store does not have or that lacks revision or items

Cause: read_range looked only at failed calls and at truncated pages with items; a page that is not found, has revision 0, or is truncated but empty counted as complete, and a revision of 0 also became that of the whole read.

Change: such an answer counts as a failed call that arrived; it is logged as store_read_failed and the page is read again after the usual pause. It does not make timeouts longer. The store's revision starts above 0 (PROTOCOL.md), so the stand-in of the test does too.

--- a/src/lagoonpulley/store/range_reader.py
+++ b/src/lagoonpulley/store/range_reader.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Protocol
 
+from ..model.verdict import Ran
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import STORE, CallFailed
@@ -121,10 +122,11 @@
 
     A page that arrived is not read again. If a page does not arrive soon, the rest is
     read by narrower prefixes, one for each character that may follow. Fewer calls are
-    in flight while calls take long, and a call that used up its timeout makes later
-    ones have a longer one: answers may be on their way over a slow link, which other
-    calls need as well. After calls of which nothing arrived for long, the read goes on
-    once a small answer arrives, so that no long timeout runs while the store is away.
+    in flight while calls take long, and relayed calls that used up their timeout make
+    later ones have a longer one: answers may be on their way over a slow link, which
+    other calls need as well. After calls of which nothing arrived for long, the read
+    goes on once a small answer arrives, so that no long timeout runs while the store is
+    away.
 
     :param has_ended: whether to stop early.
     :param likely_characters: the characters that usually follow the prefix; without
@@ -134,13 +136,13 @@
     read = RangeRead()
     remaining = deque([_Part(prefix, split_order=_split_order(likely_characters))])
     calls_in_flight = INITIAL_CALLS_IN_FLIGHT
-    timeout_s = INITIAL_TIMEOUT_S
+    relayed_timeout_s = INITIAL_TIMEOUT_S
     while remaining and not has_ended():
         count = min(calls_in_flight, len(remaining))
         batch = [remaining.popleft() for _ in range(count)]
-        calls = [part.call(timeout_s) for part in batch]
+        calls = [part.call(relayed_timeout_s) for part in batch]
         sent_at = timekeeper.now.mono
-        results = yield calls
+        results = [_check_page(result) for result in (yield calls)]
         took_s = timekeeper.now.mono - sent_at
         if any(_has_arrived(result) for result in results):
             read.transfer_s += took_s
@@ -151,7 +153,7 @@
                 remaining.extendleft(reversed(part.split()))
             elif isinstance(result, CallFailed):
                 remaining.appendleft(part)
-            elif result.truncated and result.entries:
+            elif result.truncated:
                 rest = replace(part, after=result.entries[-1].key)
                 remaining.appendleft(rest)
             read.add(part.prefix, result)
@@ -159,10 +161,10 @@
             calls_in_flight = _next_calls_in_flight(calls_in_flight, took_s)
             continue
         calls_in_flight = 1
-        if took_s >= timeout_s:
-            timeout_s = min(MAX_TIMEOUT_S, 2 * timeout_s)
-        yield Sleep(RETRY_DELAY_S)
         was_silent = not all(_has_arrived(result) for result in results)
+        if was_silent and took_s >= relayed_timeout_s:
+            relayed_timeout_s = min(MAX_TIMEOUT_S, 2 * relayed_timeout_s)
+        yield Sleep(RETRY_DELAY_S)
         if was_silent and took_s >= PROBE_TIMEOUT_S:
             yield from _wait_for_small_answer(prefix, has_ended)
     return read
@@ -179,6 +181,21 @@
         yield Sleep(RETRY_DELAY_S)
 
 
+def _check_page(result: StoreResult | CallFailed) -> StoreResult | CallFailed:
+    """Return a failure in place of an answer that cannot be a page."""
+    if isinstance(result, CallFailed):
+        return result
+    if not result.ok:
+        reason = f"page answered with {result.status.value}"
+    elif result.revision <= 0:
+        reason = "page without a revision"
+    elif result.truncated and not result.entries:
+        reason = "truncated page without items"
+    else:
+        return result
+    return CallFailed(Ran.NO, reason, partial=True)
+
+
 def _has_arrived(result: StoreResult | CallFailed) -> bool:
     """Return whether at least a part of an answer arrived."""
     return not isinstance(result, CallFailed) or result.partial
--- a/tests/store/test_range_reader.py
+++ b/tests/store/test_range_reader.py
@@ -11,7 +11,13 @@
 from lagoonpulley.runtime.flows import Call, Sleep
 from lagoonpulley.runtime.role import CallFailed, Now
 from lagoonpulley.standin.store import StoreState
-from lagoonpulley.store.messages import Get, Transaction, Write
+from lagoonpulley.store.messages import (
+    Get,
+    StoreResult,
+    StoreStatus,
+    Transaction,
+    Write,
+)
 from lagoonpulley.store.range_reader import (
     MAX_CALLS_IN_FLIGHT,
     MAX_TIMEOUT_S,
@@ -40,6 +46,8 @@
 
     def __init__(self, likely=HEX, took_s=0.01, is_split=False):
         self.store = StoreState()
+        # As on the platform, the revision starts above 0.
+        self.store.apply(Transaction(puts=(Write("other", ""),)), 0.0)
         self.clock = SimpleNamespace(now=Now(0.0, 0.0))
         self.took_s = took_s
         self.likely = likely
@@ -248,6 +256,37 @@
     assert len(reading.probes) == 3
 
 
+INVALID_PAGES = (
+    StoreResult(StoreStatus.NOT_FOUND, revision=9),
+    StoreResult(StoreStatus.CONFLICT, revision=9),
+    StoreResult(StoreStatus.OK, revision=0),
+    StoreResult(StoreStatus.OK, revision=9, truncated=True),
+)
+
+
+@pytest.mark.parametrize("likely", ["", HEX])
+@pytest.mark.parametrize("page", INVALID_PAGES)
+def test_invalid_page_is_read_again(page, likely):
+    reading = Reading(likely=likely)
+    reading.put(PREFIX + "a")
+    reading.failure_of = lambda call: page if len(reading.batches) < 3 else None
+    read = reading.run()
+    assert set(read.item_by_key) == {PREFIX + "a"}
+    assert read.revision == reading.store.revision
+    assert len(reading.batches) == 3
+    assert read.failures == 2
+    assert not reading.probes
+
+
+@pytest.mark.parametrize("page", INVALID_PAGES)
+def test_invalid_page_keeps_timeouts_however_late_it_is(page):
+    reading = Reading(likely="", took_s=MAX_TIMEOUT_S)
+    reading.failure_of = lambda call: page if len(reading.batches) < 4 else None
+    reading.run()
+    calls = [call for batch in reading.batches for call in batch]
+    assert [call.relayed_timeout_s for call in calls] == [1.0] * 4
+
+
 @pytest.mark.parametrize(("took_s", "most"), [(0.01, MAX_CALLS_IN_FLIGHT), (0.4, 1)])
 def test_number_of_calls_in_flight_is_bounded(took_s, most):
     reading = Reading(took_s=took_s, is_split=True)
