--- a/src/lagoonpulley/observability/events.py
+++ b/src/lagoonpulley/observability/events.py
@@ -17,7 +17,14 @@
 # Lines written per event and second; the next line carries the number suppressed.
 MAX_LINES_PER_S = 300
 MAX_FAILURE_LINES_PER_S = 2
-FAILURE_SUFFIXES = ("_failed", "_refused", "_away", "_not_understood", "_unknown")
+FAILURE_SUFFIXES = (
+    "_failed",
+    "_refused",
+    "_away",
+    "_late",
+    "_not_understood",
+    "_unknown",
+)
 # Of one field: keys, names and reasons may come from other writers.
 MAX_TEXT_LENGTH = 1000
 
