--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -158,6 +158,10 @@
     def carry_out_starts_late(self, worker):
         self.world.late_workers ^= {worker}
 
+    @rule(worker=st.sampled_from(WORKERS))
+    def carry_out_half_of_the_commands_late(self, worker):
+        self.world.partly_late_workers ^= {worker}
+
     @rule(worker=st.sampled_from(WORKERS))
     def restart_worker(self, worker):
         # An incarnation is identified by the millisecond of its start.
@@ -207,6 +211,7 @@
         world.lose_answers = 0.0
         world.dead_workers.clear()
         world.late_workers.clear()
+        world.partly_late_workers.clear()
         for name in ENTRIES:
             world.entry_by_name[name].has_store = True
             world.entry_by_name[name].has_peers = True
