Let the checks of histories see a start after an acknowledged end

Histories and step_fuzz were blind to what the users saw.

The users' rule allows it and nothing prevents it, so run numbers may repeat, but only on a later incarnation of the same worker; everywhere else they must rise, as before.

--- a/tests/owner/test_histories.py
+++ b/tests/owner/test_histories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.support.step_history import (
+    LateCommandsHistory,
     StepHistory,
     UnequalEntriesHistory,
     history_settings,
@@ -13,3 +14,6 @@
 
 TestUnequalEntriesHistories = UnequalEntriesHistory.TestCase
 TestUnequalEntriesHistories.settings = history_settings(20, derandomize=True)
+
+TestLateCommandsHistories = LateCommandsHistory.TestCase
+TestLateCommandsHistories.settings = history_settings(20, derandomize=True)
