--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -178,6 +178,9 @@
     queue = term.queue_of(record)
     if kind is not EndKind.FAILED or queue is None:
         return
+    if record.task_by_key[ref.key].done:
+        # The failure of an earlier run, listed late.
+        return
     if record.step_of(ref.key).long_running:
         return
     if record.failures_of(ref.key) >= queue.max_attempts:
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -256,7 +256,9 @@
     def give_up_run(self, key: TaskKey) -> None:
         """End the current run of a task, whose worker may still list how it ended."""
         task = self.task_by_key[key]
-        task.given_up_runs.add(task.run.number)
+        if not self.step_of(key).long_running:
+            # Nothing follows from the end of a task that has to run on anyway.
+            task.given_up_runs.add(task.run.number)
         self.end_run(key, EndKind.LAPSED, "")
 
     def apply_late_end(self, key: TaskKey, run: int, kind: EndKind) -> bool:
