Bound what a restart of a worker costs, and fence each incarnation apart

A run that was listed and of which no start is on its way ends at once, as before; a further restart does not move the end of leases for runs that wait already. - Two incarnations could have one token, if no commit lay between: before the first commit of a term, or while the store is away.

Two overlapping runs remain possible behind a cut: KNOWN-RED 71.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -119,6 +119,7 @@
         for _ in range(START_ATTEMPTS):
             result = yield Call(UPSTREAM, command, START_TIMEOUT_S)
             if isinstance(result, CommandAccepted):
+                tracked.may_start_late = failed.ran is not Ran.NO
                 return result
             if isinstance(result, CommandRefused) and failed.ran is Ran.NO:
                 return result
@@ -219,6 +220,7 @@
             return
         if not isinstance(result, WorkerReport):
             return
+        worker.forgotten = max(worker.forgotten, command.acknowledged)
         apply_report(term, worker, result, sent_at)
         self._host.plan_and_commit()
 
--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -61,6 +61,7 @@
         self._record_by_id: dict[str, JobRecord] = {}
         self._callbacks_by_id: dict[str, list[Callback]] = {}
         self._value_by_key: dict[str, str] = {}
+        self._head_callbacks: list[Callback] = []
         self._progress_stored_ids: set[str] = set()
         self.in_flight: Commit | None = None
 
@@ -100,6 +101,13 @@
             return True
         return False
 
+    def call_after_next_commit(self, callback: Callback) -> None:
+        """Call back once the head's revision has risen, also if nothing has changed."""
+        if self.in_flight is not None:
+            self.in_flight.callbacks.append(callback)
+        else:
+            self._head_callbacks.append(callback)
+
     def _is_in_flight(self, job_id: str) -> bool:
         return self.in_flight is not None and job_id in self.in_flight.job_ids
 
@@ -115,7 +123,7 @@
         """Return the next transaction to send, or ``None`` if nothing is due."""
         if self.in_flight is not None:
             return None
-        if not self._record_by_id and not self._value_by_key:
+        if not (self._record_by_id or self._value_by_key or self._head_callbacks):
             return None
         self._number += 1
         head = HeadDocument(token=self._token, number=self._number)
@@ -123,7 +131,8 @@
         puts += [Write(key, value) for key, value in self._value_by_key.items()]
         self._value_by_key = {}
         deletes: list[str] = []
-        callbacks: list[Callback] = []
+        callbacks = self._head_callbacks
+        self._head_callbacks = []
         job_ids = set()
         size = 0
         for job_id in list(self._record_by_id):
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -15,10 +15,10 @@
 from ..planning.worker_speed import SpeedTier, WorkerSpeeds
 from ..upstream.directory import WorkerInfo
 from ..upstream.tasks import TaskRef
-from ..workload.record import JobRecord, JobState
+from ..workload.record import EndKind, JobRecord, JobState
 from .crashes import record_crash
 from .journal import Journal
-from .run_ends import give_up_all_runs
+from .run_ends import end_run, give_up_all_runs
 from .worker_state import (
     BEFORE_THIS_TERM,
     TrackedRun,
@@ -288,8 +288,9 @@
     def begin_incarnation(self, worker: WorkerState, born: int) -> None:
         """Record that a worker has crashed and that its next incarnation is known.
 
-        The runs of the previous one end once the new one has accepted a later token
-        and does not list them: until then a late start may begin them there.
+        A run ends at once if the previous incarnation has listed it and no start of it
+        is on its way. The others end once the new incarnation has accepted a later
+        token and does not list them: it may have started them.
 
         :param born: identifies the new incarnation.
         """
@@ -306,12 +307,26 @@
         record_crash(self, worker)
         self.worker_speeds.forget(worker.info.id)
         self.cell.set_speed_tier(worker.info.id, SpeedTier.USUAL)
-        # Commits preceded every start that was sent, so this token is above theirs.
+        for ref, tracked in list(worker.tracked_by_ref.items()):
+            if tracked.listed and not tracked.may_start_late:
+                end_run(self, worker, ref, EndKind.LAPSED, "", "worker restarted")
         worker.begin_incarnation(born, self.journal.head_revision, self.now.mono)
+        if worker.awaits_token:
+            self._renew_token(worker)
         self.idle_worker_by_id[worker.info.id] = worker
         self.cell.put_worker(worker.info)
         self.refresh_accepting(worker)
 
+    def _renew_token(self, worker: WorkerState) -> None:
+        """Give the current incarnation of a worker the revision of the next commit."""
+        incarnation = worker.incarnation
+
+        def renew() -> None:
+            if self.is_current(worker, incarnation):
+                worker.renew_token(self.journal.head_revision)
+
+        self.journal.call_after_next_commit(renew)
+
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
         self._close_predecessors(info.address)
         self.known_workers += 1
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -44,6 +44,8 @@
     ``placed_at`` is when the task was placed here, or read from the store.
     ``start_sent_at`` is when its start was first sent, ``None`` before that and for a
     run that was read from the store.
+    ``may_start_late`` is set while an attempt to start it went unanswered, or may have:
+    that may reach the worker's next incarnation, whatever the later attempts did.
     ``start_resolved_at`` is when it became certain that no start command in flight
     can start the run any more, ``None`` before that; a sync sent later shows whether
     the run exists.
@@ -61,6 +63,7 @@
     is_blamed: bool = False
     not_after_ms: int = 0
     start_sent_at: float | None = None
+    may_start_late: bool = True
     start_resolved_at: float | None = None
     listed: bool = False
     sent_to_earlier: bool = False
@@ -75,8 +78,7 @@
         has seen a later token, so its answer to a sync from now on is conclusive.
         ``not_after_ms`` is void there, because each incarnation has its own clock.
         """
-        was_sent = self.start_sent_at is not None or self.start_resolved_at is not None
-        if not was_sent:
+        if self.start_sent_at is None and self.start_resolved_at is None:
             return
         self.start_resolved_at = now
         self.not_after_ms = 0
@@ -92,14 +94,16 @@
     ``token`` is the fencing token of commands to the current incarnation, which is
     the ``incarnation``-th that this owner knows of; the results of commands to earlier
     ones are ignored. ``fenced`` is set once it has accepted the token and listed its
-    runs. ``leases_expire_at`` is when every lease on the worker has certainly expired
-    if nothing more reaches it, in monotonic seconds. ``processed`` and
-    ``acknowledged`` are numbers of ended runs in the worker's own numbering; an end is
-    acknowledged only after the commit that records it. ``position`` orders workers by
-    when they first became known. ``alive_at`` is when it was last known to live, in
-    monotonic seconds. ``closed_at`` is since when it refuses connections or has closed
-    them, as after a crash, in monotonic seconds. ``blamed_runs`` are those that were
-    blamed for its crash.
+    runs; it is not called while ``awaits_token`` is set, because the token is not above
+    those of calls to an earlier incarnation yet. ``leases_expire_at`` is when every
+    lease on the worker has certainly expired if nothing more reaches it, in monotonic
+    seconds. ``processed`` and ``acknowledged`` are numbers of ended runs in the
+    worker's own numbering; an end is acknowledged only after the commit that records
+    it. Ends up to ``forgotten`` were acknowledged in a call that was answered.
+    ``position`` orders workers by when they first became known. ``alive_at`` is when
+    it was last known to live, ``closed_at`` since when it refuses connections or has
+    closed them, as after a crash, both in monotonic seconds. ``blamed_runs`` are those
+    that were blamed for its crash.
     """
 
     info: WorkerInfo
@@ -109,10 +113,12 @@
     position: int = 0
     incarnation: int = 1
     fenced: bool = False
+    awaits_token: bool = False
     clock_ms: int | None = None
     clock_at: float = 0.0
     processed: int = 0
     acknowledged: int = 0
+    forgotten: int = 0
     pending_commits: int = 0
     syncing: bool = False
     next_sync_at: float = 0.0
@@ -145,12 +151,20 @@
 
     @property
     def acknowledgement(self) -> int:
-        """Number up to which the next sync acknowledges ends.
+        """Number up to which the next sync acknowledges ends, 0 if it need not.
 
-        0 after a call without an answer: the next one may be the first to reach
-        another incarnation, which numbers its ends anew.
+        A call may be the first to reach another incarnation, which numbers its ends
+        anew. So none repeats what an answered call has acknowledged, and the one after
+        a call without an answer acknowledges nothing.
         """
-        return 0 if self.failures else self.acknowledged
+        if self.failures or self.acknowledged <= self.forgotten:
+            return 0
+        return self.acknowledged
+
+    def renew_token(self, token: int) -> None:
+        """Allow calls to the current incarnation, under a token above earlier ones."""
+        self.token = token
+        self.awaits_token = False
 
     def begin_incarnation(self, born: int, token: int, now: float) -> None:
         """Forget what holds for the previous incarnation only, which has crashed.
@@ -163,18 +177,22 @@
         """
         self.info = replace(self.info, born=born)
         self.incarnation += 1
+        self.awaits_token = token <= self.token
         self.token = token
         self.fenced = False
         self.clock_ms = None
-        self.processed = self.acknowledged = 0
+        self.processed = self.acknowledged = self.forgotten = 0
         self.syncing = False
         self.next_sync_at = 0.0
         self.failures = 0
         self.alive_at = self.closed_at = None
         self.blamed_runs = {}
-        self.leases_expire_at = latest_lease_end(now, self.max_lease_s)
-        for tracked in self.tracked_by_ref.values():
-            tracked.begin_incarnation(now)
+        runs = self.tracked_by_ref.values()
+        if not any(run.sent_to_earlier for run in runs):
+            # Otherwise a worker that restarts again and again would keep its runs.
+            self.leases_expire_at = latest_lease_end(now, self.max_lease_s)
+        for run in runs:
+            run.begin_incarnation(now)
 
     def min_clock_ms(self, now: float) -> int:
         """Return the lowest time that the worker's clock can show now."""
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -125,6 +125,8 @@
         """Start a sync with a worker unless one is in flight or none is due."""
         if term.has_ended or worker.syncing or not worker.info.address:
             return
+        if worker.awaits_token:
+            return
         if self._host.now.mono < worker.next_sync_at:
             return
         term.begin_sync(worker)
@@ -154,6 +156,7 @@
         if term.has_ended or not is_current:
             return
         if isinstance(result, WorkerReport):
+            worker.forgotten = max(worker.forgotten, command.acknowledged)
             self._apply_report(term, worker, result, sent_at)
         else:
             self._record_sync_failure(term, worker, result)
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -285,3 +285,25 @@
     assert [event["suspects"] for event in crashes] == [[LIVE]]
     assert not record_by_id[LOST].crashes_by_task
     assert record_by_id[LIVE].crashes_by_task
+
+
+def test_one_crash_does_not_fail_a_job_when_the_owner_changes():
+    """The run stays current, with the incarnation that has crashed.
+
+    The next owner finds that incarnation beside the run, and another one in the
+    directory, and counts the crash once more.
+    """
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.submit(LOST, step(processors=16000), payload="seconds=2")
+    world.run_until(lambda: world.executions(LOST), 1.0)
+    (crashed,) = (w for w in world.worker_by_id.values() if w.executions)
+    world.run(0.05)
+    # It crashes once, soon after the start, and is out of reach when it is back.
+    world.dead_workers.add(crashed.id)
+    crashed.restart(world.clock.mono)
+    world.add_worker(crashed.id)
+    world.run(1.5)
+    world.kill(world.owner())
+    world.run_until(lambda: world.final_state(LOST) is not None, 30.0)
+    assert world.final_state(LOST) == "completed"
--- a/tests/owner/test_worker_restarts.py
+++ b/tests/owner/test_worker_restarts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
+
 import pytest
 from tests.support.step_invariants import check_all
 from tests.support.steps import StepWorld, step
 
-from lagoonpulley.upstream.tasks import SyncWorker
+from lagoonpulley.upstream.tasks import StartTask, SyncWorker
 
 FIRST = "a" * 16
 SECOND = "b" * 16
@@ -58,7 +60,10 @@
     executed = record_commands(worker)
     world.submit(FIRST, step(count=3), payload="seconds=0.3")
     world.run(1.5)
-    acknowledgement = executed[-1][1]
+    acknowledgement = max(
+        (command for _, command in executed if isinstance(command, SyncWorker)),
+        key=attrgetter("acknowledged"),
+    )
     assert acknowledgement.acknowledged == 3
     restart(world)
     world.run(1.0)
@@ -113,3 +118,139 @@
     reply(*held[0])
     world.run_until(lambda: world.final_state(SECOND) == "completed", 6.0)
     assert len(world.executions(SECOND)) == 1
+
+
+def test_restart_before_the_first_commit_of_a_term_has_a_later_token():
+    """A late acknowledgement passes the fence of the next incarnation."""
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    worker = world.worker_by_id["w0"]
+    executed = record_commands(worker)
+    world.submit(FIRST, step(count=3), payload="seconds=0.3")
+    world.run(0.2)
+    # The first owner records the ends, but does not acknowledge them.
+    release = world.hold_commits()
+    world.run_until(lambda: not worker._running_by_ref, 1.0)
+    world.run(0.2)
+    first = world.owner()
+    first.unreachable_workers.add("w0")
+    release()
+    world.run(0.1)
+    world.kill(first)
+
+    def acknowledgements():
+        return [c for _, c in executed if getattr(c, "acknowledged", 0) == 3]
+
+    world.run_until(acknowledgements, 6.0)
+    acknowledgement = acknowledgements()[0]
+    restart(world)
+    world.run(1.0)
+    world.submit(SECOND, step(), payload="seconds=2")
+    world.run(0.3)
+    world.dead_workers.add("w0")
+    world.run(2.0)
+    # The call to the previous incarnation, executed late.
+    worker.apply(acknowledgement, world.clock.mono)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(SECOND) == "completed", 5.0)
+    assert len(world.executions(SECOND)) == 1
+
+
+def test_restart_while_the_store_is_away_is_not_fenced_by_an_earlier_token():
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    executed = record_commands(world.worker_by_id["w0"])
+    worker = world.owner().owner._term.worker_by_id["w0"]
+    world.store_up = False
+    for _ in range(2):
+        earlier_token = max([worker.token, *(c.token for _, c in executed)])
+        # The worker itself reports its restart.
+        world.worker_by_id["w0"].restart(world.clock.mono)
+        world.run(1.5)
+        assert not worker.fenced or worker.token > earlier_token
+    world.store_up = True
+    world.run_until(lambda: worker.fenced, 2.0)
+    assert worker.token > earlier_token
+    assert isinstance(executed[-1][1], SyncWorker)
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_late_start_holds_a_lease_that_the_owner_does_not_know(is_listed):
+    """It runs behind a cut, beside its successor.
+
+    ``not_after_ms`` is of the earlier incarnation's clock, so on the next one it is
+    worth the longest lease, counted from the late execution.
+    """
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.late_workers.update(("w0", "w1"))
+    world.submit(FIRST, step(processors=16000), payload="seconds=9")
+    world.run(0.05)
+    (tracked,) = (
+        worker
+        for worker in world.owner().owner._term.worker_by_id.values()
+        if worker.tracked_by_ref
+    )
+    late = tracked.info.id
+    world.late_workers.clear()
+    world.dead_workers.add(late)
+    world.worker_by_id[late].restart(world.clock.mono)
+    if is_listed:
+        world.add_worker(late)
+    world.run(20.0)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 20.0)
+    check_all(world, {FIRST: world.last_spec}, {})
+
+
+def test_late_acknowledgement_before_the_first_call_of_the_owner():
+    """A late start ends there as done; a late acknowledgement forgets that."""
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    worker = world.worker_by_id["w0"]
+    executed = []
+    apply = worker.apply
+
+    def apply_and_record(command, now):
+        executed.append(command)
+        return apply(command, now)
+
+    worker.apply = apply_and_record
+    world.submit(FIRST, step(count=3), payload="seconds=0.3")
+    world.run(1.5)
+    # All three ends were acknowledged in an answered call long before this one.
+    world.run(2.0)
+    assert not worker.has_ends()
+    calls = [c for c in executed if isinstance(c, SyncWorker) and c.wait_s]
+    acknowledgement = max(calls[-2:], key=lambda call: call.acknowledged)
+    first_spec = world.last_spec
+    world.late_workers.add("w0")
+    world.submit(SECOND, step(), payload="seconds=0.5")
+    world.run(0.05)
+    world.late_workers.clear()
+    world.dead_workers.add("w0")
+    worker.restart(world.clock.mono)
+    # The start is executed after three seconds, and the last call soon afterwards.
+    world.run_until(lambda: len(world.executions(SECOND)) == 1, 4.0)
+    assert isinstance(executed[-1], StartTask)
+    world.run(0.8)
+    worker.apply(acknowledgement, world.clock.mono)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(SECOND) == "completed", 9.0)
+    check_all(world, {FIRST: first_spec, SECOND: world.last_spec}, {})
+    assert len(world.executions(SECOND)) == 1
+
+
+def test_run_is_started_elsewhere_though_its_worker_keeps_restarting():
+    """Each restart that the directory tells moves the end of all leases by 6.8 s."""
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.submit(FIRST, step(processors=16000), payload="seconds=5")
+    world.run(1.0)
+    (worker,) = (w for w in world.worker_by_id.values() if w.executions)
+    world.dead_workers.add(worker.id)
+    for _ in range(6):
+        worker.restart(world.clock.mono)
+        world.add_worker(worker.id)
+        world.run(5.0)
+    assert len(world.executions(FIRST)) == 2
