--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -11,13 +11,14 @@
 from ..workload.documents import FinalDocument, JobKeys, ProgressDocument
 from ..workload.record import JobRecord
 
-__all__ = ["HEAD_KEY", "Commit", "Journal"]
+__all__ = ["HEAD_KEY", "MAX_COMMIT_ROWS", "Commit", "Journal"]
 
 HEAD_KEY = "lagoonpulley/head"
 
 # The store accepts 32 rows per transaction; the head needs two of them and each record
 # up to four.
 MAX_COMMIT_ROWS = 30
+ROWS_OF_FINAL_RECORD = 4
 # Progress documents in one transaction. Encoded in base64 they reach the store within
 # the timeout of a commit on a link of 2 Mbit/s that carries other traffic as well.
 MAX_COMMIT_BYTES = 64_000
@@ -78,6 +79,13 @@
         """Number of records and values that wait for the next commits."""
         return len(self._record_by_id) + len(self._value_by_key)
 
+    def waiting_rows(self) -> int:
+        """Return how many rows the waiting changes need at most."""
+        rows = len(self._value_by_key)
+        for record in self._record_by_id.values():
+            rows += ROWS_OF_FINAL_RECORD if record.is_final else 1
+        return rows
+
     def enqueue(self, record: JobRecord, on_durable: Callback | None = None) -> None:
         """Enqueue a record; ``on_durable`` is called once it is committed."""
         self._record_by_id[record.spec.id] = record
@@ -137,7 +145,7 @@
         size = 0
         for job_id in list(self._record_by_id):
             if (
-                len(puts) + len(deletes) + 4 > MAX_COMMIT_ROWS
+                len(puts) + len(deletes) + ROWS_OF_FINAL_RECORD > MAX_COMMIT_ROWS
                 or size >= MAX_COMMIT_BYTES
             ):
                 break
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -17,6 +17,7 @@
 from ..store.answer_timeout import AnswerTimeout
 from ..upstream.tasks import Advice
 from .advisors import AdvisorBalancer
+from .commit_delay import CommitDelay
 from .dispatch import Dispatcher
 from .drains import DrainFollower, NoDrains
 from .handover import HandoverMonitor
@@ -49,6 +50,8 @@
 RETRY_DELAY_S = 0.05
 ADVICE_RETRY_DELAY_S = 0.1
 MAX_STARTS_PER_ROUND = 64
+# Permits are valid for about two seconds.
+MAX_COMMIT_DELAY_S = 0.5
 # Batches run ends that arrive close together into one planning round.
 PLANNING_INTERVAL_S = 0.02
 # A round considers every demand, so rounds are rarer while many wait.
@@ -81,6 +84,7 @@
         self._workers = WorkerMonitor(self, self._dispatcher, directory, health)
         self._drains = DrainFollower(self, drains or NoDrains())
         self._commit_timeout = AnswerTimeout()
+        self._commit_delay = CommitDelay()
         self._pending = PendingCounts()
         self._team_use_store = TeamUseStore()
         self._status = OwnerStatusWriter()
@@ -246,10 +250,20 @@
         term = self._term
         if term is None or not term.loaded:
             return
-        if term.needs_planning and term.may_plan():
+        if term.needs_planning and term.may_plan() and self._max_starts(term) > 0:
             self._plan_when_due(term)
         self._commit(term)
 
+    def _max_starts(self, term: OwnerTerm) -> int:
+        """Return how many placements made now would soon be durable.
+
+        The permits of others would expire meanwhile, and they would be placed again and
+        again.
+        """
+        rows = self._commit_delay.rows_within(MAX_COMMIT_DELAY_S, self.now.mono)
+        room = rows - term.journal.waiting_rows()
+        return max(0, min(MAX_STARTS_PER_ROUND, room))
+
     def _plan_when_due(self, term: OwnerTerm) -> None:
         """Plan now, or request a wake-up if the last round is too recent."""
         wait_s = self._next_round_at - self.now.mono
@@ -279,8 +293,9 @@
             self._advisors,
             self.now.wall,
         )
-        plan = planner.plan(demands, MAX_STARTS_PER_ROUND)
-        if len(plan.starts) >= MAX_STARTS_PER_ROUND:
+        max_starts = self._max_starts(term)
+        plan = planner.plan(demands, max_starts)
+        if len(plan.starts) >= max_starts:
             term.needs_planning = True
         if term.backlog.set_reserved_gangs(planner.reserved_gangs):
             term.needs_planning = True
@@ -349,6 +364,7 @@
     def _commit(self, term: OwnerTerm) -> None:
         commit = term.journal.next_commit()
         if commit is not None:
+            self._commit_delay.record_sent(self.now.mono)
             self.start(self._send_commit(term, commit.transaction))
 
     def _send_commit(self, term: OwnerTerm, transaction: Transaction) -> Flow:
@@ -368,6 +384,7 @@
                     yield Sleep(RETRY_DELAY_S)
                 continue
             self._commit_timeout.record_answer(took_s)
+            self._commit_delay.record_durable(self.now.mono)
             if result.ok:
                 self._jobs.record_commit(transaction, result.revision)
                 self._load_log.record_commit(self.now.mono - began)
--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -5,6 +5,10 @@
 import pytest
 from tests.support.steps import StepWorld, step
 
+from lagoonpulley.runtime.flows import Sleep
+from lagoonpulley.workload.documents import JobKeys, encode_submission
+from lagoonpulley.workload.spec import JobSpec
+
 
 @pytest.fixture
 def world():
@@ -126,3 +130,55 @@
     world.store_up = True
     world.run_until(lambda: world.final_state("a" * 16) == "completed", 6.0)
     assert world.refused_permits == 0
+
+
+PERMIT_VALID_S = 2.0
+
+
+def slow_down_commits(world, commit_s):
+    """Let each commit of the present owner take longer."""
+    owner = world.owner().owner
+    send = owner._send_commit
+
+    def send_later(term, transaction):
+        yield Sleep(commit_s)
+        yield from send(term, transaction)
+
+    owner._send_commit = send_later
+
+
+def record_commit_waits(world):
+    """Record how long each placement waits until it is durable."""
+    owner = world.owner().owner
+    start_committed = owner._start_committed
+    dispatch = owner._dispatch
+    placed_at_by_job_id = {}
+    waits = []
+
+    def dispatch_and_record(term, start):
+        placed_at_by_job_id[start.record.spec.id] = world.clock.mono
+        dispatch(term, start)
+
+    def start_and_record(term, start):
+        placed_at = placed_at_by_job_id[start.record.spec.id]
+        waits.append(world.clock.mono - placed_at)
+        start_committed(term, start)
+
+    owner._dispatch = dispatch_and_record
+    owner._start_committed = start_and_record
+    return waits
+
+
+def test_placements_are_durable_before_permits_expire_though_commits_are_slow():
+    world = StepWorld()
+    world.run(8.0)
+    slow_down_commits(world, 0.5)
+    world.submit("f" * 16, step(count=5, processors=10), payload="seconds=0.1")
+    world.run_until(lambda: world.final_state("f" * 16), 10.0)
+    waits = record_commit_waits(world)
+    jobs = [f"{number:016x}" for number in range(300)]
+    for job_id in jobs:
+        spec = JobSpec(job_id, "reviews", "north", "seconds=0.1", (step(1, 10),), 0.0)
+        world.put(JobKeys(job_id).submission, encode_submission(spec))
+    world.run_until(lambda: all(map(world.final_state, jobs)), 60.0)
+    assert max(waits) < PERMIT_VALID_S
