--- a/tests/owner/test_worker_ends.py
+++ b/tests/owner/test_worker_ends.py
@@ -42,6 +42,22 @@
     world.run(4.0)
 
 
+def start_again_elsewhere(payload):
+    """Return a cell in which a run was given up and its successor runs elsewhere.
+
+    The worker of the first run is within reach again.
+    """
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.submit(JOB, step(processors=16000), payload=payload)
+    world.run(0.3)
+    (first,) = (w for w in world.worker_by_id.values() if w.executions)
+    world.dead_workers.add(first.id)
+    world.run_until(lambda: len(world.executions(JOB)) == 2, 6.0)
+    world.dead_workers.clear()
+    return world
+
+
 def test_end_that_changes_nothing_is_logged(world):
     world.submit(JOB, step(), payload="seconds=4")
     world.run(0.5)
@@ -76,14 +92,7 @@
 
 
 def test_done_of_a_run_that_was_given_up_stops_its_successor():
-    world = StepWorld(workers=2)
-    world.run(8.0)
-    world.submit(JOB, step(processors=16000), payload="seconds=2.5")
-    world.run(0.3)
-    (first,) = (w for w in world.worker_by_id.values() if w.executions)
-    world.dead_workers.add(first.id)
-    world.run_until(lambda: len(world.executions(JOB)) == 2, 6.0)
-    world.dead_workers.clear()
+    world = start_again_elsewhere(payload="seconds=2.5")
     world.run_until(lambda: world.final_state(JOB) == "completed", 1.0)
     second = next(e for e in world.executions(JOB) if e.ref.run == 2)
     world.run(1.0)
@@ -108,14 +117,7 @@
 
 
 def test_failure_of_a_run_that_was_given_up_counts_as_an_attempt():
-    world = StepWorld(workers=2)
-    world.run(8.0)
-    world.submit(JOB, step(processors=16000), payload="fail seconds=2.5")
-    world.run(0.3)
-    (first,) = (w for w in world.worker_by_id.values() if w.executions)
-    world.dead_workers.add(first.id)
-    world.run_until(lambda: len(world.executions(JOB)) == 2, 6.0)
-    world.dead_workers.clear()
+    world = start_again_elsewhere(payload="fail seconds=2.5")
     world.run_until(lambda: world.final_state(JOB) == "failed", 6.0)
     world.run(1.0)
     assert len(world.executions(JOB)) == 2
--- a/tests/owner/test_worker_restarts.py
+++ b/tests/owner/test_worker_restarts.py
@@ -41,6 +41,22 @@
     world.add_worker(worker_id)
 
 
+def run_beside_late_command(world, command):
+    """Run a job on the next incarnation, which executes a command to the previous one.
+
+    It does so after the job's only run has ended and before the owner hears of that.
+    """
+    restart(world)
+    world.run(1.0)
+    world.submit(SECOND, step(), payload="seconds=2")
+    world.run(0.3)
+    world.dead_workers.add("w0")
+    world.run(2.0)
+    world.worker_by_id["w0"].apply(command, world.clock.mono)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(SECOND) == "completed", 3.0)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_late_start_on_the_next_incarnation_never_runs_beside_its_successor(seed):
     world = StepWorld(seed=seed)
@@ -65,15 +81,7 @@
         key=attrgetter("acknowledged"),
     )
     assert acknowledgement.acknowledged == 3
-    restart(world)
-    world.run(1.0)
-    world.submit(SECOND, step(), payload="seconds=2")
-    world.run(0.3)
-    world.dead_workers.add("w0")
-    world.run(2.0)
-    worker.apply(acknowledgement, world.clock.mono)
-    world.dead_workers.clear()
-    world.run_until(lambda: world.final_state(SECOND) == "completed", 3.0)
+    run_beside_late_command(world, acknowledgement)
     assert len(world.executions(SECOND)) == 1
 
 
@@ -143,16 +151,7 @@
 
     world.run_until(acknowledgements, 6.0)
     acknowledgement = acknowledgements()[0]
-    restart(world)
-    world.run(1.0)
-    world.submit(SECOND, step(), payload="seconds=2")
-    world.run(0.3)
-    world.dead_workers.add("w0")
-    world.run(2.0)
-    # The call to the previous incarnation, executed late.
-    worker.apply(acknowledgement, world.clock.mono)
-    world.dead_workers.clear()
-    world.run_until(lambda: world.final_state(SECOND) == "completed", 5.0)
+    run_beside_late_command(world, acknowledgement)
     assert len(world.executions(SECOND)) == 1
 
 
