--- a/src/lagoonpulley/platform/documents.py
+++ b/src/lagoonpulley/platform/documents.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Literal
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, Field, ValidationError
 
+from ..model.address import Address
 from ..model.resources import Resources
 from ..policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from ..upstream.directory import WorkerInfo
+from .ranges import Amount, BoundedNumber, Whole
 
 if TYPE_CHECKING:
     from ..store.messages import KeyValue
@@ -17,6 +20,8 @@
 __all__ = ["PlatformDirectory", "PlatformDrains", "PlatformPolicy"]
 
 MS_PER_S = 1000
+# Commands to a worker carry its identifier in a header; no key is longer.
+WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
 class _Amounts(BaseModel):
@@ -29,6 +34,12 @@
         return Resources(self.cpu, self.mem_mb, self.gpu)
 
 
+class _Capacity(_Amounts):
+    cpu: Amount = 0
+    mem_mb: Amount = Field(0, alias="memMb")
+    gpu: Amount = 0
+
+
 class _Advice(BaseModel):
     """How long the advisor needs for a request, and how long its answer is valid."""
 
@@ -149,20 +160,20 @@
     """A worker's record; the first of ``labels`` is its kind, the second its rack.
 
     Unused fields are validated too: a record that lacks one was not written by a
-    worker.
+    worker. The remaining time of a drain may have passed.
     """
 
     service: str
-    address: str
+    address: Address
     zone: str
     version: str
-    slots: int
+    slots: Whole
     state: Literal["ready", "draining"]
-    seq: int
-    capacity: _Amounts
+    seq: Whole
+    capacity: _Capacity
     labels: list[str]
-    born: int = 0
-    drain_remaining_ms: float = Field(0.0, alias="drainRemainingMs")
+    born: Whole = 0
+    drain_remaining_ms: BoundedNumber = Field(0.0, alias="drainRemainingMs")
 
 
 class PlatformDirectory:
@@ -177,8 +188,8 @@
         except ValidationError as error:
             return Error(f"worker record has {error.error_count()} invalid fields")
         worker_id = item.key.removeprefix(self.prefix)
-        if not worker_id or ":" not in server.address:
-            return Error("worker record has no identifier or no IP:PORT address")
+        if WORKER_ID.fullmatch(worker_id) is None:
+            return Error("worker record has no identifier that can be sent")
         return Ok(
             WorkerInfo(
                 id=worker_id,
--- /dev/null
+++ b/src/lagoonpulley/platform/ranges.py
@@ -0,0 +1,27 @@
+"""Ranges of the numbers that others send; larger ones are no measurements."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import Field
+
+__all__ = [
+    "MAX_WHOLE",
+    "Amount",
+    "BoundedNumber",
+    "Milliseconds",
+    "Whole",
+]
+
+# Whole numbers up to this are exact as floating-point numbers.
+MAX_WHOLE = 2**53
+# A million processors in thousandths, or a petabyte in megabytes.
+MAX_AMOUNT = 10**9
+
+# An amount of a resource.
+Amount = Annotated[int, Field(ge=0, le=MAX_AMOUNT)]
+# A time, a count or a number that only grows.
+Whole = Annotated[int, Field(ge=0, le=MAX_WHOLE)]
+Milliseconds = Annotated[float, Field(ge=0, le=MAX_WHOLE, allow_inf_nan=False)]
+BoundedNumber = Annotated[float, Field(ge=-(2.0**63), le=2.0**63, allow_inf_nan=False)]
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -11,6 +11,7 @@
 import time
 
 import pytest
+from tests.support.logged_events import capture_events
 from tests.support.platform_standin import PlatformStandin
 
 from lagoonpulley.platform.entry import PlatformEntry
@@ -154,6 +155,37 @@
     )
 
 
+RECORD = (
+    '{"address": "127.0.0.1:1", "service": "desk", "zone": "a", "version": "v1",'
+    '"slots": 8, "state": "ready", "seq": 1, "capacity": {"cpu": 16000},'
+    '"labels": ["a", "r1-1"], '
+)
+
+
+@pytest.mark.parametrize(
+    ("name", "odd"),
+    [
+        ("i-odd", '"address": "127.0.0.1\\u0000:1"'),
+        ("i-odd", '"address": "caf\u00e9:1"'),
+        ("i-odd", '"address": "127.0.0.1:99999"'),
+        ("i-odd", '"capacity": {"cpu": ' + "9" * 4000 + "}"),
+        ("i-odd", '"born": ' + "9" * 300),
+        ("i-odd", '"drainRemainingMs": Infinity'),
+        ("i-odd", '"deep": ' + "[" * 5000 + "]" * 5000),
+        ("i-od\u00e9", '"born": 1'),
+    ],
+    ids=["nul", "letter", "port", "amount", "born", "time", "nested", "name"],
+)
+def test_odd_worker_record_is_refused_and_the_others_work(entry, standin, name, odd):
+    with capture_events() as events:
+        standin.put_text(f"servers/{name}", RECORD + odd + "}")
+        wait_until(lambda: events.named("worker_entry_refused"))
+    assert call(entry, "POST", f"/work/{JOB}", submission())[0] == 200
+    wait_until(
+        lambda: call(entry, "GET", f"/work/{JOB}") == (200, {"state": "completed"})
+    )
+
+
 def test_program_survives_sighup_and_stops_on_sigterm(settings_path, standin):
     command = [sys.executable, "-m", "lagoonpulley", "platform", settings_path]
     process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
