--- a/src/lagoonpulley/platform/documents.py
+++ b/src/lagoonpulley/platform/documents.py
@@ -12,7 +12,7 @@
 from ..model.resources import Resources
 from ..policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from ..upstream.directory import WorkerInfo
-from .ranges import Amount, BoundedNumber, Whole
+from .ranges import Amount, BoundedInteger, BoundedNumber, Whole
 
 if TYPE_CHECKING:
     from ..store.messages import KeyValue
@@ -25,9 +25,9 @@
 
 
 class _Amounts(BaseModel):
-    cpu: int = 0
-    mem_mb: int = Field(0, alias="memMb")
-    gpu: int = 0
+    cpu: BoundedInteger = 0
+    mem_mb: BoundedInteger = Field(0, alias="memMb")
+    gpu: BoundedInteger = 0
 
     def to_resources(self) -> Resources:
         """Return the amounts as resources; ``cpu`` is in thousandths of a core."""
@@ -43,9 +43,9 @@
 class _Advice(BaseModel):
     """How long the advisor needs for a request, and how long its answer is valid."""
 
-    decide_ms: float = Field(0.0, alias="decideMs")
-    each_ms: float = Field(0.0, alias="eachMs")
-    valid_ms: float = Field(0.0, alias="validMs")
+    decide_ms: BoundedNumber = Field(0.0, alias="decideMs")
+    each_ms: BoundedNumber = Field(0.0, alias="eachMs")
+    valid_ms: BoundedNumber = Field(0.0, alias="validMs")
 
     def to_policy(self) -> AdvicePolicy:
         """Return the advice policy with its times in seconds."""
@@ -67,11 +67,11 @@
     host: str = ""
     prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = Field(1, alias="maxAttempts")
-    slack_factor: float = Field(1.0, alias="slackFactor")
-    target_ms: float = Field(0.0, alias="targetDurationMs")
-    timeout_ms: float = Field(0.0, alias="timeoutMs")
+    priority: BoundedInteger = 0
+    max_attempts: BoundedInteger = Field(1, alias="maxAttempts")
+    slack_factor: BoundedNumber = Field(1.0, alias="slackFactor")
+    target_ms: BoundedNumber = Field(0.0, alias="targetDurationMs")
+    timeout_ms: BoundedNumber = Field(0.0, alias="timeoutMs")
     public: bool = False
     advice: _Advice | None = None
 
@@ -102,16 +102,16 @@
 
     name: str
     api_keys: list[str] = Field(default_factory=list, alias="apiKeys")
-    weight: float = 1.0
+    weight: BoundedNumber = 1.0
     cap: _Amounts | None = None
 
 
 class _Limits(BaseModel):
-    most_body_bytes: int = Field(0, alias="maxBodyBytes")
+    most_body_bytes: BoundedInteger = Field(0, alias="maxBodyBytes")
 
 
 class _Config(BaseModel):
-    version: int
+    version: BoundedInteger
     routes: list[_Route] = Field(default_factory=list)
     services: list[_Service] = Field(default_factory=list)
     tenants: list[_Tenant] = Field(default_factory=list)
--- a/src/lagoonpulley/platform/ranges.py
+++ b/src/lagoonpulley/platform/ranges.py
@@ -9,6 +9,7 @@
 __all__ = [
     "MAX_WHOLE",
     "Amount",
+    "BoundedInteger",
     "BoundedNumber",
     "Milliseconds",
     "Whole",
@@ -24,4 +25,6 @@
 # A time, a count or a number that only grows.
 Whole = Annotated[int, Field(ge=0, le=MAX_WHOLE)]
 Milliseconds = Annotated[float, Field(ge=0, le=MAX_WHOLE, allow_inf_nan=False)]
+# Numbers of the operators, who may use a large or a negative one for "no limit".
+BoundedInteger = Annotated[int, Field(ge=-(2**63), le=2**63)]
 BoundedNumber = Annotated[float, Field(ge=-(2.0**63), le=2.0**63, allow_inf_nan=False)]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lagoonpulley.platform.documents import PlatformDirectory
+from lagoonpulley.platform.documents import PlatformDirectory, PlatformPolicy
 from lagoonpulley.store.messages import KeyValue
 
 SERVER = {
@@ -107,3 +107,60 @@
     labels = "[" + ",".join(["1"] * 10_000) + "]"
     reason = decode(labels=labels, service='"' + "x" * 100_000 + '"').error
     assert len(reason) < 200
+
+
+ROUTE = '"name": "r", "prefix": "/r/", "service": "desk"'
+
+
+def decode_policy(version="3", route="", tenant=""):
+    text = (
+        f'{{"version": {version}, "routes": [{{{ROUTE}{route}}}], "tenants": '
+        f'[{{"name": "north"{tenant}}}]}}'
+    )
+    return PlatformPolicy().decode(KeyValue("op/config", text, 3))
+
+
+@pytest.mark.parametrize(
+    "number", ["0", "-1", "9007199254740993", "9223372036854775807"]
+)
+def test_policy_with_a_number_for_no_limit_is_accepted(number):
+    route = f', "priority": {number}, "maxAttempts": {number}, "timeoutMs": {number}'
+    tenant = f', "weight": {number}, "cap": {{"cpu": {number}}}'
+    assert decode_policy(route=route, tenant=tenant).is_ok()
+
+
+@pytest.mark.parametrize("number", [HUGE, "9" * 400, "-" + HUGE])
+@pytest.mark.parametrize("field", ["priority", "maxAttempts"])
+def test_policy_with_a_number_of_a_route_out_of_range_is_refused(field, number):
+    assert decode_policy(route=f', "{field}": {number}').is_error()
+
+
+@pytest.mark.parametrize("number", [HUGE, "9" * 400, "-" + HUGE])
+def test_policy_with_a_version_out_of_range_is_refused(number):
+    assert decode_policy(version=number).is_error()
+
+
+@pytest.mark.parametrize("number", [HUGE, "NaN", "Infinity", "-1e999"])
+@pytest.mark.parametrize("field", ["slackFactor", "targetDurationMs", "timeoutMs"])
+def test_policy_with_a_time_that_is_not_finite_is_refused(field, number):
+    assert decode_policy(route=f', "{field}": {number}').is_error()
+
+
+@pytest.mark.parametrize("number", [HUGE, "NaN", "Infinity", "-1e999"])
+@pytest.mark.parametrize("field", ["decideMs", "eachMs", "validMs"])
+def test_policy_with_a_time_of_advice_that_is_not_finite_is_refused(field, number):
+    assert decode_policy(route=f', "advice": {{"{field}": {number}}}').is_error()
+
+
+@pytest.mark.parametrize("number", [HUGE, "NaN", "Infinity", "-1e999"])
+def test_policy_with_a_weight_that_is_not_finite_is_refused(number):
+    assert decode_policy(tenant=f', "weight": {number}').is_error()
+
+
+@pytest.mark.parametrize("resource", ["cpu", "memMb", "gpu"])
+def test_policy_with_an_amount_out_of_range_is_refused(resource):
+    assert decode_policy(tenant=f', "cap": {{"{resource}": {HUGE}}}').is_error()
+
+
+def test_policy_that_is_deeply_nested_is_refused():
+    assert decode_policy(route=f', "unknown": {DEEP}').is_error()
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -186,6 +186,28 @@
     )
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        '"version": ' + "9" * 400,
+        '"version": 4, "routes": [{"name": "r-1", "host": "desk.example", '
+        '"prefix": "/work/", "service": "desk", "advice": {"decideMs": Infinity}}]',
+    ],
+    ids=["version", "time"],
+)
+def test_odd_policy_is_refused_and_a_later_one_is_in_force(entry, standin, odd):
+    with capture_events() as events:
+        standin.put_text("op/config", json.dumps(CONFIG)[:-1] + "," + odd + "}")
+        wait_until(lambda: events.named("policy_refused"))
+    assert call(entry, "POST", f"/work/{JOB}", submission())[0] == 200
+    wait_until(
+        lambda: call(entry, "GET", f"/work/{JOB}") == (200, {"state": "completed"})
+    )
+    tenants = [{"name": "north", "apiKeys": ["fresh"], "weight": 4}]
+    standin.put("op/config", CONFIG | {"version": 9, "tenants": tenants})
+    wait_until(lambda: call(entry, "GET", "/work/")[0] == 401)
+
+
 def test_program_survives_sighup_and_stops_on_sigterm(settings_path, standin):
     command = [sys.executable, "-m", "lagoonpulley", "platform", settings_path]
     process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
