--- a/src/lagoonpulley/standin/task_worker.py
+++ b/src/lagoonpulley/standin/task_worker.py
@@ -52,7 +52,8 @@
     The worker's clock starts at zero with each incarnation. A payload of the form
     ``seconds=2.5`` sets the run time of each task; every task fails if the payload
     contains ``fail``. While ``is_stalled`` is set, runs end only on lease expiry, a
-    stop command or a restart.
+    stop command or a restart. A run that is being stopped is listed as running, and
+    uses its room, for ``stop_s`` seconds more.
 
     :param max_lease_s: longest lease that the worker grants, in seconds.
     """
@@ -62,6 +63,7 @@
         self.max_lease_s = max_lease_s
         self.max_ends_listed = MAX_ENDS_LISTED
         self.is_stalled = False
+        self.stop_s = 0.0
         self.executions: list[Execution] = []
         self._begin_incarnation(now)
 
@@ -116,7 +118,7 @@
         """End runs whose run time has passed, and every run if the lease expired."""
         lease_ends_at = self._booted_at + self._lease_until_ms / MS_PER_S
         for ref, execution in list(self._running_by_ref.items()):
-            if self.is_stalled or execution.kind is None:
+            if self.is_stalled and execution.kind is not EndKind.STOPPED:
                 continue
             if execution.ends_at <= min(now, lease_ends_at):
                 self._end(ref, execution.kind, execution.ends_at)
@@ -154,10 +156,19 @@
     def _stop(self, ref: TaskRef, now: float) -> CommandAccepted:
         task = (ref.job_id, ref.key)
         self._last_run_by_task[task] = max(ref.run, self._last_run_by_task.get(task, 0))
-        if ref in self._running_by_ref:
-            self._end(ref, EndKind.STOPPED, now)
+        execution = self._running_by_ref.get(ref)
+        if execution is not None and execution.kind is not EndKind.STOPPED:
+            self._begin_stop(execution, now)
         return CommandAccepted(self.clock_ms(now))
 
+    def _begin_stop(self, execution: Execution, now: float) -> None:
+        stopped_at = now + self.stop_s
+        if not self.is_stalled and execution.ends_at <= stopped_at:
+            return
+        execution.kind = EndKind.STOPPED
+        execution.ends_at = stopped_at
+        self.advance(now)
+
     def _sync(self, command: SyncWorker, now: float) -> WorkerReport:
         if command.lease_until_ms is not None:
             self._extend_lease(command.lease_until_ms, now)
--- a/tests/owner/test_capacity.py
+++ b/tests/owner/test_capacity.py
@@ -1,14 +1,20 @@
-"""Workers whose capacity changes while they run."""
+"""Room of workers whose capacity changes, and of runs that the owner does not know."""
 
 from __future__ import annotations
 
 import pytest
+from tests.support.step_invariants import check_capacity
 from tests.support.steps import CAPACITY, StepWorld, step
 
 from lagoonpulley.model.resources import Resources
+from lagoonpulley.upstream.tasks import StartTask, TaskRef, WorkerAddress
+from lagoonpulley.workload.spec import TaskKey
 
 # From a worker's check-in with a smaller capacity until no start may exceed it.
 SHRINK_BOUND_S = 4.5
+FIRST = "a" * 16
+SECOND = "b" * 16
+SMALLER = Resources(4000, 65536, 0)
 
 
 @pytest.fixture
@@ -43,3 +49,63 @@
     release()
     world.run(1.0)
     assert not world.executions("b" * 16)
+
+
+def start_late(world, worker_id, job_id, payload):
+    """Let a worker carry out a late start of a run that the owner has done with."""
+    ref = TaskRef(job_id, TaskKey(0, 0, 0), 1)
+    worker = world.restart_worker(worker_id)
+    to = WorkerAddress(worker_id, worker_id)
+    command = StartTask(to, ref, payload, not_after_ms=6000, token=0)
+    worker.apply(command, world.clock.mono)
+    world.add_worker(worker_id)
+
+
+def test_late_run_of_a_running_job_keeps_its_room_until_it_is_gone():
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    shape = step(processors=CAPACITY[0])
+    world.submit(FIRST, shape, payload="seconds=9")
+    first = world.last_spec
+    world.run(0.5)
+    (idle_id,) = (w.id for w in world.worker_by_id.values() if not w.executions)
+    world.worker_by_id[idle_id].stop_s = 1.0
+    start_late(world, idle_id, FIRST, "seconds=9")
+    world.submit(SECOND, shape, payload="seconds=1")
+    specs = {FIRST: first, SECOND: world.last_spec}
+    world.run_until(lambda: world.final_state(SECOND) == "completed", 4.0)
+    check_capacity(world, specs)
+
+
+def test_late_run_of_a_job_that_has_ended_keeps_its_room_until_it_is_gone():
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    shape = step(processors=CAPACITY[0])
+    world.submit(FIRST, shape, payload="seconds=0.3")
+    specs = {FIRST: world.last_spec}
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
+    world.run(1.0)
+    world.worker_by_id["w0"].stop_s = 1.0
+    start_late(world, "w0", FIRST, "seconds=9")
+    world.submit(SECOND, shape, payload="seconds=1")
+    specs[SECOND] = world.last_spec
+    world.run_until(lambda: world.final_state(SECOND) == "completed", 5.0)
+    check_capacity(world, specs)
+
+
+@pytest.mark.parametrize("lagging", [False, True])
+def test_next_incarnation_is_not_filled_to_the_capacity_of_the_previous_one(lagging):
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    old_record = world.record_of("w0")
+    world.submit(FIRST, step(processors=CAPACITY[0]), payload="seconds=1")
+    spec = world.last_spec
+    world.run(0.3)
+    world.restart_worker("w0", SMALLER)
+    if lagging:
+        world.put(*old_record)
+    world.run(1.5)
+    world.add_worker("w0", capacity=SMALLER)
+    world.run(3.0)
+    check_capacity(world, {FIRST: spec})
+    assert world.final_state(FIRST) is None
--- a/tests/support/step_invariants.py
+++ b/tests/support/step_invariants.py
@@ -106,10 +106,15 @@
 
 
 def check_capacity(world: StepWorld, spec_by_id: dict[str, JobSpec]) -> None:
-    """Check that the runs on a worker never need more than its capacity."""
+    """Check that the runs on an incarnation of a worker never exceed its capacity."""
+    by_incarnation: dict[tuple[str, int], list[Execution]] = {}
     for worker in world.worker_by_id.values():
-        for usage in usage_after_each_start(worker.executions, spec_by_id):
-            assert usage.fits_in(CAPACITY), f"{worker.id} is over its capacity"
+        for execution in worker.executions:
+            by_incarnation.setdefault(execution.incarnation, []).append(execution)
+    for incarnation, executions in by_incarnation.items():
+        capacity = world.capacity_by_incarnation.get(incarnation, CAPACITY)
+        for usage in usage_after_each_start(executions, spec_by_id):
+            assert usage.fits_in(capacity), f"{incarnation} is over its capacity"
 
 
 def check_limits(
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -61,6 +61,8 @@
 TICK_S = 0.2
 MAX_POLICY_AGE_S = 1.5
 LEASE_S = 6.0
+# How long a worker needs to stop a run, which uses its room meanwhile.
+STOP_S = 0.2
 # How soon a deadly task crashes its worker, when the worker is back, and when the
 # directory drops the record of a worker that does not check in.
 DEADLY_AFTER_S = 0.01
@@ -94,6 +96,8 @@
         self.worker_by_id: dict[str, TaskWorkerState] = {}
         self.worker_by_address: dict[str, TaskWorkerState] = {}
         self.address_by_worker_id: dict[str, str] = {}
+        # Of incarnations, by worker and ``born``, that have another than ``CAPACITY``.
+        self.capacity_by_incarnation: dict[tuple[str, int], Resources] = {}
         # Workers that no entry can reach; their tasks run on until the lease ends.
         self.dead_workers: set[str] = set()
         # Workers that leave a start unanswered and execute it three seconds later.
@@ -159,6 +163,7 @@
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             worker = TaskWorkerState(worker_id, LEASE_S, self.clock.mono)
+            worker.stop_s = STOP_S
             self.worker_by_id[worker_id] = worker
             self.address_by_worker_id[worker_id] = address or worker_id
         self.worker_by_address[self.address_by_worker_id[worker_id]] = worker
@@ -175,6 +180,20 @@
         }
         self.put(WORKERS_PREFIX + worker_id, json.dumps(document))
 
+    def record_of(self, worker_id: str) -> tuple[str, str]:
+        """Return key and value of a worker's record in the directory."""
+        key = WORKERS_PREFIX + worker_id
+        return key, self.store.key_value_by_key[key].value
+
+    def restart_worker(
+        self, worker_id: str, capacity: Resources = CAPACITY
+    ) -> TaskWorkerState:
+        """Begin an incarnation of a worker, which the directory does not list yet."""
+        worker = self.worker_by_id[worker_id]
+        worker.restart(self.clock.mono)
+        self.capacity_by_incarnation[worker_id, worker.born] = capacity
+        return worker
+
     def crash_worker(self, worker_id: str) -> None:
         """End a worker's process with all runs; it is back after some seconds."""
         if worker_id in self.crashed_workers:
