Let a run that the owner does not track keep its worker's room until it is gone

Cause: a listed run that is not tracked was stopped by a call of its own and claimed nothing, so the same planning round filled its room. Class: the model of a worker leaves out what it says itself. Change: OwnerTerm.adopt_run tracks every listed run, which claims its room and its team's limit and is stopped like any other; if its job is gone, its size is unknown and the worker gets no tasks meanwhile. A placement whose commit ends then is not sent. Lines: unknown_run tells task, incarnation and token, stop_failed that a stop was not confirmed.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -68,12 +68,9 @@
         if record.is_final or tracked.stop_requested:
             self._end_unstarted_run(term, worker, ref, "no longer needed")
             return
-        if not worker.fenced:
-            reason = "the worker has not accepted the fencing token"
-            self._end_unstarted_run(term, worker, ref, reason)
-            return
-        if term.is_draining(worker):
-            self._end_unstarted_run(term, worker, ref, "the worker is draining")
+        obstacle = term.obstacle_to(worker)
+        if obstacle:
+            self._end_unstarted_run(term, worker, ref, obstacle)
             return
         if term.cell.is_overcommitted(worker_id):
             reason = "the worker's capacity is smaller now"
@@ -194,10 +191,6 @@
         tracked.stop_sent_at = self._host.now.mono
         self._host.start(self._stop(term, worker, tracked))
 
-    def stop_unknown(self, term: OwnerTerm, worker: WorkerState, ref: TaskRef) -> None:
-        """Stop a run that is listed by a worker but not tracked."""
-        self._host.start(self._stop_unknown(term, worker, ref))
-
     def _stop(self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun) -> Flow:
         command = StopTask(worker.address, tracked.ref, worker.token)
         incarnation = worker.incarnation
@@ -209,6 +202,14 @@
             yield from self._sync_now(term, worker)
         else:
             tracked.stop_sent_at = float("-inf")
+            log_event(
+                "stop_failed",
+                job=tracked.ref.job_id,
+                task=list(tracked.ref.key),
+                run=tracked.ref.run,
+                worker=worker.info.id,
+                reason=str(result.reason),
+            )
 
     def _sync_now(self, term: OwnerTerm, worker: WorkerState) -> Flow:
         """Sync with a worker at once, even if a long poll is in flight there."""
@@ -223,14 +224,3 @@
         worker.forgotten = max(worker.forgotten, command.acknowledged)
         apply_report(term, worker, result, sent_at)
         self._host.plan_and_commit()
-
-    def _stop_unknown(self, term: OwnerTerm, worker: WorkerState, ref: TaskRef) -> Flow:
-        command = StopTask(worker.address, ref, worker.token)
-        result = yield Call(UPSTREAM, command, COMMAND_TIMEOUT_S)
-        if isinstance(result, CallFailed | CommandRefused):
-            log_event(
-                "unknown_run_not_stopped",
-                worker=worker.info.id,
-                job=ref.job_id,
-                reason=str(result.reason),
-            )
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -8,10 +8,10 @@
 from ..observability.events import log_event
 from ..workload.record import EndKind
 from .crashes import forgive_crashes, retract_crash
-from .run_ends import apply_late_end, end_run, give_up_run
+from .run_ends import apply_late_end, current_record, end_run, give_up_run
 
 if TYPE_CHECKING:
-    from ..upstream.tasks import Ended, Running, TaskRef, WorkerReport
+    from ..upstream.tasks import Ended, Running, WorkerReport
     from ..workload.record import JobRecord
     from .term import OwnerTerm
     from .worker_state import TrackedRun, WorkerState
@@ -28,7 +28,7 @@
 
 def apply_report(
     term: OwnerTerm, worker: WorkerState, report: WorkerReport, sent_at: float
-) -> list[TaskRef]:
+) -> list[TrackedRun]:
     """Apply a worker's report of running and ended runs.
 
     The first report of another incarnation tells no more than that it exists: only
@@ -36,7 +36,7 @@
     what it lists.
 
     :param sent_at: when the sync was sent, in monotonic seconds.
-    :returns: listed runs that are not tracked and should be stopped.
+    :returns: listed runs that were not tracked; they are now, and should be stopped.
     """
     if term.is_new_incarnation(worker, report.born):
         term.begin_incarnation(worker, report.born)
@@ -51,9 +51,9 @@
             worker.processed = ended.number
     if not worker.pending_commits:
         worker.acknowledged = worker.processed
-    unknown = _compare_running(term, worker, report, sent_at)
+    adopted = _compare_running(term, worker, report, sent_at)
     term.refresh_accepting(worker)
-    return unknown
+    return adopted
 
 
 def _apply_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
@@ -101,21 +101,21 @@
 
 def _compare_running(
     term: OwnerTerm, worker: WorkerState, report: WorkerReport, sent_at: float
-) -> list[TaskRef]:
-    """Update the tracked runs from the listed ones; return those not tracked."""
-    unknown = []
+) -> list[TrackedRun]:
+    """Update the tracked runs from the listed ones; return those not tracked before."""
+    adopted = []
     listed = set()
     for running in report.running:
         listed.add(running.ref)
         tracked = worker.tracked_by_ref.get(running.ref)
         if tracked is None:
-            unknown.append(running.ref)
-            continue
+            tracked = term.adopt_run(worker, running.ref)
+            adopted.append(tracked)
         tracked.listed = tracked.has_run = True
         tracked.sent_to_earlier = False
         if tracked.start_resolved_at is None:
             tracked.start_resolved_at = term.now.mono
-        record = term.record_by_id.get(running.ref.job_id)
+        record = current_record(term, worker, running.ref)
         if record is None:
             continue
         _set_checkpoint(record, running)
@@ -124,11 +124,11 @@
             _stop_stalled(term, worker, tracked)
     if len(report.ended) >= MAX_ENDS_PER_REPORT:
         # The report is full: the end of an unlisted run may be on a later page.
-        return unknown
+        return adopted
     for ref, tracked in list(worker.tracked_by_ref.items()):
         if ref not in listed:
             _resolve_unlisted_run(term, worker, tracked, report, sent_at)
-    return unknown
+    return adopted
 
 
 def _is_stalled(
--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -14,7 +14,13 @@
     from .term import OwnerTerm
     from .worker_state import TrackedRun, WorkerState
 
-__all__ = ["apply_late_end", "end_run", "give_up_all_runs", "give_up_run"]
+__all__ = [
+    "apply_late_end",
+    "current_record",
+    "end_run",
+    "give_up_all_runs",
+    "give_up_run",
+]
 
 
 def give_up_all_runs(term: OwnerTerm, worker: WorkerState, reason: str) -> None:
@@ -33,7 +39,7 @@
 ) -> JobRecord | None:
     """Record the end of a run; return the job's record if it changed."""
     tracked = _untrack(term, worker, ref)
-    record = _record_of_current_run(term, worker, ref)
+    record = current_record(term, worker, ref)
     if record is None:
         return None
     record.end_run(ref.key, kind, checkpoint)
@@ -53,7 +59,7 @@
     Its worker may list the end later, see :func:`apply_late_end`.
     """
     _untrack(term, worker, ref)
-    record = _record_of_current_run(term, worker, ref)
+    record = current_record(term, worker, ref)
     if record is None:
         return
     record.give_up_run(ref.key)
@@ -83,13 +89,7 @@
     return record
 
 
-def _untrack(term: OwnerTerm, worker: WorkerState, ref: TaskRef) -> TrackedRun | None:
-    term.cell.release(worker.info.id, ref)
-    term.needs_planning = True
-    return worker.tracked_by_ref.pop(ref, None)
-
-
-def _record_of_current_run(
+def current_record(
     term: OwnerTerm, worker: WorkerState, ref: TaskRef
 ) -> JobRecord | None:
     """Return the record of a job in which this is the current run of its task."""
@@ -102,6 +102,12 @@
     return record
 
 
+def _untrack(term: OwnerTerm, worker: WorkerState, ref: TaskRef) -> TrackedRun | None:
+    term.cell.release(worker.info.id, ref)
+    term.needs_planning = True
+    return worker.tracked_by_ref.pop(ref, None)
+
+
 def _log_end(
     event: str, worker: WorkerState, ref: TaskRef, kind: EndKind, reason: str
 ) -> None:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -236,10 +236,20 @@
     def refresh_accepting(self, worker: WorkerState) -> None:
         """Recompute whether tasks may be placed on a worker."""
         is_listed = worker.missing_since is None and bool(worker.info.address)
-        accepting = is_listed and worker.is_available and not self.is_draining(worker)
+        accepting = is_listed and worker.is_responsive and not self.obstacle_to(worker)
         if self.cell.set_accepting(worker.info.id, accepting):
             self.needs_planning = True
 
+    def obstacle_to(self, worker: WorkerState) -> str:
+        """Return why no task may be started on a worker, empty if one may."""
+        if not worker.fenced:
+            return "the worker has not accepted the fencing token"
+        if self.is_draining(worker):
+            return "the worker is draining"
+        if worker.has_run_of_unknown_size:
+            return "the worker has a run of unknown size"
+        return ""
+
     def is_draining(self, worker: WorkerState) -> bool:
         """Return whether a worker, or its whole data centre, gets no new tasks."""
         draining = self.draining_data_centres or frozenset()
@@ -409,6 +419,30 @@
             return None
         return self._track(worker, record, TaskRef(record.spec.id, key, run))
 
+    def adopt_run(self, worker: WorkerState, ref: TaskRef) -> TrackedRun:
+        """Track a listed run that this term knows nothing of, and request its stop.
+
+        It uses its worker's room, and its team's limit, until it is gone.
+        """
+        record = self.record_by_id.get(ref.job_id)
+        if record is not None and ref.key in record.task_by_key:
+            tracked = self._track(worker, record, ref)
+        else:
+            tracked = TrackedRun(ref, self.now.mono, has_claim=False)
+            worker.tracked_by_ref[ref] = tracked
+        tracked.stop_requested = True
+        log_event(
+            "unknown_run",
+            job=ref.job_id,
+            task=list(ref.key),
+            run=ref.run,
+            worker=worker.info.id,
+            born=worker.info.born,
+            token=worker.token,
+            size_known=tracked.has_claim,
+        )
+        return tracked
+
     def _track(
         self, worker: WorkerState, record: JobRecord, ref: TaskRef
     ) -> TrackedRun:
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -54,7 +54,8 @@
     ``not_after_ms`` is the time on the worker's clock after which the worker refuses a
     start command in flight. ``listed`` is set once the worker's current incarnation
     has listed the run. ``sent_to_earlier`` is set while the run was started on an
-    earlier incarnation only. Times without a unit are monotonic seconds.
+    earlier incarnation only. ``has_claim`` is unset if the run's size is not known, as
+    no record of its job is left. Times without a unit are monotonic seconds.
     """
 
     ref: TaskRef
@@ -67,6 +68,7 @@
     start_resolved_at: float | None = None
     listed: bool = False
     sent_to_earlier: bool = False
+    has_claim: bool = True
     stop_requested: bool = False
     stop_sent_at: float = float("-inf")
     progress: StallDetector = field(default_factory=StallDetector)
@@ -161,6 +163,11 @@
             return 0
         return self.acknowledged
 
+    @property
+    def has_run_of_unknown_size(self) -> bool:
+        """Whether it is not known how much room its runs use."""
+        return any(not run.has_claim for run in self.tracked_by_ref.values())
+
     def renew_token(self, token: int) -> None:
         """Allow calls to the current incarnation, under a token above earlier ones."""
         self.token = token
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -177,7 +177,7 @@
         self, term: OwnerTerm, worker: WorkerState, report: WorkerReport, sent_at: float
     ) -> None:
         was_fenced = worker.fenced
-        unknown = apply_report(term, worker, report, sent_at)
+        adopted = apply_report(term, worker, report, sent_at)
         if not worker.fenced:
             self.sync(term, worker)
             return
@@ -189,9 +189,8 @@
                 running=len(report.running),
                 ended=len(report.ended),
             )
-        for ref in unknown:
-            log_event("unknown_run", worker=worker.info.id, job=ref.job_id, run=ref.run)
-            self._dispatcher.stop_unknown(term, worker, ref)
+        for tracked in adopted:
+            self._dispatcher.stop(term, worker, tracked)
         if worker.pending_commits:
             # The commit triggers the next sync. If it takes long, a sync is sent before
             # it to extend the worker's leases.
--- a/tests/owner/test_capacity.py
+++ b/tests/owner/test_capacity.py
@@ -59,6 +59,8 @@
     command = StartTask(to, ref, payload, not_after_ms=6000, token=0)
     worker.apply(command, world.clock.mono)
     world.add_worker(worker_id)
+    # The owner hears of the restart and of the run.
+    world.run(1.0)
 
 
 def test_late_run_of_a_running_job_keeps_its_room_until_it_is_gone():
@@ -69,11 +71,11 @@
     first = world.last_spec
     world.run(0.5)
     (idle_id,) = (w.id for w in world.worker_by_id.values() if not w.executions)
-    world.worker_by_id[idle_id].stop_s = 1.0
+    world.worker_by_id[idle_id].stop_s = 2.0
     start_late(world, idle_id, FIRST, "seconds=9")
     world.submit(SECOND, shape, payload="seconds=1")
     specs = {FIRST: first, SECOND: world.last_spec}
-    world.run_until(lambda: world.final_state(SECOND) == "completed", 4.0)
+    world.run_until(lambda: world.final_state(SECOND) == "completed", 5.0)
     check_capacity(world, specs)
 
 
@@ -85,7 +87,7 @@
     specs = {FIRST: world.last_spec}
     world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
     world.run(1.0)
-    world.worker_by_id["w0"].stop_s = 1.0
+    world.worker_by_id["w0"].stop_s = 2.0
     start_late(world, "w0", FIRST, "seconds=9")
     world.submit(SECOND, shape, payload="seconds=1")
     specs[SECOND] = world.last_spec
@@ -93,6 +95,25 @@
     check_capacity(world, specs)
 
 
+def test_placement_that_waits_for_its_commit_is_not_sent_beside_a_late_run():
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    shape = step(processors=CAPACITY[0])
+    world.submit(FIRST, shape, payload="seconds=0.3")
+    specs = {FIRST: world.last_spec}
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
+    world.run(1.0)
+    world.worker_by_id["w0"].stop_s = 2.0
+    release = world.hold_commits()
+    world.submit(SECOND, shape, payload="seconds=1")
+    specs[SECOND] = world.last_spec
+    world.run(0.3)
+    start_late(world, "w0", FIRST, "seconds=9")
+    release()
+    world.run_until(lambda: world.final_state(SECOND) == "completed", 6.0)
+    check_capacity(world, specs)
+
+
 @pytest.mark.parametrize("lagging", [False, True])
 def test_next_incarnation_is_not_filled_to_the_capacity_of_the_previous_one(lagging):
     world = StepWorld(workers=1)
