Place nothing on an incarnation of a worker that the directory has not described

What callers saw: a worker was given more than it has room for (LIMIT); by labels a task could also run where it must not. Cause: a restart that a report tells changed the incarnation and kept the previous one's capacity and labels, and a record that lags behind was taken for one of the new incarnation. Change: WorkerState keeps which incarnation its description is of (described_born) and which ones came before (earlier_born); OwnerTerm.obstacle_to allows starts only on a described one, and a record of an earlier one changes nothing.

--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -38,7 +38,7 @@
     :param sent_at: when the sync was sent, in monotonic seconds.
     :returns: listed runs that were not tracked; they are now, and should be stopped.
     """
-    if term.is_new_incarnation(worker, report.born):
+    if worker.is_other_incarnation(report.born):
         term.begin_incarnation(worker, report.born)
         return []
     retract_crash(term, worker)
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -220,16 +220,16 @@
         itself has reported its restart.
         """
         worker = self.worker_by_id.get(info.id)
-        if worker is not None and info.born < worker.info.born:
-            info = replace(info, born=worker.info.born)
         if worker is None:
             worker = self._add_worker(info)
-        elif self.is_new_incarnation(worker, info.born):
+        elif worker.is_other_incarnation(info.born) and not worker.is_earlier(
+            info.born
+        ):
             self.begin_incarnation(worker, info.born)
-        worker.info = info
+        worker.describe(info)
         worker.missing_since = None
-        crashed_at = self.crashed_at_by_address.get(info.address)
-        self.cell.put_worker(info).crashed_at = crashed_at
+        crashed_at = self.crashed_at_by_address.get(worker.info.address)
+        self.cell.put_worker(worker.info).crashed_at = crashed_at
         self.refresh_accepting(worker)
         return worker
 
@@ -244,6 +244,8 @@
         """Return why no task may be started on a worker, empty if one may."""
         if not worker.fenced:
             return "the worker has not accepted the fencing token"
+        if not worker.is_described:
+            return "the directory does not describe the worker's incarnation yet"
         if self.is_draining(worker):
             return "the worker is draining"
         if worker.has_run_of_unknown_size:
@@ -397,11 +399,6 @@
         worker.missing_since = self.now.mono
         return worker
 
-    @staticmethod
-    def is_new_incarnation(worker: WorkerState, born: int) -> bool:
-        """Return whether ``born`` is not the known incarnation; 0 means unknown."""
-        return bool(born and worker.info.born and born != worker.info.born)
-
     def avoid_worker_for_step(self, worker_id: str, ref: TaskRef) -> None:
         """Prefer other workers for further runs of a step's tasks."""
         record = self.record_by_id.get(ref.job_id)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -105,7 +105,8 @@
     ``position`` orders workers by when they first became known. ``alive_at`` is when
     it was last known to live, ``closed_at`` since when it refuses connections or has
     closed them, as after a crash, both in monotonic seconds. ``blamed_runs`` are those
-    that were blamed for its crash.
+    that were blamed for its crash. ``described_born`` is the incarnation that ``info``
+    describes, ``earlier_born`` are those before the current one.
     """
 
     info: WorkerInfo
@@ -128,6 +129,8 @@
     missing_since: float | None = None
     alive_at: float | None = None
     closed_at: float | None = None
+    described_born: int = 0
+    earlier_born: set[int] = field(default_factory=set)
     blamed_runs: dict[TaskRef, float] = field(default_factory=dict)
     tracked_by_ref: dict[TaskRef, TrackedRun] = field(default_factory=dict)
 
@@ -146,6 +149,14 @@
         """Whether the worker has accepted the token and responds."""
         return self.fenced and self.is_responsive
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the directory has described the current incarnation.
+
+        Another one may have less capacity, or be of another kind.
+        """
+        return self.described_born in (0, self.info.born)
+
     @property
     def is_responsive(self) -> bool:
         """Whether the latest syncs did not all fail; true before the first sync."""
@@ -168,6 +179,27 @@
         """Whether it is not known how much room its runs use."""
         return any(not run.has_claim for run in self.tracked_by_ref.values())
 
+    def describe(self, info: WorkerInfo) -> None:
+        """Apply a record of the directory, which may be of an earlier incarnation.
+
+        Then it only tells where the worker is reached, unless that is known.
+        """
+        if info.born not in (0, self.info.born) and self.info.address:
+            return
+        self.info = replace(info, born=self.info.born)
+        self.described_born = info.born
+
+    def is_other_incarnation(self, born: int) -> bool:
+        """Return whether ``born`` is not the current incarnation; 0 means unknown."""
+        return bool(born and self.info.born and born != self.info.born)
+
+    def is_earlier(self, born: int) -> bool:
+        """Return whether ``born`` is of an incarnation before the current one.
+
+        A worker whose wall clock is back may start with a lower one than before.
+        """
+        return born in self.earlier_born or born < self.info.born
+
     def renew_token(self, token: int) -> None:
         """Allow calls to the current incarnation, under a token above earlier ones."""
         self.token = token
@@ -182,6 +214,8 @@
         :param born: identifies the new incarnation.
         :param token: fencing token for it.
         """
+        self.earlier_born.add(self.info.born)
+        self.earlier_born.discard(born)
         self.info = replace(self.info, born=born)
         self.incarnation += 1
         self.awaits_token = token <= self.token
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -180,6 +180,11 @@
     world.run(0.5)
     world.submit("b" * 16, step(processors=16000), payload="seconds=4")
     world.run(2.0)
+    # The new incarnations may be smaller than the listed ones.
+    assert not world.executions("b" * 16)
+    for worker_id in world.worker_by_id:
+        world.add_worker(worker_id)
+    world.run(2.0)
     record = world.owner().owner._term.record_by_id["b" * 16]
     assert not record.crashes_by_task
     assert len(world.executions("b" * 16)) == 1
--- a/tests/owner/test_worker_restarts.py
+++ b/tests/owner/test_worker_restarts.py
@@ -5,6 +5,7 @@
 from operator import attrgetter
 
 import pytest
+from tests.support.logged_events import capture_events
 from tests.support.step_invariants import check_all
 from tests.support.steps import StepWorld, step
 
@@ -253,3 +254,21 @@
         world.add_worker(worker.id)
         world.run(5.0)
     assert len(world.executions(FIRST)) == 2
+
+
+def test_restart_with_the_wall_clock_back_is_one_restart(world):
+    """The directory lists the earlier incarnation for a while, with a later birth."""
+    restart(world)
+    world.run(1.0)
+    earlier_record = world.record_of("w0")
+    worker = world.restart_worker("w0")
+    worker.born -= 2000
+    with capture_events() as events:
+        for _ in range(4):
+            world.run(0.3)
+            world.put(*earlier_record)
+        world.add_worker("w0")
+        world.run(1.0)
+    assert len(events.named("worker_restarted")) == 1
+    world.submit(FIRST, step(), payload="seconds=0.3")
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
