Wait for a late start that may hold a lease on a worker known to have restarted

What callers saw: two runs of one task at once (TWICE), if the worker is out of the owner's reach. Change: WorkerState._presume_leases counts from MAX_START_DELAY_S after such a start was first sent. It concerns only runs whose start went unanswered, on a worker whose restart the directory tells while it does not answer the owner. Measured: test_late_start_holds_a_lease_that_the_owner_does_not_know[True] failed before, and passes; [False], where nobody tells of the restart, still fails and stays listed.

--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -27,6 +27,9 @@
 # way.
 UNKNOWN_LEASE_RATIO = 1.05
 UNKNOWN_LEASE_MARGIN_S = 0.5
+# How long after it was first sent a start without an answer may still be carried out,
+# with the time of its repetitions.
+MAX_START_DELAY_S = 13.0
 
 
 def latest_lease_end(granted_by: float, max_lease_s: float) -> float:
@@ -228,12 +231,25 @@
         self.failures = 0
         self.alive_at = self.closed_at = None
         self.blamed_runs = {}
+        self._presume_leases(now)
+        for run in self.tracked_by_ref.values():
+            run.begin_incarnation(now)
+
+    def _presume_leases(self, now: float) -> None:
+        """Presume the longest leases that the next incarnation may hold.
+
+        A start without an answer may reach it late, and its time limit is of the
+        previous one's clock.
+        """
         runs = self.tracked_by_ref.values()
-        if not any(run.sent_to_earlier for run in runs):
+        if any(run.sent_to_earlier for run in runs):
             # Otherwise a worker that restarts again and again would keep its runs.
-            self.leases_expire_at = latest_lease_end(now, self.max_lease_s)
+            return
+        granted_by = now
         for run in runs:
-            run.begin_incarnation(now)
+            if run.may_start_late and run.start_sent_at is not None:
+                granted_by = max(granted_by, run.start_sent_at + MAX_START_DELAY_S)
+        self.leases_expire_at = latest_lease_end(granted_by, self.max_lease_s)
 
     def min_clock_ms(self, now: float) -> int:
         """Return the lowest time that the worker's clock can show now."""
