Wait for late starts of an earlier owner too, on a worker known to have restarted

What callers saw: two runs of one task at once (TWICE), after a change of owner. Cause: a run that was read from the store has no time at which its start was sent, so the lease that a late start may hold on the next incarnation was counted from the takeover. Change: such a run was sent before it was read (TrackedRun.was_sent, placed_at). Measured: test_late_start_of_an_earlier_owner_holds_a_lease_on_the_next_incarnation failed before ('ran twice at once'), and passes; tests/owner/test_worker_restarts.py otherwise as before.

--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -76,6 +76,11 @@
     stop_sent_at: float = float("-inf")
     progress: StallDetector = field(default_factory=StallDetector)
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether a start was sent, or may have been by an earlier owner."""
+        return self.start_sent_at is not None or self.start_resolved_at is not None
+
     def begin_incarnation(self, now: float) -> None:
         """Record that another incarnation of the worker is known.
 
@@ -83,7 +88,7 @@
         has seen a later token, so its answer to a sync from now on is conclusive.
         ``not_after_ms`` is void there, because each incarnation has its own clock.
         """
-        if self.start_sent_at is None and self.start_resolved_at is None:
+        if not self.was_sent:
             return
         self.start_resolved_at = now
         self.not_after_ms = 0
@@ -247,8 +252,9 @@
             return
         granted_by = now
         for run in runs:
-            if run.may_start_late and run.start_sent_at is not None:
-                granted_by = max(granted_by, run.start_sent_at + MAX_START_DELAY_S)
+            if run.may_start_late and run.was_sent:
+                sent_at = run.start_sent_at or run.placed_at
+                granted_by = max(granted_by, sent_at + MAX_START_DELAY_S)
         self.leases_expire_at = latest_lease_end(granted_by, self.max_lease_s)
 
     def min_clock_ms(self, now: float) -> int:
--- a/tests/owner/test_worker_restarts.py
+++ b/tests/owner/test_worker_restarts.py
@@ -174,15 +174,8 @@
     assert isinstance(executed[-1][1], SyncWorker)
 
 
-@pytest.mark.parametrize("is_listed", [False, True])
-def test_late_start_holds_a_lease_that_the_owner_does_not_know(is_listed):
-    """It runs behind a cut, beside its successor.
-
-    ``not_after_ms`` is of the earlier incarnation's clock, so on the next one it is
-    worth the longest lease, counted from the late execution.
-    """
-    world = StepWorld(workers=2)
-    world.run(8.0)
+def restart_behind_a_cut_before_a_late_start(world):
+    """Return the id of the worker that has the start, and restarts out of reach."""
     world.late_workers.update(("w0", "w1"))
     world.submit(FIRST, step(processors=16000), payload="seconds=9")
     world.run(0.05)
@@ -191,10 +184,22 @@
         for worker in world.owner().owner._term.worker_by_id.values()
         if worker.tracked_by_ref
     )
-    late = tracked.info.id
     world.late_workers.clear()
-    world.dead_workers.add(late)
-    world.worker_by_id[late].restart(world.clock.mono)
+    world.dead_workers.add(tracked.info.id)
+    world.restart_worker(tracked.info.id)
+    return tracked.info.id
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_late_start_holds_a_lease_that_the_owner_does_not_know(is_listed):
+    """It runs behind a cut, beside its successor.
+
+    ``not_after_ms`` is of the earlier incarnation's clock, so on the next one it is
+    worth the longest lease, counted from the late execution.
+    """
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    late = restart_behind_a_cut_before_a_late_start(world)
     if is_listed:
         world.add_worker(late)
     world.run(20.0)
@@ -203,6 +208,18 @@
     check_all(world, {FIRST: world.last_spec}, {})
 
 
+def test_late_start_of_an_earlier_owner_holds_a_lease_on_the_next_incarnation():
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    late = restart_behind_a_cut_before_a_late_start(world)
+    world.kill(world.owner())
+    world.add_worker(late)
+    world.run(20.0)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 20.0)
+    check_all(world, {FIRST: world.last_spec}, {})
+
+
 def test_late_acknowledgement_before_the_first_call_of_the_owner():
     """A late start ends there as done; a late acknowledgement forgets that."""
     world = StepWorld(workers=1)
