Count the rows of a round once, and measure commits per term

Change: OwnerRole._plan_when_due asks once a round; a term begins with a measure of its own. The set-ups of tests/owner/test_capacity.py are shared.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -135,6 +135,7 @@
         self._load_log.begin(self.now.mono)
         self._handover.begin_term(elected.passed_over_lives, self.now.mono)
         self._start_backlog = StartBacklog(self.now.mono)
+        self._commit_delay = CommitDelay()
         log_event("ownership_began", token=elected.token)
         self.emit(PEERS, PreparePeers())
         self.start(self._advisors.poll_entries(term, self._consider_handover))
@@ -250,7 +251,7 @@
         term = self._term
         if term is None or not term.loaded:
             return
-        if term.needs_planning and term.may_plan() and self._max_starts(term) > 0:
+        if term.needs_planning and term.may_plan():
             self._plan_when_due(term)
         self._commit(term)
 
@@ -267,21 +268,26 @@
     def _plan_when_due(self, term: OwnerTerm) -> None:
         """Plan now, or request a wake-up if the last round is too recent."""
         wait_s = self._next_round_at - self.now.mono
-        if wait_s <= 0:
-            term.needs_planning = False
-            self._wake_requested = False
-            self._plan(term)
-            waiting = len(term.backlog.in_order())
-            self._next_round_at = (
-                self.now.mono
-                + PLANNING_INTERVAL_S
-                + waiting * PLANNING_INTERVAL_PER_DEMAND_S
-            )
-        elif not self._wake_requested:
-            self._wake_requested = True
-            self.emit(WAKE, WakeAfter(self.name, wait_s))
+        if wait_s > 0:
+            if not self._wake_requested:
+                self._wake_requested = True
+                self.emit(WAKE, WakeAfter(self.name, wait_s))
+            return
+        self._wake_requested = False
+        max_starts = self._max_starts(term)
+        if not max_starts:
+            # The end of the commit in flight is followed by a round.
+            return
+        term.needs_planning = False
+        self._plan(term, max_starts)
+        waiting = len(term.backlog.in_order())
+        self._next_round_at = (
+            self.now.mono
+            + PLANNING_INTERVAL_S
+            + waiting * PLANNING_INTERVAL_PER_DEMAND_S
+        )
 
-    def _plan(self, term: OwnerTerm) -> None:
+    def _plan(self, term: OwnerTerm, max_starts: int) -> None:
         demands = self._order(term, term.backlog.in_order())
         if not demands:
             return
@@ -293,7 +299,6 @@
             self._advisors,
             self.now.wall,
         )
-        max_starts = self._max_starts(term)
         plan = planner.plan(demands, max_starts)
         if len(plan.starts) >= max_starts:
             term.needs_planning = True
--- a/tests/intake/test_owner_behind.py
+++ b/tests/intake/test_owner_behind.py
@@ -31,7 +31,7 @@
 
 def test_submissions_are_refused_while_no_round_considers_jobs(world, monkeypatch):
     with monkeypatch.context() as patch:
-        patch.setattr(world.owner().owner, "_plan", lambda term: None)
+        patch.setattr(world.owner().owner, "_plan", lambda term, max_starts: None)
         assert refused(submit_for(world, 1.0)) == []
         submit_for(world, 6.0, first=100)
         later = submit_for(world, 2.0, first=200)
--- a/tests/owner/test_capacity.py
+++ b/tests/owner/test_capacity.py
@@ -15,6 +15,7 @@
 FIRST = "a" * 16
 SECOND = "b" * 16
 SMALLER = Resources(4000, 65536, 0)
+WHOLE = step(processors=CAPACITY[0])
 
 
 @pytest.fixture
@@ -51,6 +52,17 @@
     assert not world.executions("b" * 16)
 
 
+def complete_first_job():
+    """Return a cell of one worker, which is slow to stop a run, and the job's spec."""
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    world.submit(FIRST, WHOLE, payload="seconds=0.3")
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
+    world.run(1.0)
+    world.worker_by_id["w0"].stop_s = 2.0
+    return world, {FIRST: world.last_spec}
+
+
 def start_late(world, worker_id, job_id, payload):
     """Let a worker carry out a late start of a run that the owner has done with."""
     ref = TaskRef(job_id, TaskKey(0, 0, 0), 1)
@@ -66,46 +78,31 @@
 def test_late_run_of_a_running_job_keeps_its_room_until_it_is_gone():
     world = StepWorld(workers=2)
     world.run(8.0)
-    shape = step(processors=CAPACITY[0])
-    world.submit(FIRST, shape, payload="seconds=9")
+    world.submit(FIRST, WHOLE, payload="seconds=9")
     first = world.last_spec
     world.run(0.5)
     (idle_id,) = (w.id for w in world.worker_by_id.values() if not w.executions)
     world.worker_by_id[idle_id].stop_s = 2.0
     start_late(world, idle_id, FIRST, "seconds=9")
-    world.submit(SECOND, shape, payload="seconds=1")
+    world.submit(SECOND, WHOLE, payload="seconds=1")
     specs = {FIRST: first, SECOND: world.last_spec}
     world.run_until(lambda: world.final_state(SECOND) == "completed", 5.0)
     check_capacity(world, specs)
 
 
 def test_late_run_of_a_job_that_has_ended_keeps_its_room_until_it_is_gone():
-    world = StepWorld(workers=1)
-    world.run(8.0)
-    shape = step(processors=CAPACITY[0])
-    world.submit(FIRST, shape, payload="seconds=0.3")
-    specs = {FIRST: world.last_spec}
-    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
-    world.run(1.0)
-    world.worker_by_id["w0"].stop_s = 2.0
+    world, specs = complete_first_job()
     start_late(world, "w0", FIRST, "seconds=9")
-    world.submit(SECOND, shape, payload="seconds=1")
+    world.submit(SECOND, WHOLE, payload="seconds=1")
     specs[SECOND] = world.last_spec
     world.run_until(lambda: world.final_state(SECOND) == "completed", 5.0)
     check_capacity(world, specs)
 
 
 def test_placement_that_waits_for_its_commit_is_not_sent_beside_a_late_run():
-    world = StepWorld(workers=1)
-    world.run(8.0)
-    shape = step(processors=CAPACITY[0])
-    world.submit(FIRST, shape, payload="seconds=0.3")
-    specs = {FIRST: world.last_spec}
-    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
-    world.run(1.0)
-    world.worker_by_id["w0"].stop_s = 2.0
+    world, specs = complete_first_job()
     release = world.hold_commits()
-    world.submit(SECOND, shape, payload="seconds=1")
+    world.submit(SECOND, WHOLE, payload="seconds=1")
     specs[SECOND] = world.last_spec
     world.run(0.3)
     start_late(world, "w0", FIRST, "seconds=9")
@@ -119,7 +116,7 @@
     world = StepWorld(workers=1)
     world.run(8.0)
     old_record = world.record_of("w0")
-    world.submit(FIRST, step(processors=CAPACITY[0]), payload="seconds=1")
+    world.submit(FIRST, WHOLE, payload="seconds=1")
     spec = world.last_spec
     world.run(0.3)
     world.restart_worker("w0", SMALLER)
--- a/tests/owner/test_start_backlog.py
+++ b/tests/owner/test_start_backlog.py
@@ -54,7 +54,7 @@
 
 
 def test_job_that_no_round_considered_is_delayed(world, backlog, monkeypatch):
-    monkeypatch.setattr(world.owner().owner, "_plan", lambda term: None)
+    monkeypatch.setattr(world.owner().owner, "_plan", lambda term, max_starts: None)
     world.submit(JOB)
     assert measure_after(world, backlog, 1.0) == 0.0
     assert measure_after(world, backlog, 2.0) == pytest.approx(2.0, abs=0.1)
