Blame a stopped run for a crash by when it started, not by when it was stopped

What callers saw: a sound job shown as failed (LOST), after two crashes of workers that still had earlier runs of it, long after these had started. Cause: a confirmed stop moved the moment at which a run is known to have started, so a worker that crashed within 0.3 s of the stop seemed to crash at the start. Adopted runs are stopped soon after they are known, which made it show. Measured: test_sound_job_fails_for_crashes_long_after_late_starts_of_its_earlier_runs failed before ('failed'), and passes.

--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -104,7 +104,8 @@
     """
     if tracked.ref.key not in record.crashes_by_task:
         return
-    if now - tracked.start_resolved_at >= FORGIVEN_AFTER_S:
+    known_since = max(tracked.placed_at, tracked.start_resolved_at)
+    if now - known_since >= FORGIVEN_AFTER_S:
         del record.crashes_by_task[tracked.ref.key]
 
 
--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -202,7 +202,8 @@
         if not term.is_current(worker, incarnation):
             tracked.stop_sent_at = float("-inf")
         elif isinstance(result, CommandAccepted):
-            tracked.start_resolved_at = self._host.now.mono
+            if tracked.start_resolved_at is None:
+                tracked.start_resolved_at = self._host.now.mono
             yield from self._sync_now(term, worker)
         else:
             tracked.stop_sent_at = float("-inf")
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -429,6 +429,7 @@
         else:
             tracked = TrackedRun(ref, self.now.mono, has_claim=False)
             worker.tracked_by_ref[ref] = tracked
+        tracked.start_resolved_at = BEFORE_THIS_TERM
         tracked.stop_requested = True
         log_event(
             "unknown_run",
