Let a listed run of a waiting task go on in place of starting another beside it

What callers saw: two runs of one task at once (TWICE) although the owner knew of the first: a worker lists a run that was given up, it is being stopped, and its task starts elsewhere meanwhile. Cause: adopting a run claimed its room but left its task waiting. Class: as before, what a worker says of itself is left out of the picture. Change: JobRecord.resume_run makes it the task's current run; it goes on and is not stopped, so its work is kept too, but for a member of a gang, which waits until the stop has ended it. Adopted runs have started before they are listed, so no crash right after the list is blamed on them.

--- a/src/lagoonpulley/observability/explain.py
+++ b/src/lagoonpulley/observability/explain.py
@@ -54,7 +54,9 @@
         "run {run} of task {task} stalled on {worker} at {percent} % progress"
     ),
     "task_ended": "run {run} of task {task} ended on {worker} ({end}) {reason}",
-    "unknown_run": "{worker} listed unknown run {run}; it is stopped",
+    "unknown_run": (
+        "{worker} listed unknown run {run} of task {task} (resumed: {resumed})"
+    ),
     "job_final": "final: {state} ({reason}), {age_s} s after submission",
 }
 
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -36,7 +36,7 @@
     what it lists.
 
     :param sent_at: when the sync was sent, in monotonic seconds.
-    :returns: listed runs that were not tracked; they are now, and should be stopped.
+    :returns: listed runs that were not tracked, and are now.
     """
     if worker.is_other_incarnation(report.born):
         term.begin_incarnation(worker, report.born)
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -15,7 +15,7 @@
 from ..planning.worker_speed import SpeedTier, WorkerSpeeds
 from ..upstream.directory import WorkerInfo
 from ..upstream.tasks import TaskRef
-from ..workload.record import EndKind, JobRecord, JobState
+from ..workload.record import EndKind, JobRecord, JobState, Run
 from .crashes import record_crash
 from .journal import Journal
 from .run_ends import end_run, give_up_all_runs
@@ -31,7 +31,6 @@
     from ..policy.values import Policy, Queue
     from ..runtime.role import Now
     from ..workload.documents import FinalDocument, ProgressDocument
-    from ..workload.record import Run
     from ..workload.spec import JobSpec, TaskKey
 
 __all__ = ["OwnerTerm"]
@@ -419,18 +418,27 @@
         return self._track(worker, record, TaskRef(record.spec.id, key, run))
 
     def adopt_run(self, worker: WorkerState, ref: TaskRef) -> TrackedRun:
-        """Track a listed run that this term knows nothing of, and request its stop.
+        """Track a listed run that this term does not, so that it keeps its room.
 
-        It uses its worker's room, and its team's limit, until it is gone.
+        It is stopped, but for the run of a task that waits: that becomes its current
+        run again, as another one would run beside it.
         """
         record = self.record_by_id.get(ref.job_id)
-        if record is not None and ref.key in record.task_by_key:
+        task = record.task_by_key.get(ref.key) if record else None
+        if task is not None:
             tracked = self._track(worker, record, ref)
         else:
             tracked = TrackedRun(ref, self.now.mono, has_claim=False)
             worker.tracked_by_ref[ref] = tracked
         tracked.start_resolved_at = BEFORE_THIS_TERM
-        tracked.stop_requested = True
+        resumes = task is not None and task.is_waiting and not record.is_final
+        if resumes:
+            born = worker.info.born
+            record.resume_run(ref.key, Run(ref.run, worker.info.id, born))
+            self.refresh_demands(record)
+            self.journal.enqueue(record)
+        # The other members of a gang have ended.
+        tracked.stop_requested = not resumes or record.step_of(ref.key).gang
         log_event(
             "unknown_run",
             job=ref.job_id,
@@ -440,6 +448,7 @@
             born=worker.info.born,
             token=worker.token,
             size_known=tracked.has_claim,
+            resumed=resumes,
         )
         return tracked
 
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -190,7 +190,8 @@
                 ended=len(report.ended),
             )
         for tracked in adopted:
-            self._dispatcher.stop(term, worker, tracked)
+            if tracked.stop_requested:
+                self._dispatcher.stop(term, worker, tracked)
         if worker.pending_commits:
             # The commit triggers the next sync. If it takes long, a sync is sent before
             # it to extend the worker's leases.
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -232,6 +232,13 @@
             self.state = JobState.RUNNING
         return task.run
 
+    def resume_run(self, key: TaskKey, run: Run) -> None:
+        """Make a run that was given up, and goes on, the current run of its task."""
+        task = self.task_by_key[key]
+        task.run = run
+        task.given_up_runs.discard(run.number)
+        self.waiting_by_step.get(key.step_key, {}).pop(key, None)
+
     def forget_incarnation(self, key: TaskKey, number: int) -> None:
         """Record that the incarnation that has a run, if any, is not known any more."""
         task = self.task_by_key.get(key)
