Reach a worker that restarted at another address with its wall clock back

Cause: its record counts as one of an earlier incarnation, so its new address was dropped, and the old one was called for ever. Change: WorkerState.describe takes the address of such a record while the worker does not answer; its report then tells the incarnation. Measured: test_worker_back_at_another_address_with_its_wall_clock_back_gets_no_tasks failed before (no task within 15 s), and passes.

--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -190,11 +190,12 @@
     def describe(self, info: WorkerInfo) -> None:
         """Apply a record of the directory, which may be of an earlier incarnation.
 
-        Then it only tells where the worker is reached, unless that is known.
+        Then it only tells where to reach a worker that does not answer.
         """
-        if info.born not in (0, self.info.born) and self.info.address:
+        is_reached = self.info.address and self.is_responsive
+        if is_reached and self.is_other_incarnation(info.born):
             return
-        self.info = replace(info, born=self.info.born)
+        self.info = replace(info, born=self.info.born or info.born)
         self.described_born = info.born
 
     def is_other_incarnation(self, born: int) -> bool:
