Send no placement to an incarnation of a worker that it was not made for

What callers saw: a task could run on a worker without the label that it requires (ROUTE). Cause: a placement that waits for its commit named the worker, not its incarnation; the start went to the next one, which may be of another kind. Class: state of one life of a worker applied to another. Change: a restart ends the runs whose start was not sent; they are placed anew. Measured: test_placement_is_sent_to_a_next_incarnation_without_the_required_label failed before, and passes.

--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -301,9 +301,10 @@
     def begin_incarnation(self, worker: WorkerState, born: int) -> None:
         """Record that a worker has crashed and that its next incarnation is known.
 
-        A run ends at once if the previous incarnation has listed it and no start of it
-        is on its way. The others end once the new incarnation has accepted a later
-        token and does not list them: it may have started them.
+        A run ends at once if no start of it was sent, or if the previous incarnation
+        has listed it and no start is on its way. The others end once the new
+        incarnation has accepted a later token and does not list them: it may have
+        started them.
 
         :param born: identifies the new incarnation.
         """
@@ -320,9 +321,13 @@
         record_crash(self, worker)
         self.worker_speeds.forget(worker.info.id)
         self.cell.set_speed_tier(worker.info.id, SpeedTier.USUAL)
+        reason = "worker restarted"
         for ref, tracked in list(worker.tracked_by_ref.items()):
-            if tracked.listed and not tracked.may_start_late:
-                end_run(self, worker, ref, EndKind.LAPSED, "", "worker restarted")
+            if not tracked.was_sent:
+                # The next incarnation may be of another kind.
+                end_run(self, worker, ref, EndKind.STOPPED, "", reason)
+            elif tracked.listed and not tracked.may_start_late:
+                end_run(self, worker, ref, EndKind.LAPSED, "", reason)
         worker.begin_incarnation(born, self.journal.head_revision, self.now.mono)
         if worker.awaits_token:
             self._renew_token(worker)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -88,8 +88,6 @@
         has seen a later token, so its answer to a sync from now on is conclusive.
         ``not_after_ms`` is void there, because each incarnation has its own clock.
         """
-        if not self.was_sent:
-            return
         self.start_resolved_at = now
         self.not_after_ms = 0
         self.has_run = self.is_blamed = False
@@ -253,7 +251,7 @@
             return
         granted_by = now
         for run in runs:
-            if run.may_start_late and run.was_sent:
+            if run.may_start_late:
                 sent_at = run.start_sent_at or run.placed_at
                 granted_by = max(granted_by, sent_at + MAX_START_DELAY_S)
         self.leases_expire_at = latest_lease_end(granted_by, self.max_lease_s)
