Call no worker that awaits its token, also not to stop a run

What callers saw: two runs of one task at once (TWICE), by reading: a stop, and the sync after it, fenced the next incarnation of a worker under a token that calls to the earlier one have as well, so that a late start passed its fence. Cause: only the sync loop looked at awaits_token.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -191,7 +191,12 @@
         end_run(term, worker, ref, EndKind.STOPPED, "", f"not started: {reason}")
 
     def stop(self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun) -> None:
-        """Stop a run, then sync to check that it is gone."""
+        """Stop a run, then sync to check that it is gone.
+
+        A worker that awaits its token is not called; the stop stays requested.
+        """
+        if worker.awaits_token:
+            return
         tracked.stop_sent_at = self._host.now.mono
         self._host.start(self._stop(term, worker, tracked))
 
