Split the start of a placement into its obstacles and its command

Cause: Dispatcher._start_one had 50 lines and five early ends of one shape. Change: _obstacle_to and _start_command; no behaviour but the wording of one reason: a worker may be over its capacity for a late run as well as for a smaller capacity. Measured: tests of commands, capacity, restarts, ends and the review pass as before.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -68,32 +68,11 @@
         if record.is_final or tracked.stop_requested:
             self._end_unstarted_run(term, worker, ref, "no longer needed")
             return
-        obstacle = term.obstacle_to(worker)
+        obstacle = self._obstacle_to(term, worker, record, key)
         if obstacle:
             self._end_unstarted_run(term, worker, ref, obstacle)
             return
-        if term.worker_lease_s() < START_WINDOW_S:
-            # A successor may count the worker's leases as expired by then.
-            self._end_unstarted_run(term, worker, ref, "the session has expired")
-            return
-        if term.cell.is_overcommitted(worker_id):
-            reason = "the worker's capacity is smaller now"
-            self._end_unstarted_run(term, worker, ref, reason)
-            return
-        if self._needs_new_permit(term, record, key, worker_id):
-            self._end_unstarted_run(term, worker, ref, "its permit has expired")
-            return
-        not_after_ms = worker.grant_lease(self._host.now.mono, START_WINDOW_S) or 0
-        permits = term.permits.for_step(record.spec.id, key.step_key)
-        command = StartTask(
-            to=worker.address,
-            ref=ref,
-            payload=record.spec.payload,
-            not_after_ms=not_after_ms,
-            token=worker.token,
-            checkpoint=start.checkpoint,
-            permit=permits.permit_by_worker_id.get(worker_id, ""),
-        )
+        command = self._start_command(term, start, worker, ref)
         incarnation = worker.incarnation
         tracked.start_sent_at = self._host.now.mono
         result = yield from self._send_start(term, tracked, command)
@@ -105,6 +84,38 @@
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
 
+    def _obstacle_to(
+        self, term: OwnerTerm, worker: WorkerState, record: JobRecord, key: TaskKey
+    ) -> str:
+        """Return why a placement must not be sent, empty if it may be."""
+        obstacle = term.obstacle_to(worker)
+        if obstacle:
+            return obstacle
+        if term.worker_lease_s() < START_WINDOW_S:
+            # A successor may count the worker's leases as expired by then.
+            return "the session has expired"
+        if term.cell.is_overcommitted(worker.info.id):
+            return "the worker's runs need more than its capacity"
+        if self._needs_new_permit(term, record, key, worker.info.id):
+            return "its permit has expired"
+        return ""
+
+    def _start_command(
+        self, term: OwnerTerm, start: Start, worker: WorkerState, ref: TaskRef
+    ) -> StartTask:
+        """Return the start of a run, which grants its worker a lease."""
+        not_after_ms = worker.grant_lease(self._host.now.mono, START_WINDOW_S) or 0
+        permits = term.permits.for_step(ref.job_id, ref.key.step_key)
+        return StartTask(
+            to=worker.address,
+            ref=ref,
+            payload=start.record.spec.payload,
+            not_after_ms=not_after_ms,
+            token=worker.token,
+            checkpoint=start.checkpoint,
+            permit=permits.permit_by_worker_id.get(worker.info.id, ""),
+        )
+
     def _send_start(
         self, term: OwnerTerm, tracked: TrackedRun, command: StartTask
     ) -> Flow:
