--- a/src/lagoonpulley/observability/events.py
+++ b/src/lagoonpulley/observability/events.py
@@ -25,6 +25,8 @@
     "_not_understood",
     "_unknown",
 )
+# What became of a run is told for each, though it is a failure.
+RUN_FAILURES = frozenset(("start_failed", "stop_failed"))
 # Of one field: keys, names and reasons may come from other writers.
 MAX_TEXT_LENGTH = 1000
 
@@ -44,7 +46,7 @@
 
 
 def _line_limit(event: str) -> int:
-    if event.endswith(FAILURE_SUFFIXES):
+    if event.endswith(FAILURE_SUFFIXES) and event not in RUN_FAILURES:
         return MAX_FAILURE_LINES_PER_S
     return MAX_LINES_PER_S
 
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -27,3 +27,12 @@
         for number in range(100):
             log_event(event, key=f"servers/{number}")
     assert len(events.named(event)) == 2
+
+
+@pytest.mark.parametrize("event", ["start_failed", "stop_failed"])
+def test_failed_command_to_a_worker_leaves_a_line_for_each_run(monkeypatch, event):
+    monkeypatch.setattr(module.time, "monotonic", lambda: 5.0)
+    with capture_events() as events:
+        for number in range(100):
+            log_event(event, run=number)
+    assert len(events.named(event)) == 100
