--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -68,30 +68,11 @@
         if record.is_final or tracked.stop_requested:
             self._end_unstarted_run(term, worker, ref, "no longer needed")
             return
-        obstacle = term.obstacle_to(worker)
+        obstacle = self._obstacle_to(term, worker, record, key)
         if obstacle:
             self._end_unstarted_run(term, worker, ref, obstacle)
             return
-        if term.cell.is_overcommitted(worker_id):
-            reason = "the worker's capacity is smaller now"
-            self._end_unstarted_run(term, worker, ref, reason)
-            return
-        if self._needs_new_permit(term, record, key, worker_id):
-            self._end_unstarted_run(term, worker, ref, "its permit has expired")
-            return
-        tracked.not_after_ms = (
-            worker.grant_lease(self._host.now.mono, START_WINDOW_S) or 0
-        )
-        permits = term.permits.for_step(record.spec.id, key.step_key)
-        command = StartTask(
-            to=worker.address,
-            ref=ref,
-            payload=record.spec.payload,
-            not_after_ms=tracked.not_after_ms,
-            token=worker.token,
-            checkpoint=start.checkpoint,
-            permit=permits.permit_by_worker_id.get(worker_id, ""),
-        )
+        command = self._start_command(term, start, worker, ref)
         incarnation = worker.incarnation
         tracked.start_sent_at = self._host.now.mono
         result = yield from self._send_start(term, tracked, command)
@@ -103,6 +84,38 @@
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
 
+    def _obstacle_to(
+        self, term: OwnerTerm, worker: WorkerState, record: JobRecord, key: TaskKey
+    ) -> str:
+        """Return why a placement must not be sent, empty if it may be."""
+        obstacle = term.obstacle_to(worker)
+        if obstacle:
+            return obstacle
+        if term.worker_lease_s() < START_WINDOW_S:
+            # A successor may count the worker's leases as expired by then.
+            return "the session has expired"
+        if term.cell.is_overcommitted(worker.info.id):
+            return "the worker's runs need more than its capacity"
+        if self._needs_new_permit(term, record, key, worker.info.id):
+            return "its permit has expired"
+        return ""
+
+    def _start_command(
+        self, term: OwnerTerm, start: Start, worker: WorkerState, ref: TaskRef
+    ) -> StartTask:
+        """Return the start of a run, which grants its worker a lease."""
+        not_after_ms = worker.grant_lease(self._host.now.mono, START_WINDOW_S) or 0
+        permits = term.permits.for_step(ref.job_id, ref.key.step_key)
+        return StartTask(
+            to=worker.address,
+            ref=ref,
+            payload=start.record.spec.payload,
+            not_after_ms=not_after_ms,
+            token=worker.token,
+            checkpoint=start.checkpoint,
+            permit=permits.permit_by_worker_id.get(worker.info.id, ""),
+        )
+
     def _send_start(
         self, term: OwnerTerm, tracked: TrackedRun, command: StartTask
     ) -> Flow:
@@ -187,7 +200,12 @@
         end_run(term, worker, ref, EndKind.STOPPED, "", f"not started: {reason}")
 
     def stop(self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun) -> None:
-        """Stop a run, then sync to check that it is gone."""
+        """Stop a run, then sync to check that it is gone.
+
+        A worker that awaits its token is not called; the stop stays requested.
+        """
+        if worker.awaits_token:
+            return
         tracked.stop_sent_at = self._host.now.mono
         self._host.start(self._stop(term, worker, tracked))
 
@@ -198,7 +216,8 @@
         if not term.is_current(worker, incarnation):
             tracked.stop_sent_at = float("-inf")
         elif isinstance(result, CommandAccepted):
-            tracked.start_resolved_at = self._host.now.mono
+            if tracked.start_resolved_at is None:
+                tracked.start_resolved_at = self._host.now.mono
             yield from self._sync_now(term, worker)
         else:
             tracked.stop_sent_at = float("-inf")
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -54,18 +54,16 @@
     the run exists.
     ``has_run`` is set once the worker is known to have carried out the start.
     ``is_blamed`` is set when the run is counted for a crash of its worker.
-    ``not_after_ms`` is the time on the worker's clock after which the worker refuses a
-    start command in flight. ``listed`` is set once the worker's current incarnation
-    has listed the run. ``sent_to_earlier`` is set while the run was started on an
-    earlier incarnation only. ``has_claim`` is unset if the run's size is not known, as
-    no record of its job is left. Times without a unit are monotonic seconds.
+    ``listed`` is set once the worker's current incarnation has listed the run.
+    ``sent_to_earlier`` is set while the run was started on an earlier incarnation only.
+    ``has_claim`` is unset if the run's size is not known, as no record of its job is
+    left. Times without a unit are monotonic seconds.
     """
 
     ref: TaskRef
     placed_at: float
     has_run: bool = False
     is_blamed: bool = False
-    not_after_ms: int = 0
     start_sent_at: float | None = None
     may_start_late: bool = True
     start_resolved_at: float | None = None
@@ -76,17 +74,18 @@
     stop_sent_at: float = float("-inf")
     progress: StallDetector = field(default_factory=StallDetector)
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether a start was sent, or may have been by an earlier owner."""
+        return self.start_sent_at is not None or self.start_resolved_at is not None
+
     def begin_incarnation(self, now: float) -> None:
         """Record that another incarnation of the worker is known.
 
         A start that was sent before may have reached that one, but does not once it
         has seen a later token, so its answer to a sync from now on is conclusive.
-        ``not_after_ms`` is void there, because each incarnation has its own clock.
         """
-        if self.start_sent_at is None and self.start_resolved_at is None:
-            return
         self.start_resolved_at = now
-        self.not_after_ms = 0
         self.has_run = self.is_blamed = False
         self.listed = False
         self.sent_to_earlier = True
@@ -185,11 +184,12 @@
     def describe(self, info: WorkerInfo) -> None:
         """Apply a record of the directory, which may be of an earlier incarnation.
 
-        Then it only tells where the worker is reached, unless that is known.
+        Then it only tells where to reach a worker that does not answer.
         """
-        if info.born not in (0, self.info.born) and self.info.address:
+        is_reached = self.info.address and self.is_responsive
+        if is_reached and self.is_other_incarnation(info.born):
             return
-        self.info = replace(info, born=self.info.born)
+        self.info = replace(info, born=self.info.born or info.born)
         self.described_born = info.born
 
     def is_other_incarnation(self, born: int) -> bool:
@@ -247,8 +247,9 @@
             return
         granted_by = now
         for run in runs:
-            if run.may_start_late and run.start_sent_at is not None:
-                granted_by = max(granted_by, run.start_sent_at + MAX_START_DELAY_S)
+            if run.may_start_late:
+                sent_at = run.start_sent_at or run.placed_at
+                granted_by = max(granted_by, sent_at + MAX_START_DELAY_S)
         self.leases_expire_at = latest_lease_end(granted_by, self.max_lease_s)
 
     def min_clock_ms(self, now: float) -> int:
