Count a failed run of a gang that is listed after a later one

What callers saw: a gang got one attempt more than its queue allows, if the failure of a run that was given up was listed only after its next run had failed. Cause: GangFailures counted rising run numbers only, to count a run once whose members all fail. Class: an order of arrival taken for the order of events. Change: the given-up runs that are stored already tell which earlier runs may still count. A run that has counted is removed from those of all members, and is not added when a further member is given up, so a late failure that is still among them counts, once. The field uncounted_gang_runs of the progress document names those that are older than the last failed run. Documents of the earlier build lack it; there a late failure counts as before, since the run may have been counted. The earlier build ignores the field.

--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -113,7 +113,10 @@
 
     A row of ``gang_failures``: occurrence, step, failure count and last failed run. A
     row of ``crashes``: occurrence, step, index, crash count and blame. A row of
-    ``given_up_runs``: occurrence, step, index and run.
+    ``given_up_runs``: occurrence, step, index and run. A row of
+    ``uncounted_gang_runs``: occurrence, step and one of the given-up runs of a gang
+    that is older than its last failed run. Earlier builds do not write these, and keep
+    given-up runs whose failure has been counted.
     """
 
     state: JobState
@@ -121,6 +124,7 @@
     gang_failures: list[tuple[int, int, int, int]] = []
     crashes: list[tuple[int, int, int, int, float]] = []
     given_up_runs: list[tuple[int, int, int, int]] = []
+    uncounted_gang_runs: list[tuple[int, int, int]] = []
 
     @classmethod
     def from_record(cls, record: JobRecord) -> ProgressDocument:
@@ -152,6 +156,7 @@
             gang_failures=failures,
             crashes=crashes,
             given_up_runs=given_up_runs,
+            uncounted_gang_runs=_uncounted_gang_runs(record),
         )
 
     def apply_to(self, record: JobRecord) -> None:
@@ -180,11 +185,31 @@
             record.gang_failures_by_step[StepKey(occurrence, step)] = failures
         for *key_parts, count, blame in self.crashes:
             record.crashes_by_task[TaskKey(*key_parts)] = CrashHistory(count, blame)
+        self._restore_given_up_runs(record)
+        record.rebuild_waiting()
+
+    def _restore_given_up_runs(self, record: JobRecord) -> None:
+        """Restore the given-up runs, without those whose failure may be counted."""
+        uncounted = set(self.uncounted_gang_runs)
         for *key_parts, run in self.given_up_runs:
-            task = record.task_by_key.get(TaskKey(*key_parts))
-            if task is not None:
+            key = TaskKey(*key_parts)
+            task = record.task_by_key.get(key)
+            if task is None:
+                continue
+            failures = record.gang_failures_by_step.get(key.step_key, GangFailures())
+            if run > failures.last_run or (*key.step_key, run) in uncounted:
                 task.given_up_runs.add(run)
-        record.rebuild_waiting()
+
+
+def _uncounted_gang_runs(record: JobRecord) -> list[tuple[int, int, int]]:
+    """Return the given-up runs of gangs that are older than the last failed one."""
+    found = set()
+    for key, failures in record.gang_failures_by_step.items():
+        for _, task in record.tasks_of(key):
+            for run in task.given_up_runs:
+                if run <= failures.last_run:
+                    found.add((*key, run))
+    return sorted(found)
 
 
 _SUBMISSION = TypeAdapter(JobSpec)
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -72,7 +72,8 @@
 
     ``run`` is the current run, which uses, or may use, resources on a worker.
     ``last_run`` is the highest run number that the task has had. ``given_up_runs`` are
-    the numbers of the runs that were given up and whose end no worker has listed yet.
+    the numbers of the runs that were given up and whose end no worker has listed yet;
+    a run of a gang that has counted as failed is not among them.
     """
 
     last_run: int = 0
@@ -90,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangFailures:
-    """How many runs of a gang have failed, and the run number of the last one."""
+    """How many runs of a gang have failed, and the highest of their numbers."""
 
     count: int = 0
     last_run: int = 0
@@ -256,8 +257,10 @@
     def give_up_run(self, key: TaskKey) -> None:
         """End the current run of a task, whose worker may still list how it ended."""
         task = self.task_by_key[key]
-        if not self.step_of(key).long_running:
-            # Nothing follows from the end of a task that has to run on anyway.
+        last_failed = self._gang_failures_of(key.step_key).last_run
+        # Nothing follows from the end of a task that has to run on anyway, nor from
+        # that of another member of a gang's run that has failed.
+        if not self.step_of(key).long_running and task.run.number > last_failed:
             task.given_up_runs.add(task.run.number)
         self.end_run(key, EndKind.LAPSED, "")
 
@@ -271,11 +274,11 @@
         """
         task = self.task_by_key[key]
         was_given_up = run in task.given_up_runs
-        task.given_up_runs.discard(run)
         is_news = kind is EndKind.DONE and not task.done and run <= task.last_run
         if not was_given_up and not is_news:
             return False
         self._apply_outcome(key, run, kind)
+        task.given_up_runs.discard(run)
         return True
 
     def _apply_outcome(self, key: TaskKey, run: int, kind: EndKind) -> None:
@@ -289,10 +292,23 @@
                 self._count_gang_failure(key.step_key, run)
 
     def _count_gang_failure(self, key: StepKey, run: int) -> None:
-        """Count a failed run of a gang once, even if several members failed."""
-        failures = self.gang_failures_by_step.get(key, GangFailures())
-        if run > failures.last_run:
-            self.gang_failures_by_step[key] = GangFailures(failures.count + 1, run)
+        """Count a failed run of a gang once, even if several members failed.
+
+        Only the newest run has members that are still running. An earlier one counts if
+        a member of it was given up, and then for none of them again.
+        """
+        failures = self._gang_failures_of(key)
+        members = [task for _, task in self.tasks_of(key)]
+        was_given_up = any(run in task.given_up_runs for task in members)
+        if run <= failures.last_run and not was_given_up:
+            return
+        for task in members:
+            task.given_up_runs.discard(run)
+        last_run = max(run, failures.last_run)
+        self.gang_failures_by_step[key] = GangFailures(failures.count + 1, last_run)
+
+    def _gang_failures_of(self, key: StepKey) -> GangFailures:
+        return self.gang_failures_by_step.get(key, GangFailures())
 
     def _mark_done(self, key: TaskKey, step: StepSpec) -> None:
         keys = [key]
@@ -310,7 +326,7 @@
     def failures_of(self, key: TaskKey) -> int:
         """Return how often a task, or the gang it belongs to, has failed."""
         if self.step_of(key).gang:
-            return self.gang_failures_by_step.get(key.step_key, GangFailures()).count
+            return self._gang_failures_of(key.step_key).count
         return self.task_by_key[key].failures
 
     def change_crashes(self, key: TaskKey, count: int, blame: float) -> CrashHistory:
--- a/tests/owner/test_worker_ends.py
+++ b/tests/owner/test_worker_ends.py
@@ -20,6 +20,7 @@
     TaskRef,
     WorkerReport,
 )
+from lagoonpulley.workload.documents import ProgressDocument, decode_progress
 from lagoonpulley.workload.record import EndKind, JobRecord
 from lagoonpulley.workload.spec import StepKey, TaskKey
 
@@ -189,3 +190,105 @@
         record.end_run(key, EndKind.FAILED, "")
     record.apply_late_end(keys[0], 1, EndKind.FAILED)
     assert record.gang_failures_by_step[StepKey(0, 0)].count == 2
+
+
+GANG = StepKey(0, 0)
+MEMBERS = [TaskKey(0, 0, 0), TaskKey(0, 0, 1)]
+
+
+def gang_record():
+    """Return the record of a gang of two that has not run yet."""
+    world = StepWorld(workers=1)
+    world.run(1.0)
+    world.submit(JOB, step(count=2, gang=True))
+    return JobRecord.from_spec(world.last_spec)
+
+
+def begin_gang_run(record, run):
+    for key in MEMBERS:
+        record.begin_run(key, run, "w0", 1)
+
+
+def give_up_gang_run(record, run):
+    begin_gang_run(record, run)
+    for key in MEMBERS:
+        record.give_up_run(key)
+
+
+def fail_gang_run(record, run):
+    begin_gang_run(record, run)
+    for key in MEMBERS:
+        record.end_run(key, EndKind.FAILED, "")
+
+
+def next_owners_record(record, *fields_left_out):
+    """Return the record as the next owner reads it.
+
+    :param fields_left_out: fields that the build of the previous owner does not write.
+    """
+    document = ProgressDocument.from_record(record)
+    text = document.model_dump_json(exclude=set(fields_left_out))
+    restored = JobRecord.from_spec(record.spec)
+    decode_progress(text).ok.apply_to(restored)
+    return restored
+
+
+@pytest.mark.parametrize("owner_changes", [False, True])
+def test_gang_run_whose_members_all_list_a_late_failure_counts_once(owner_changes):
+    record = gang_record()
+    give_up_gang_run(record, 1)
+    give_up_gang_run(record, 2)
+    fail_gang_run(record, 3)
+    for key in MEMBERS:
+        for run in (2, 1):
+            if owner_changes:
+                record = next_owners_record(record)
+            record.apply_late_end(key, run, EndKind.FAILED)
+    assert record.gang_failures_by_step[GANG].count == 3
+    fail_gang_run(record, 4)
+    assert record.gang_failures_by_step[GANG].count == 4
+
+
+@pytest.mark.parametrize("fails_first", [False, True])
+@pytest.mark.parametrize("owner_changes", [False, True])
+def test_late_failure_of_a_gang_run_that_another_member_failed_counts_once(
+    fails_first, owner_changes
+):
+    record = gang_record()
+    begin_gang_run(record, 1)
+    if fails_first:
+        record.end_run(MEMBERS[0], EndKind.FAILED, "")
+        record.give_up_run(MEMBERS[1])
+    else:
+        record.give_up_run(MEMBERS[1])
+        record.end_run(MEMBERS[0], EndKind.FAILED, "")
+    fail_gang_run(record, 2)
+    if owner_changes:
+        record = next_owners_record(record)
+    record.apply_late_end(MEMBERS[1], 1, EndKind.FAILED)
+    assert record.gang_failures_by_step[GANG].count == 2
+
+
+def test_gang_run_that_an_earlier_build_may_have_counted_counts_once():
+    record = gang_record()
+    fail_gang_run(record, 1)
+    fail_gang_run(record, 2)
+    # The earlier build keeps these although the failure of the runs has been counted.
+    record.task_by_key[MEMBERS[1]].given_up_runs = {1, 2}
+    record = next_owners_record(record, "uncounted_gang_runs")
+    for run in (1, 2):
+        record.apply_late_end(MEMBERS[1], run, EndKind.FAILED)
+    assert record.gang_failures_by_step[GANG].count == 2
+
+
+def test_gang_run_that_failed_leaves_no_given_up_runs_to_store():
+    record = gang_record()
+    for run in range(1, 20, 2):
+        give_up_gang_run(record, run)
+        record.apply_late_end(MEMBERS[0], run, EndKind.FAILED)
+        begin_gang_run(record, run + 1)
+        record.end_run(MEMBERS[0], EndKind.FAILED, "")
+        record.give_up_run(MEMBERS[1])
+    document = ProgressDocument.from_record(record)
+    assert document.given_up_runs == []
+    assert document.uncounted_gang_runs == []
