Finish a task by the report of an attempt that the other engine gave up

What callers saw: lagoonpulley serve ran a task again that was finished, if its worker was out of reach for longer than its lease and reported the finish then, or to the next owner. Cause: a report that is not of the current placement was acknowledged and dropped, or its attempt was stopped as stale and then acknowledged. Change: a finished report with an intact output finishes its task unless the task is final. A waiting task leaves the queue of the core (event TaskWithdrawn). An attempt started since is stopped first, as it uses room until then; the result is kept with the task (late_finish) and prevails over any other end of that attempt than its own finish. The report is acknowledged by the commit of the end, so it need not be stored. New log line late_finish.

--- a/src/lagoonpulley/placement/event_handler.py
+++ b/src/lagoonpulley/placement/event_handler.py
@@ -13,6 +13,7 @@
     TaskAdopted,
     TaskEnded,
     TaskOutcome,
+    TaskWithdrawn,
     TeamPolicy,
     TeamsChanged,
     UsageReported,
@@ -45,6 +46,8 @@
                 self._submit(event)
             case JobCancelled(job_id):
                 self._cancel(job_id)
+            case TaskWithdrawn():
+                self._withdraw(event)
             case UsageReported():
                 self._record_usage(event)
             case WorkerChanged():
@@ -75,6 +78,15 @@
             pending.cancelled = True
             self._state.adjust_waiting(pending.job.team, -len(pending.indexes))
 
+    def _withdraw(self, event: TaskWithdrawn) -> None:
+        pending = self._state.pending_by_job_id.get(event.job_id)
+        if pending is None or event.index not in pending.indexes:
+            return
+        pending.indexes.remove(event.index)
+        self._state.adjust_waiting(pending.job.team, -1)
+        self._state.team(pending.job.team).blocked_version = 0
+        self._state.remove_if_done(pending)
+
     def _end_task(self, event: TaskEnded, now: float) -> None:
         placed = self._state.placed_by_task_id.get(event.task_id)
         if placed is None:
--- a/src/lagoonpulley/placement/events.py
+++ b/src/lagoonpulley/placement/events.py
@@ -19,6 +19,7 @@
     "TaskAdopted",
     "TaskEnded",
     "TaskOutcome",
+    "TaskWithdrawn",
     "TeamPolicy",
     "TeamsChanged",
     "UsageReported",
@@ -90,6 +91,14 @@
     job_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class TaskWithdrawn:
+    """A task needs no placement any more; nothing changes unless it waits for one."""
+
+    job_id: str
+    index: int
+
+
 @dataclass(frozen=True, slots=True)
 class TaskAdopted:
     """A task that a previous owner placed already holds room on a worker."""
@@ -138,6 +147,7 @@
     | JobCancelled
     | TaskAdopted
     | TaskEnded
+    | TaskWithdrawn
     | TeamsChanged
     | UsageReported
 )
--- a/src/lagoonpulley/scheduler/context.py
+++ b/src/lagoonpulley/scheduler/context.py
@@ -159,6 +159,10 @@
         """
         ...
 
+    def withdraw_task(self, record: JobRecord, task: TaskRecord) -> None:
+        """Remove a task that needs no placement any more from the waiting ones."""
+        ...
+
     def finalize(
         self,
         record: JobRecord,
--- a/src/lagoonpulley/scheduler/group.py
+++ b/src/lagoonpulley/scheduler/group.py
@@ -22,6 +22,7 @@
     TaskAdopted,
     TaskEnded,
     TaskOutcome,
+    TaskWithdrawn,
     UsageReported,
     WorkerChanged,
 )
@@ -373,6 +374,12 @@
         self.core.apply(ended, self.now.mono)
         self.request_decisions()
 
+    def withdraw_task(self, record: JobRecord, task: TaskRecord) -> None:
+        """Remove a task that needs no placement any more from the waiting ones."""
+        withdrawn = TaskWithdrawn(record.job.id, task.index)
+        self.core.apply(withdrawn, self.now.mono)
+        self.request_decisions()
+
     def finalize(
         self,
         record: JobRecord,
--- a/src/lagoonpulley/scheduler/outcomes.py
+++ b/src/lagoonpulley/scheduler/outcomes.py
@@ -11,6 +11,7 @@
 from ..placement.events import TaskOutcome
 from ..upstream.messages import TaskReport, TaskStatus
 from .link import Assignment
+from .records import LateFinish
 
 if TYPE_CHECKING:
     from .context import GroupContext
@@ -66,6 +67,9 @@
 ) -> None:
     if report.status in (TaskStatus.REFUSED, TaskStatus.NEVER_SEEN):
         return
+    if found is not None and _is_late_finish(found[1], report):
+        _finish_late(group, link, *found, report)
+        return
     if found is not None and _is_unjournalled_attempt(*found, report):
         _adopt_attempt(group, link, *found, report)
         return
@@ -99,6 +103,62 @@
     return task.state is TaskState.PENDING and report.attempt > task.attempt
 
 
+def _is_late_finish(task: TaskRecord, report: TaskReport) -> bool:
+    """Return whether an attempt that was given up has a result that the task needs."""
+    return (
+        report.status is TaskStatus.FINISHED
+        and not task.state.is_final
+        and _is_output_intact(report)
+    )
+
+
+def _finish_late(
+    group: GroupContext,
+    link: WorkerLink,
+    record: JobRecord,
+    task: TaskRecord,
+    report: TaskReport,
+) -> None:
+    """Finish a task by the result of an attempt that was given up.
+
+    An attempt that has been started since uses its room until it has been stopped.
+    """
+    if task.late_finish is not None:
+        return
+    log_event(
+        "late_finish",
+        job=record.job.id,
+        task=report.task_id,
+        attempt=report.attempt,
+        worker=link.worker_id,
+        epoch=group.epoch,
+        current_attempt=task.attempt,
+        state=task.state,
+    )
+    task.late_finish = LateFinish(link.worker_id, report)
+    if not task.is_placed:
+        _end_with_late_finish(group, record, task)
+        group.withdraw_task(record, task)
+    elif not task.sent:
+        assignment = Assignment(record, task, task.attempt)
+        attempt_not_run(group, assignment, "an earlier attempt finished")
+    else:
+        group.stop_task(record, task, checkpoint=False)
+
+
+def _end_with_late_finish(
+    group: GroupContext, record: JobRecord, task: TaskRecord
+) -> None:
+    late = task.late_finish
+    task.ran_before = task.ran_before.combine(task.ran)
+    task.worker_id = late.worker_id
+    task.attempt = late.report.attempt
+    _take_result(task, late.report)
+    link = group.link_by_worker_id.get(late.worker_id)
+    assignment = Assignment(record, task, task.attempt)
+    _end_attempt(group, link, assignment, TaskState.FINISHED, "")
+
+
 def _adopt_attempt(
     group: GroupContext,
     link: WorkerLink,
@@ -147,13 +207,17 @@
         )
         return
     record, task = assignment.record, assignment.task
+    _take_result(task, report)
+    _end_attempt(group, link, assignment, TaskState.FINISHED, "")
+    outcome = TaskOutcome.FINISHED
+    group.task_ended(record, task, outcome, run_time_s=report.run_time_s)
+
+
+def _take_result(task: TaskRecord, report: TaskReport) -> None:
     task.ran = Ran.YES
     task.output = report.output
     task.output_bytes = report.output_bytes
     task.output_digest = report.output_digest
-    _end_attempt(group, link, assignment, TaskState.FINISHED, "")
-    outcome = TaskOutcome.FINISHED
-    group.task_ended(record, task, outcome, run_time_s=report.run_time_s)
 
 
 def _is_output_intact(report: TaskReport) -> bool:
@@ -234,7 +298,12 @@
 def _requeue(
     group: GroupContext, assignment: Assignment, outcome: TaskOutcome, reason: str
 ) -> None:
+    """Queue a task again, unless an attempt that was given up has finished it."""
     record, task = assignment.record, assignment.task
+    if task.late_finish is not None:
+        _end_with_late_finish(group, record, task)
+        group.task_ended(record, task, outcome)
+        return
     log_event(
         "task_requeued",
         job=record.job.id,
@@ -259,7 +328,11 @@
     state: TaskState,
     reason: str,
 ) -> None:
+    """End a task; a result of an attempt that was given up prevails over no result."""
     record, task = assignment.record, assignment.task
+    if task.late_finish is not None and state is not TaskState.FINISHED:
+        _end_with_late_finish(group, record, task)
+        return
     task.state = state
     task.reason = reason
     log_event(
--- a/src/lagoonpulley/scheduler/records.py
+++ b/src/lagoonpulley/scheduler/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
@@ -11,10 +12,14 @@
 from ..model.verdict import Ran
 from ..peers.messages import JobStatus, TaskStatusView
 
+if TYPE_CHECKING:
+    from ..upstream.messages import TaskReport
+
 __all__ = [
     "JOURNAL",
     "JOURNAL_TIMEOUT_S",
     "JobRecord",
+    "LateFinish",
     "TaskRecord",
     "decode_documents",
     "job_document",
@@ -31,13 +36,22 @@
 TASK_PREFIX = "task:"
 
 
+@dataclass(frozen=True, slots=True)
+class LateFinish:
+    """Result of an attempt that was given up before its worker reported it."""
+
+    worker_id: str
+    report: TaskReport
+
+
 @dataclass(slots=True, eq=False)
 class TaskRecord:
     """Record of one task.
 
     ``ran`` tells whether the current attempt has run, ``ran_before`` whether any
     earlier one has. ``sent`` is set once a start command may have been sent to the
-    worker.
+    worker. ``late_finish`` ends the task once its current attempt has ended; it is not
+    stored, as its worker keeps the report until the end is committed.
     """
 
     index: int
@@ -53,6 +67,7 @@
     output_bytes: int = 0
     output_digest: str = ""
     reason: str = ""
+    late_finish: LateFinish | None = None
 
     @property
     def is_placed(self) -> bool:
--- a/tests/placement/test_core.py
+++ b/tests/placement/test_core.py
@@ -18,6 +18,7 @@
     PreemptReason,
     TaskEnded,
     TaskOutcome,
+    TaskWithdrawn,
     TeamPolicy,
     TeamsChanged,
     WorkerChanged,
@@ -364,3 +365,16 @@
     assert "w0" in cell.core.worker_table.by_id
     cell.apply(ended(place.task_id))
     assert "w0" not in cell.core.worker_table.by_id
+
+
+def test_withdrawn_task_is_not_placed_and_does_not_wait(cell):
+    cell.workers(1)
+    cell.teams(north=1)
+    job = cell.submit(tasks=2)
+    last = cell.submit()
+    for withdrawn in (job, last):
+        cell.apply(TaskWithdrawn(withdrawn.id, 0))
+        cell.apply(TaskWithdrawn(withdrawn.id, 0))
+    assert cell.core.waiting_tasks() == 1
+    assert [place.task_id for place in cell.places()] == [f"{job.id}/1"]
+    assert cell.core.waiting_tasks() == 0
--- a/tests/scheduler/test_lost_attempts.py
+++ b/tests/scheduler/test_lost_attempts.py
@@ -1,4 +1,4 @@
-"""The report of an attempt that was given up while its worker was out of reach."""
+"""Reports of attempts that were given up while their worker was out of reach."""
 
 from __future__ import annotations
 
@@ -22,3 +22,59 @@
     world.advance(8.0)
     assert all(worker.collect().reports == () for worker in workers.values())
     assert sum(len(worker.executions) for worker in workers.values()) == 1
+
+
+def executions_of(world, job):
+    task_id = f"{job.id}/0"
+    return [
+        (worker_id, execution)
+        for worker_id, worker in world.workers.items()
+        for execution in worker.executions
+        if execution.task_id == task_id
+    ]
+
+
+def return_worker(world, worker_id):
+    world.network.dead_addresses.discard(f"worker:{worker_id}")
+
+
+def test_finish_of_an_attempt_that_was_given_up_stops_its_successor():
+    world = World(seed=1)
+    world.advance(5.0)
+    caller = world.submit("timisoara-1", "timisoara/1", run_time_s=5.0, wait_s=60.0)
+    world.advance(1.0)
+    ((first, _),) = executions_of(world, caller.job)
+    world.stop_worker(first)
+    while len(executions_of(world, caller.job)) < 2:
+        world.advance(0.1)
+        assert world.clock.mono < 20.0
+    return_worker(world, first)
+    world.advance(2.0)
+    assert caller.outcome.status.state == "finished"
+    assert all(worker.running() == [] for worker in world.workers.values())
+    world.advance(5.0)
+    assert len(executions_of(world, caller.job)) == 2
+    assert all(worker.collect().reports == () for worker in world.workers.values())
+
+
+def test_finish_of_an_attempt_that_no_journal_names_is_not_run_again():
+    """The worker comes back to an owner that has taken over without it."""
+    world = World(seed=1)
+    world.advance(5.0)
+    caller = world.submit(
+        "timisoara-1", "timisoara/1", run_time_s=2.0, exclusive=False, durable=True
+    )
+    world.advance(1.0)
+    ((first, _),) = executions_of(world, caller.job)
+    workers = [w for w in world.workers if w.startswith("timisoara")]
+    for worker_id in workers:
+        world.stop_worker(worker_id)
+    for entry_id in ("timisoara-1", "timisoara-2"):
+        world.kill(entry_id)
+        world.start_entry(entry_id, "timisoara")
+    # Until then, workers that the owner has not reached count against the limit.
+    world.advance(30.0)
+    return_worker(world, first)
+    world.advance(8.0)
+    assert world.workers[first].collect().reports == ()
+    assert len(executions_of(world, caller.job)) == 1
