Fence a worker by one call at a time

An exclusive task of lagoonpulley serve could run in two places: its worker restarts between two calls that fence it, and the answer of the earlier boot arrives last. Cause: after an unanswered start, a flow of its own fenced the worker beside the loop that renews leases. The late answer set boot_id back, and an attempt sent to the present boot counted as lost by a restart. Change: WorkerLink._fence is the only place that sends the call once the takeover is over, and does nothing while another flow fences.

--- a/src/lagoonpulley/scheduler/link.py
+++ b/src/lagoonpulley/scheduler/link.py
@@ -77,6 +77,7 @@
         self._to_start: list[Assignment] = []
         self._acknowledged: dict[tuple[str, int], None] = {}
         self._starting = False
+        self._fencing = False
         self._closed = False
         self._last_reported: frozenset[tuple[str, int]] = frozenset()
         self._backoff_s = MIN_BACKOFF_S
@@ -105,13 +106,25 @@
         """Renew leases and process reports until the link is closed."""
         while not self._closed:
             if not self.fenced:
-                result = yield self.fence_call()
-                yield from self.handle_fence_result(result)
+                yield from self._fence()
                 if not self.fenced and not self._closed:
                     yield Sleep(RETRY_DELAY_S)
                 continue
             yield from self._sync()
 
+    def _fence(self) -> Flow:
+        """Fence the worker, unless another flow is doing so.
+
+        Of two answers, the later one may be the older: of an earlier boot, or a list
+        that lacks attempts started since.
+        """
+        if self._fencing:
+            return
+        self._fencing = True
+        result = yield self.fence_call()
+        yield from self.handle_fence_result(result)
+        self._fencing = False
+
     def handle_fence_result(self, result: Any) -> Flow:
         """Process the answer to :meth:`fence_call`."""
         if self._closed:
@@ -282,12 +295,8 @@
                 self._group.starts_failed(self, batch, ran, reason)
                 self.fenced = False
                 self._group.worker_changed(self)
-                self._group.start(self._fence_again())
-
-    def _fence_again(self) -> Flow:
-        """Fence the worker to find out whether unanswered starts took effect."""
-        result = yield self.fence_call()
-        yield from self.handle_fence_result(result)
+                # To find out whether the unanswered starts took effect.
+                self._group.start(self._fence())
 
     def _cancel_queued_starts(self, reason: str) -> None:
         cancelled, self._to_start = self._to_start, []
