Commit a failed or stopped attempt before its report is acknowledged

Cause: _failed and _stopped acknowledged at once if the task was to run again, and nothing was stored. Change: _requeue hands the task and the report to the finalizer, which acknowledges after the commit, as for ends of tasks. A report that is listed again meanwhile is no longer taken for one of a stale attempt and acknowledged (awaits_commit). Costs one put for each failed or stopped attempt of a durable job.

--- a/src/lagoonpulley/scheduler/context.py
+++ b/src/lagoonpulley/scheduler/context.py
@@ -169,7 +169,11 @@
         changed: list[TaskRecord],
         acknowledge: tuple[WorkerLink, str, int] | None = None,
     ) -> None:
-        """Commit terminal states, then acknowledge them and answer callers."""
+        """Commit ends of attempts, then acknowledge them and answer callers."""
+        ...
+
+    def awaits_commit(self, task_id: str, attempt: int) -> bool:
+        """Return whether the report of an attempt has to wait for a commit."""
         ...
 
     def stop_task(self, record: JobRecord, task: TaskRecord, checkpoint: bool) -> None:
--- a/src/lagoonpulley/scheduler/finalization.py
+++ b/src/lagoonpulley/scheduler/finalization.py
@@ -1,4 +1,4 @@
-"""Commits terminal states of tasks, and deletes jobs after the retention period."""
+"""Commits ends of attempts, and deletes jobs after the retention period."""
 
 from __future__ import annotations
 
@@ -19,12 +19,17 @@
     """Finalizes the tasks and jobs of one group.
 
     A worker may discard a report once it is acknowledged, so the final report of a
-    durable job's task is acknowledged only after its terminal state is committed.
+    durable job's task is acknowledged only after what follows from it is committed.
     """
 
     def __init__(self, group: GroupContext) -> None:
         self._group = group
         self._commits_in_flight_by_job_id: dict[str, int] = {}
+        self._uncommitted_reports: set[tuple[str, int]] = set()
+
+    def awaits_commit(self, task_id: str, attempt: int) -> bool:
+        """Return whether the report of an attempt has to wait for a commit."""
+        return (task_id, attempt) in self._uncommitted_reports
 
     def finalize(
         self,
@@ -32,9 +37,9 @@
         changed: list[TaskRecord],
         acknowledge: tuple[WorkerLink, str, int] | None = None,
     ) -> None:
-        """Commit terminal states, then acknowledge them and answer callers.
+        """Commit ends of attempts, then acknowledge them and answer callers.
 
-        :param changed: tasks that have just reached a terminal state.
+        :param changed: tasks that have just reached a terminal state or wait again.
         :param acknowledge: worker link, task and attempt whose report is
             acknowledged after the commit.
         """
@@ -53,6 +58,8 @@
         changed: list[TaskRecord],
         acknowledge: tuple[WorkerLink, str, int] | None,
     ) -> Flow:
+        if acknowledge is not None:
+            self._uncommitted_reports.add(acknowledge[1:])
         puts = tuple(
             (task_key(record.task_id(task)), task_document(record, task))
             for task in changed
@@ -72,6 +79,7 @@
     ) -> None:
         if acknowledge is not None:
             link, task_id, attempt = acknowledge
+            self._uncommitted_reports.discard((task_id, attempt))
             link.acknowledge(task_id, attempt)
         # A task that ended later may have made the job final without being durable yet.
         is_durable = record.job.id not in self._commits_in_flight_by_job_id
--- a/src/lagoonpulley/scheduler/group.py
+++ b/src/lagoonpulley/scheduler/group.py
@@ -386,9 +386,13 @@
         changed: list[TaskRecord],
         acknowledge: tuple[WorkerLink, str, int] | None = None,
     ) -> None:
-        """Commit terminal states, then acknowledge them and answer callers."""
+        """Commit ends of attempts, then acknowledge them and answer callers."""
         self._finalizer.finalize(record, changed, acknowledge)
 
+    def awaits_commit(self, task_id: str, attempt: int) -> bool:
+        """Return whether the report of an attempt has to wait for a commit."""
+        return self._finalizer.awaits_commit(task_id, attempt)
+
     def job_finalized(self, record: JobRecord) -> None:
         """Answer the requests that wait for a job to end."""
         self._role.job_finalized(self, record)
--- a/src/lagoonpulley/scheduler/outcomes.py
+++ b/src/lagoonpulley/scheduler/outcomes.py
@@ -83,7 +83,9 @@
         )
         group.start(link.stop_stale_attempt(report.task_id, report.attempt))
         return
-    if found is None or not _awaits_journal(found[1], report, link):
+    if found is not None and _awaits_journal(found[1], report, link):
+        return
+    if not group.awaits_commit(report.task_id, report.attempt):
         link.acknowledge(report.task_id, report.attempt)
 
 
@@ -241,8 +243,7 @@
         and group.try_spend_retry_token(record.job.team)
     )
     if may_repeat:
-        link.acknowledge(report.task_id, report.attempt)
-        _requeue(group, assignment, TaskOutcome.FAILED, report.reason)
+        _requeue(group, assignment, TaskOutcome.FAILED, report.reason, link)
         return
     _end_attempt(group, link, assignment, TaskState.FAILED, report.reason)
     group.task_ended(record, task, TaskOutcome.FAILED, run_time_s=report.run_time_s)
@@ -258,8 +259,7 @@
     record, task = assignment.record, assignment.task
     task.ran = Ran.YES
     if not record.cancel_requested and record.job.repeatable:
-        link.acknowledge(record.task_id(task), task.attempt)
-        _requeue(group, assignment, outcome, reason or outcome.value)
+        _requeue(group, assignment, outcome, reason or outcome.value, link)
         return
     state = TaskState.CANCELLED if record.cancel_requested else TaskState.UNKNOWN
     _end_attempt(group, link, assignment, state, reason)
@@ -296,9 +296,17 @@
 
 
 def _requeue(
-    group: GroupContext, assignment: Assignment, outcome: TaskOutcome, reason: str
+    group: GroupContext,
+    assignment: Assignment,
+    outcome: TaskOutcome,
+    reason: str,
+    link: WorkerLink | None = None,
 ) -> None:
-    """Queue a task again, unless an attempt that was given up has finished it."""
+    """Queue a task again, unless an attempt that was given up has finished it.
+
+    :param link: to the worker that reported the end, if any; it is acknowledged once
+        what the next owner has to know of the attempt is committed.
+    """
     record, task = assignment.record, assignment.task
     if task.late_finish is not None:
         _end_with_late_finish(group, record, task)
@@ -318,6 +326,9 @@
     task.ran = Ran.NO
     task.state = TaskState.PENDING
     task.reason = reason
+    if link is not None:
+        acknowledge = (link, record.task_id(task), task.attempt)
+        group.finalize(record, [task], acknowledge)
     group.task_ended(record, task, outcome, requeue=True)
 
 
--- a/tests/scheduler/test_lost_attempts.py
+++ b/tests/scheduler/test_lost_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from tests.support.world import World
 
 
@@ -78,3 +79,62 @@
     world.advance(8.0)
     assert world.workers[first].collect().reports == ()
     assert len(executions_of(world, caller.job)) == 1
+
+
+def replace_owner(world):
+    """Kill both entries of the data centre and let new ones take over."""
+    for entry_id in ("timisoara-1", "timisoara-2"):
+        world.kill(entry_id)
+    for entry_id in ("timisoara-1", "timisoara-2"):
+        world.start_entry(entry_id, "timisoara")
+    world.advance(8.0)
+
+
+def record_of(world, job):
+    (record,) = (
+        group.record_by_id[job.id]
+        for entry in world.entries.values()
+        for group in entry.roles["scheduler"]._group_by_name.values()
+        if entry.alive and job.id in group.record_by_id
+    )
+    return record
+
+
+@pytest.mark.parametrize("exclusive", [True, False])
+def test_failure_that_was_acknowledged_counts_for_the_next_owner(exclusive):
+    world = World(seed=1)
+    world.advance(5.0)
+    for worker in world.workers.values():
+        worker.fail_all_tasks = True
+    caller = world.submit(
+        "timisoara-1", "timisoara/1", exclusive=exclusive, durable=True
+    )
+    retries = world.settings_of("timisoara-1", "timisoara").retries_per_task
+    while not executions_of(world, caller.job):
+        world.advance(0.01)
+    ((first, execution),) = executions_of(world, caller.job)
+    key = (execution.task_id, execution.attempt)
+    while key in world.workers[first]._attempt_by_key:
+        world.advance(0.01)
+    replace_owner(world)
+    world.advance(30.0)
+    assert record_of(world, caller.job).is_finalized
+    assert len(executions_of(world, caller.job)) <= retries + 1
+
+
+def test_report_is_not_acknowledged_while_the_store_cannot_take_its_failure():
+    world = World(seed=1)
+    world.advance(5.0)
+    caller = world.submit("timisoara-1", "timisoara/1", run_time_s=2.0)
+    world.advance(1.0)
+    ((first, execution),) = executions_of(world, caller.job)
+    world.workers[first].fail_all_tasks = True
+    world.set_store_up(False)
+    world.advance(8.0)
+    key = (execution.task_id, execution.attempt)
+    assert key in world.workers[first]._attempt_by_key
+    world.workers[first].fail_all_tasks = False
+    world.set_store_up(True)
+    world.advance(8.0)
+    assert key not in world.workers[first]._attempt_by_key
+    assert record_of(world, caller.job).tasks[0].failures == 1
