Take no worker for lost because this process was too busy to read its answers

No disruption was near. The workers had answered in time. Change: a call whose timeout is noticed over 0.2 s late tells nothing of the worker: it gets the next one at once, with a lease. Only after five such calls in a row does one count as failed.

--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -23,6 +23,9 @@
 BEFORE_THIS_TERM = float("-inf")
 # Consecutive failed syncs after which a worker counts as unresponsive.
 UNRESPONSIVE_AFTER_FAILURES = 2
+# Consecutive syncs that this process was too busy to follow, which tell nothing of the
+# worker; further ones count as failed.
+MAX_OVERDUE_SYNCS = 5
 # Of leases that others may have granted: clocks that run slower, and commands on their
 # way.
 UNKNOWN_LEASE_RATIO = 1.05
@@ -128,6 +131,7 @@
     syncing: bool = False
     next_sync_at: float = 0.0
     failures: int = 0
+    overdue_syncs: int = 0
     missing_since: float | None = None
     alive_at: float | None = None
     closed_at: float | None = None
@@ -172,7 +176,8 @@
         anew. So none repeats what an answered call has acknowledged, and the one after
         a call without an answer acknowledges nothing.
         """
-        if self.failures or self.acknowledged <= self.forgotten:
+        is_silent = self.failures or self.overdue_syncs
+        if is_silent or self.acknowledged <= self.forgotten:
             return 0
         return self.acknowledged
 
@@ -228,7 +233,7 @@
         self.processed = self.acknowledged = self.forgotten = 0
         self.syncing = False
         self.next_sync_at = 0.0
-        self.failures = 0
+        self.failures = self.overdue_syncs = 0
         self.alive_at = self.closed_at = None
         self.blamed_runs = {}
         self._presume_leases(now)
@@ -278,10 +283,21 @@
         self.clock_ms = report.clock_ms
         self.clock_at = now
         self.fenced = True
-        self.failures = 0
+        self.failures = self.overdue_syncs = 0
         self.alive_at = now
         self.closed_at = None
 
+    def record_failure(self, is_overdue: bool) -> None:
+        """Record a sync without an answer.
+
+        :param is_overdue: whether its timeout was noticed late, as in a process that is
+            too busy to read the answers in time.
+        """
+        if is_overdue and self.overdue_syncs < MAX_OVERDUE_SYNCS:
+            self.overdue_syncs += 1
+        else:
+            self.failures += 1
+
     def record_closed(self, was_sent: bool, now: float) -> None:
         """Record that the worker refused a connection for a call, or closed it.
 
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -34,6 +34,8 @@
 STOP_RETRY_INTERVAL_S = 1.0
 SYNC_WAIT_S = 0.6
 SYNC_RETRY_DELAY_S = 0.25
+# A timeout that is noticed later shows that this process cannot keep up.
+MAX_LATENESS_S = 0.2
 # Twice the time that another entry needs to take over from an owner that dies.
 WORKER_LEASE_S = 3.0
 
@@ -159,7 +161,8 @@
             worker.forgotten = max(worker.forgotten, command.acknowledged)
             self._apply_report(term, worker, result, sent_at)
         else:
-            self._record_sync_failure(term, worker, result)
+            lateness_s = self._host.now.mono - sent_at - timeout_s
+            self._record_sync_failure(term, worker, result, lateness_s)
         self._host.plan_and_commit()
 
     def _lease_s(self, term: OwnerTerm) -> float:
@@ -201,15 +204,23 @@
         self.sync(term, worker)
 
     def _record_sync_failure(
-        self, term: OwnerTerm, worker: WorkerState, result: Any
+        self, term: OwnerTerm, worker: WorkerState, result: Any, lateness_s: float
     ) -> None:
+        """Record a sync without an answer.
+
+        :param lateness_s: how long after its timeout its end was noticed, in seconds.
+        """
         reason = result.reason
         if reason is Refusal.OTHER_LIFE:
             worker.mark_closed(self._host.now.mono)
         elif isinstance(result, CallFailed) and result.closed:
             worker.record_closed(result.ran is not Ran.NO, self._host.now.mono)
         was_responsive = worker.is_responsive
-        worker.failures += 1
+        is_overdue = lateness_s > MAX_LATENESS_S
+        worker.record_failure(is_overdue)
+        if is_overdue:
+            worker_id = worker.info.id
+            log_event("sync_late", worker=worker_id, late_s=round(lateness_s, 3))
         if not worker.is_responsive:
             worker.next_sync_at = self._host.now.mono + SYNC_RETRY_DELAY_S
         if was_responsive and not worker.is_responsive:
@@ -220,6 +231,7 @@
                 reason=str(reason),
                 closed=worker.closed,
                 runs=len(worker.tracked_by_ref),
+                overdue_syncs=worker.overdue_syncs,
             )
         term.refresh_accepting(worker)
         if reason is Refusal.FENCED:
