Ignore a worker's list that a later one has overtaken

What callers saw: nothing yet; with adopted runs a list that arrives after a later one brings an ended run back: it claims room, closes the worker for tasks or becomes its task's run, until the next list. Cause: a sync that follows a stop runs beside the long poll, and their answers may overtake each other; adoption took each list for the present. Change: a list whose clock is before that of the last one is ignored. Measured: test_list_that_is_overtaken_by_a_later_one_brings_no_run_back failed before, and passes.

--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -38,6 +38,9 @@
     if worker.is_other_incarnation(report.born):
         term.begin_incarnation(worker, report.born)
         return []
+    if worker.clock_ms is not None and report.clock_ms < worker.clock_ms:
+        # A later list has overtaken this one.
+        return []
     retract_crash(term, worker)
     if report.born and not worker.info.born:
         worker.info = replace(worker.info, born=report.born)
--- a/tests/owner/test_commands.py
+++ b/tests/owner/test_commands.py
@@ -7,7 +7,7 @@
 from tests.support.steps import StepWorld, step
 
 from lagoonpulley.owner import reports
-from lagoonpulley.upstream.tasks import StartTask
+from lagoonpulley.upstream.tasks import StartTask, SyncWorker
 
 
 @pytest.fixture
@@ -221,3 +221,29 @@
     count = sent_tokens.count(token)
     world.run(3.0)
     assert sent_tokens.count(token) == count
+
+
+def test_list_that_is_overtaken_by_a_later_one_brings_no_run_back(world):
+    held = []
+    reply = world._reply
+
+    def hold_first_list(entry, request, result):
+        command = request.operation
+        if isinstance(command, SyncWorker) and not command.wait_s and not held:
+            held.append((entry, request, result))
+            return
+        reply(entry, request, result)
+
+    world.submit("a" * 16, payload="seconds=9")
+    world.run(0.5)
+    (worker,) = (w for w in world.worker_by_id.values() if w.executions)
+    world._reply = hold_first_list
+    # The owner asks at once whether the run is gone, and is told that it is stopping.
+    world.cancel("a" * 16)
+    world.run(0.35)
+    known = world.owner().owner._term.worker_by_id[worker.id]
+    assert held[0][2].running
+    assert not known.tracked_by_ref
+    reply(*held[0])
+    world._deliver_all()
+    assert not known.tracked_by_ref
