Give starts the time that this process needs to read their answers

Change: starts use AnswerTimeout, as commits do: four times the usual time of an answer, 0.1 to 0.8 s; how late a timeout is noticed counts as such a time. Attempts end a second after the first.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -8,6 +8,7 @@
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow
 from ..runtime.role import UPSTREAM, CallFailed
+from ..store.answer_timeout import AnswerTimeout
 from ..upstream.tasks import (
     CommandAccepted,
     CommandRefused,
@@ -38,8 +39,10 @@
 # A worker refuses a start that reaches it later than this after it was sent.
 START_WINDOW_S = 1.5
 # Short, because a start can be retried safely: a worker starts a run only once.
-START_TIMEOUT_S = 0.1
+MIN_START_TIMEOUT_S = 0.1
 START_ATTEMPTS = 10
+# No attempt begins later than this after the first.
+START_EFFORT_S = 1.0
 # How long nothing is placed on a worker that refused a start as unhealthy, full or
 # restarted.
 REFUSAL_AVOID_S = 0.5
@@ -50,6 +53,7 @@
 
     def __init__(self, host: FlowHost) -> None:
         self._host = host
+        self._start_timeout = AnswerTimeout(MIN_START_TIMEOUT_S)
 
     def start_all(self, term: OwnerTerm, start: Start) -> None:
         """Send the start commands of a placement that is durably committed."""
@@ -126,8 +130,9 @@
         the run may already have ended, or the first attempt may still take effect.
         """
         failed = CallFailed(Ran.NO, "not sent")
+        last_at = self._host.now.mono + START_EFFORT_S
         for _ in range(START_ATTEMPTS):
-            result = yield Call(UPSTREAM, command, START_TIMEOUT_S)
+            result = yield from self._attempt_start(command)
             if isinstance(result, CommandAccepted):
                 tracked.may_start_late = failed.ran is not Ran.NO
                 return result
@@ -141,10 +146,21 @@
             failed = CallFailed(failed.ran.combine(result.ran), result.reason)
             if failed.ran is Ran.NO or tracked.stop_requested or tracked.listed:
                 break
-            if term.has_ended:
+            if term.has_ended or self._host.now.mono > last_at:
                 break
         return failed
 
+    def _attempt_start(self, command: StartTask) -> Flow:
+        """Send a start once, and learn how soon this process reads answers."""
+        sent_at = self._host.now.mono
+        timeout_s = self._start_timeout.timeout_s
+        result = yield Call(UPSTREAM, command, timeout_s)
+        took_s = self._host.now.mono - sent_at
+        if isinstance(result, CallFailed):
+            took_s = max(0.0, took_s - timeout_s)
+        self._start_timeout.record_answer(took_s)
+        return result
+
     def _needs_new_permit(
         self, term: OwnerTerm, record: JobRecord, key: TaskKey, worker_id: str
     ) -> bool:
--- a/src/lagoonpulley/store/answer_timeout.py
+++ b/src/lagoonpulley/store/answer_timeout.py
@@ -1,4 +1,4 @@
-"""How long to wait for the answer to a store call that may be repeated."""
+"""How long to wait for the answer to a call that may be repeated."""
 
 from __future__ import annotations
 
@@ -19,16 +19,19 @@
     It answers the loss of single answers: a lost one is noticed soon, and the call
     repeated. The timeout grows with successive failures, and at once when an answer
     took long, so that a slow store, link or process gets few more calls.
+
+    :param min_timeout_s: shortest timeout, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, min_timeout_s: float = MIN_TIMEOUT_S) -> None:
+        self._min_timeout_s = min_timeout_s
         self._usual_s = 0.0
         self._failures = 0
 
     @property
     def timeout_s(self) -> float:
         """Timeout of the next call, in seconds."""
-        first_s = max(MIN_TIMEOUT_S, TIMEOUT_PER_USUAL_TIME * self._usual_s)
+        first_s = max(self._min_timeout_s, TIMEOUT_PER_USUAL_TIME * self._usual_s)
         doublings = max(0, self._failures - FAILURES_BEFORE_GROWTH + 1)
         return min(MAX_TIMEOUT_S, first_s * 2**doublings)
 
--- a/tests/owner/test_slow_owner.py
+++ b/tests/owner/test_slow_owner.py
@@ -7,7 +7,7 @@
 
 from lagoonpulley.model.verdict import Ran
 from lagoonpulley.runtime.role import CallFailed
-from lagoonpulley.upstream.tasks import SyncWorker
+from lagoonpulley.upstream.tasks import StartTask, SyncWorker
 
 JOB = "a" * 16
 # How late the process notices that a call has timed out.
@@ -81,3 +81,25 @@
     (worker,) = (w for w in world.worker_by_id.values() if w.executions)
     world.dead_workers.add(worker.id)
     world.run_until(lambda: len(world.executions(JOB)) == 2, 5.0)
+
+
+def test_busy_owner_waits_for_the_answers_to_its_starts(world):
+    reply = world._reply
+    attempts = []
+
+    def reply_late(entry, request, result):
+        if not isinstance(request.operation, StartTask):
+            reply(entry, request, result)
+            return
+        attempts.append(request.operation.ref)
+        if request.timeout_s < LATENESS_S:
+            result = CallFailed(Ran.MAYBE, "timed out")
+        world.clock.after(LATENESS_S, lambda: reply(entry, request, result))
+
+    world._reply = reply_late
+    for number in range(8):
+        world.submit(f"{number:016x}", payload="seconds=0.3")
+        world.run(1.0)
+    world.run(2.0)
+    assert len(world.owner().owner._term.record_by_id) == 0
+    assert len(attempts) < 2 * 8
