Let random histories restart workers behind a cut while commands are late

Cause: in the histories late commands reach the next incarnation of a worker only if it restarts within reach, where the owner's first call fences them; each has the same room and is listed at once. Change: LateRestartsHistory restarts a worker behind a cut while starts and syncs to it are on their way for 2 to 12 s; it may have less room, and the directory may list it late. Without the claim of adopted runs, and with every incarnation taken for described, directed histories find "over its capacity".

--- a/benchmarks/step_fuzz.py
+++ b/benchmarks/step_fuzz.py
@@ -3,7 +3,8 @@
 ``python -m benchmarks.step_fuzz --histories 2000 --processes 3 --first-seed 1``
 
 With ``--unequal``, one entry is stronger than the others; with ``--late``, workers
-carry out starts and syncs late, also after they have restarted.
+carry out starts and syncs late, also after they have restarted. With ``--restarts``,
+they also restart while nobody reaches them, with less room or listed late.
 
 Each seed runs a batch of histories. A failure is printed as the sequence of operations
 that leads to it; its seed reproduces it.
@@ -21,6 +22,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from tests.support.step_history import (
     LateCommandsHistory,
+    LateRestartsHistory,
     StepHistory,
     UnequalEntriesHistory,
     history_settings,
@@ -61,12 +63,15 @@
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--unequal", action="store_true")
     parser.add_argument("--late", action="store_true")
+    parser.add_argument("--restarts", action="store_true")
     options = parser.parse_args()
     history = StepHistory
     if options.unequal:
         history = UnequalEntriesHistory
     if options.late:
         history = LateCommandsHistory
+    if options.restarts:
+        history = LateRestartsHistory
     run = functools.partial(run_seed, history)
     batches = -(-options.histories // HISTORIES_PER_SEED)
     seeds = range(options.first_seed, options.first_seed + batches)
--- a/tests/owner/test_histories.py
+++ b/tests/owner/test_histories.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
+from hypothesis import Phase
+from hypothesis.stateful import run_state_machine_as_test
+from tests.support.logged_events import capture_events
 from tests.support.step_history import (
     LateCommandsHistory,
+    LateRestartsHistory,
     StepHistory,
     UnequalEntriesHistory,
     history_settings,
@@ -17,3 +23,36 @@
 
 TestLateCommandsHistories = LateCommandsHistory.TestCase
 TestLateCommandsHistories.settings = history_settings(20, derandomize=True)
+
+GENERATED = history_settings(
+    60,
+    derandomize=True,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+    print_blob=False,
+)
+
+TestLateRestartsHistories = LateRestartsHistory.TestCase
+TestLateRestartsHistories.settings = GENERATED
+
+
+def test_late_restarts_histories_reach_what_they_are_for():
+    """A batch that never gets there would prove nothing.
+
+    The invariants are those of the test case above.
+    """
+    reached: Counter[str] = Counter()
+
+    class CountedHistory(LateRestartsHistory):
+        def teardown(self):
+            self._end_faults()
+            self.world.run(5.0)
+            reached.update(self.reached_states())
+
+    with capture_events() as events:
+        run_state_machine_as_test(CountedHistory, settings=GENERATED)
+    reached["adopted run"] = len(events.named("unknown_run"))
+    assert reached["late SyncWorker behind a cut"] >= 1, reached
+    assert reached["late StartTask behind a cut"] >= 1, reached
+    assert reached["adopted run"] >= 1, reached
+    assert reached["start on a smaller incarnation"] >= 1, reached
--- a/tests/owner/test_histories_can_fail.py
+++ b/tests/owner/test_histories_can_fail.py
@@ -9,10 +9,17 @@
 import pytest
 from hypothesis import Phase
 from hypothesis.stateful import run_state_machine_as_test
-from tests.support.step_history import StepHistory, history_settings
+from tests.support.logged_events import capture_events
+from tests.support.step_history import (
+    LateRestartsHistory,
+    StepHistory,
+    history_settings,
+)
+from tests.support.step_invariants import check_capacity
 
 from lagoonpulley.intake.messages import OutcomeKind
 from lagoonpulley.owner.term import OwnerTerm
+from lagoonpulley.owner.worker_state import WorkerState
 from lagoonpulley.planning.cell import Cell
 from lagoonpulley.policy.values import TeamLimits
 from lagoonpulley.workload.documents import ProgressDocument
@@ -59,6 +66,21 @@
     patch.setattr(OwnerTerm, "cancel", lambda self, record: None)
 
 
+def ignore_claims_of_adopted_runs(patch):
+    original = OwnerTerm.adopt_run
+
+    def adopt_run(self, worker, ref):
+        tracked = original(self, worker, ref)
+        self.cell.release(worker.info.id, ref)
+        return tracked
+
+    patch.setattr(OwnerTerm, "adopt_run", adopt_run)
+
+
+def take_each_incarnation_for_described(patch):
+    patch.setattr(WorkerState, "is_described", property(lambda self: True))
+
+
 @pytest.mark.parametrize(
     ("inject_fault", "machine", "message"),
     [
@@ -104,3 +126,66 @@
     world.run(3.0)
     with pytest.raises(AssertionError, match="ran twice at once"):
         history.teardown()
+
+
+def play_late_starts_behind_a_cut():
+    """Jobs wait for a worker that carries out a late start behind a cut."""
+    history = LateRestartsHistory()
+    world = history.world
+    history._submit("whole", "seconds=9", "south")
+    history._submit("whole", "seconds=9", "south")
+    world.run(0.5)
+    (idle_id,) = (w.id for w in world.worker_by_id.values() if not w.executions)
+    history._restart_behind_a_cut(
+        world.late_workers,
+        worker=idle_id,
+        shape="whole",
+        late_s=3,
+        tenths=7,
+        silent_s=0,
+        beyond_s=0,
+        listed_after_s=0,
+        is_smaller=False,
+    )
+    history._submit("whole", "seconds=1", "south")
+    with capture_events() as events:
+        world.run(4.0)
+    assert events.named("unknown_run")
+    check_capacity(world, history.spec_by_id)
+    history.teardown()
+
+
+def play_smaller_incarnation():
+    """Jobs wait for a worker that is back with less room and not listed yet."""
+    history = LateRestartsHistory()
+    history._restart_behind_a_cut(
+        history.world.partly_late_workers,
+        worker="w1",
+        shape="chain",
+        late_s=2,
+        tenths=12,
+        silent_s=0,
+        beyond_s=-1,
+        listed_after_s=14,
+        is_smaller=True,
+    )
+    for _ in range(3):
+        history._submit("whole", "seconds=1", "south")
+    history.world.run(3.0)
+    history.teardown()
+
+
+@pytest.mark.parametrize(
+    ("inject_fault", "play"),
+    [
+        (ignore_claims_of_adopted_runs, play_late_starts_behind_a_cut),
+        (take_each_incarnation_for_described, play_smaller_incarnation),
+    ],
+)
+def test_history_with_a_restart_behind_a_cut_detects_fault(
+    monkeypatch, inject_fault, play
+):
+    play()
+    inject_fault(monkeypatch)
+    with pytest.raises(AssertionError, match="over its capacity"):
+        play()
--- a/tests/owner/test_worker_restarts.py
+++ b/tests/owner/test_worker_restarts.py
@@ -203,6 +203,29 @@
     check_all(world, {FIRST: world.last_spec}, {})
 
 
+def test_late_start_behind_a_cut_runs_no_task_that_is_done():
+    """Its stop was confirmed by the incarnation that it was sent to."""
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.late_workers.update(("w0", "w1"))
+    world.submit(FIRST, step(processors=16000), payload="seconds=0.3")
+    world.run(0.05)
+    (late,) = (
+        worker.info.id
+        for worker in world.owner().owner._term.worker_by_id.values()
+        if worker.tracked_by_ref
+    )
+    world.late_workers.clear()
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
+    world.run(0.5)
+    world.dead_workers.add(late)
+    world.restart_worker(late)
+    world.run(3.0)
+    world.dead_workers.clear()
+    world.run(1.0)
+    check_all(world, {FIRST: world.last_spec}, {})
+
+
 def test_late_acknowledgement_before_the_first_call_of_the_owner():
     """A late start ends there as done; a late acknowledgement forgets that."""
     world = StepWorld(workers=1)
--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from hypothesis import HealthCheck, settings
@@ -13,15 +14,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from lagoonpulley.intake.messages import OutcomeKind
+from lagoonpulley.model.resources import Resources
+from lagoonpulley.upstream.tasks import CommandRefused
 
 from .step_invariants import check_all
-from .steps import STRONG, WEAK, StepWorld, step
+from .steps import CAPACITY, STRONG, WEAK, StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.workload.spec import JobSpec
 
 __all__ = [
     "LateCommandsHistory",
+    "LateRestartsHistory",
     "StepHistory",
     "UnequalEntriesHistory",
     "history_settings",
@@ -29,6 +33,10 @@
 
 ENTRIES = ("e0", "e1", "e2")
 WORKERS = ("w0", "w1", "w2")
+# Room of incarnations that come back smaller; this worker never does, as some tasks
+# need a whole one.
+SMALLER = Resources(8000, 65536, 0)
+FULL_WORKER = "w0"
 TEAMS = {"north": [24000, 0, 0], "south": [0, 0, 0]}
 SMALLER_TEAMS = {"north": [12000, 0, 0], "south": [0, 0, 0]}
 MOST_ATTEMPTS = 2
@@ -301,3 +309,102 @@
     def _end_faults(self) -> None:
         super()._end_faults()
         self.world.partly_late_workers.clear()
+
+
+# Of a restart behind a cut: how late commands are, and the time from the submission of
+# a job until the cut, from the cut until the restart, from the last late command until
+# the worker can be reached again, and from the restart until the directory lists it.
+RESTART_BEHIND_A_CUT = {
+    "worker": st.sampled_from(WORKERS),
+    "shape": st.sampled_from(SHAPES),
+    "late_s": st.integers(2, 12),
+    "tenths": st.integers(1, 12),
+    "silent_s": st.sampled_from((0, 1, 4)),
+    "beyond_s": st.integers(-1, 3),
+    "listed_after_s": st.sampled_from((0, 1, 5, 14)),
+    "is_smaller": st.booleans(),
+}
+
+
+class LateRestartsHistory(LateCommandsHistory):
+    """Histories with late commands and restarts of workers that nobody reaches.
+
+    The directory may list the next incarnation late, and it may have less room. It
+    carries out commands that were sent to the one before, also starts of which the
+    owner has closed the matter.
+    """
+
+    @rule(seconds=st.integers(2, 12))
+    def set_how_late_commands_are(self, seconds):
+        self.world.late_s = float(seconds)
+
+    @rule(**RESTART_BEHIND_A_CUT)
+    def restart_behind_a_cut_with_late_commands(self, **drawn):
+        self._restart_behind_a_cut(self.world.partly_late_workers, **drawn)
+
+    @rule(**RESTART_BEHIND_A_CUT)
+    def restart_behind_a_cut_with_late_starts(self, **drawn):
+        self._restart_behind_a_cut(self.world.late_workers, **drawn)
+
+    def reached_states(self) -> Counter[str]:
+        """Count the events that these histories are meant to reach."""
+        world = self.world
+        reached: Counter[str] = Counter()
+        for late in world.late_commands:
+            incarnation = late.worker_id, late.carried_out_by
+            if late.sent_to == late.carried_out_by:
+                continue
+            if incarnation not in world.incarnations_behind_cuts:
+                continue
+            if isinstance(late.result, CommandRefused):
+                continue
+            reached[f"late {type(late.command).__name__} behind a cut"] += 1
+        for worker in world.worker_by_id.values():
+            for execution in worker.executions:
+                capacity = world.capacity_of(*execution.incarnation)
+                reached["start on a smaller incarnation"] += capacity != CAPACITY
+        return reached
+
+    def _restart_behind_a_cut(
+        self,
+        late_workers: set[str],
+        *,
+        worker: str,
+        shape: str,
+        late_s: int,
+        tenths: int,
+        silent_s: int,
+        beyond_s: int,
+        listed_after_s: int,
+        is_smaller: bool,
+    ) -> None:
+        """Restart a worker that is cut off while commands to it are on their way."""
+        world = self.world
+        late_workers.add(worker)
+        world.late_s = float(late_s)
+        self._submit(shape, "seconds=4", "south")
+        world.run(tenths / 10)
+        late_workers.discard(worker)
+        world.dead_workers.add(worker)
+        reachable_at = world.clock.mono + late_s + beyond_s
+        world.clock.at(reachable_at, lambda: world.dead_workers.discard(worker))
+        # An incarnation is identified by the millisecond of its start.
+        world.run(silent_s + 0.05)
+        for job_id in self._jobs_started_on(worker):
+            crashes = self.crashes_at_start_by_id.get(job_id, 0)
+            self.crashes_at_start_by_id[job_id] = crashes + 1
+        is_smaller = is_smaller and worker != FULL_WORKER
+        world.restart_worker(worker, SMALLER if is_smaller else CAPACITY)
+        world.clock.after(listed_after_s, lambda: self._list_worker(worker))
+        world.run(0.05)
+
+    def _list_worker(self, worker_id: str) -> None:
+        """Let the directory list the present incarnation of a worker."""
+        born = self.world.worker_by_id[worker_id].born
+        capacity = self.world.capacity_of(worker_id, born)
+        self.world.add_worker(worker_id, capacity=capacity)
+
+    def _end_faults(self) -> None:
+        super()._end_faults()
+        for worker_id in WORKERS:
+            self._list_worker(worker_id)
--- a/tests/support/step_invariants.py
+++ b/tests/support/step_invariants.py
@@ -7,8 +7,6 @@
 from lagoonpulley.model.resources import ZERO, Resources
 from lagoonpulley.workload.record import EndKind
 
-from .steps import CAPACITY
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -112,7 +110,7 @@
         for execution in worker.executions:
             by_incarnation.setdefault(execution.incarnation, []).append(execution)
     for incarnation, executions in by_incarnation.items():
-        capacity = world.capacity_by_incarnation.get(incarnation, CAPACITY)
+        capacity = world.capacity_of(*incarnation)
         for usage in usage_after_each_start(executions, spec_by_id):
             assert usage.fits_in(capacity), f"{incarnation} is over its capacity"
 
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from lagoonpulley.intake.messages import CancelJob, SubmitJob
@@ -63,6 +63,8 @@
 LEASE_S = 6.0
 # How long a worker needs to stop a run, which uses its room meanwhile.
 STOP_S = 0.2
+# How late a command is that a worker leaves unanswered and carries out all the same.
+LATE_S = 3.0
 # How soon a deadly task crashes its worker, when the worker is back, and when the
 # directory drops the record of a worker that does not check in.
 DEADLY_AFTER_S = 0.01
@@ -73,6 +75,20 @@
 WEAK = EntryCapacity(processors_milli=500, link_mbps=10.0)
 
 
+@dataclass(frozen=True)
+class LateCommand:
+    """A command that an incarnation of a worker carried out late, and its result.
+
+    ``sent_to`` is the ``born`` of the incarnation that it was sent to.
+    """
+
+    command: Any
+    worker_id: str
+    sent_to: int
+    carried_out_by: int
+    result: Any
+
+
 class StepWorld(StepStore):
     """Entries, workers and the store of a small simulated cell.
 
@@ -98,9 +114,13 @@
         self.address_by_worker_id: dict[str, str] = {}
         # Of incarnations, by worker and ``born``, that have another than ``CAPACITY``.
         self.capacity_by_incarnation: dict[tuple[str, int], Resources] = {}
+        # Incarnations, by worker and ``born``, that began while nobody reached them.
+        self.incarnations_behind_cuts: set[tuple[str, int]] = set()
         # Workers that no entry can reach; their tasks run on until the lease ends.
         self.dead_workers: set[str] = set()
-        # Workers that leave a start unanswered and execute it three seconds later.
+        # Workers that leave a start unanswered and execute it ``late_s`` later.
+        self.late_s = LATE_S
+        self.late_commands: list[LateCommand] = []
         self.late_workers: set[str] = set()
         self.late_start_probability = 0.0
         # Workers that do so with half of the starts and syncs.
@@ -185,6 +205,10 @@
         key = WORKERS_PREFIX + worker_id
         return key, self.store.key_value_by_key[key].value
 
+    def capacity_of(self, worker_id: str, born: int) -> Resources:
+        """Return the capacity of an incarnation of a worker."""
+        return self.capacity_by_incarnation.get((worker_id, born), CAPACITY)
+
     def restart_worker(
         self, worker_id: str, capacity: Resources = CAPACITY
     ) -> TaskWorkerState:
@@ -192,6 +216,8 @@
         worker = self.worker_by_id[worker_id]
         worker.restart(self.clock.mono)
         self.capacity_by_incarnation[worker_id, worker.born] = capacity
+        if worker_id in self.dead_workers:
+            self.incarnations_behind_cuts.add((worker_id, worker.born))
         return worker
 
     def crash_worker(self, worker_id: str) -> None:
@@ -487,19 +513,23 @@
         self.clock.after(0.001, perform)
 
     def _execute_late(self, entry, request, worker) -> None:
-        """Leave a command unanswered and execute it three seconds later.
+        """Leave a command unanswered and execute it some seconds later.
 
         It outlives the incarnation of the worker that it was sent to.
         """
         failed = CallFailed(Ran.MAYBE, "no answer")
         self.clock.after(request.timeout_s, lambda: self._reply(entry, request, failed))
         command = request.operation
+        born = worker.born
 
         def perform() -> None:
-            if worker.id not in self.crashed_workers:
-                worker.apply(command, self.clock.mono)
+            if worker.id in self.crashed_workers:
+                return
+            result = worker.apply(command, self.clock.mono)
+            late = LateCommand(command, worker.id, born, worker.born, result)
+            self.late_commands.append(late)
 
-        self.clock.after(3.0, perform)
+        self.clock.after(self.late_s, perform)
 
     def _delays(self, worker_id: str, command: object) -> bool:
         is_start = isinstance(command, StartTask)
