Do not blame a run for the crash of an incarnation that never had it

Cause: a worker restarts, its next incarnation accepts a start, and only then does the owner see the connection close. The acceptance counted as one by the incarnation that had crashed, as the start had been sent no later than the close was seen. Change: an acceptance with a clock below the one that the worker had shown before the start was sent does not tell that the known incarnation has the run, nor that it lives.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -92,7 +92,7 @@
             checkpoint=start.checkpoint,
             permit=permits.permit_by_worker_id.get(worker_id, ""),
         )
-        incarnation = worker.incarnation
+        incarnation, known_clock_ms = worker.incarnation, worker.clock_ms or 0
         tracked.start_sent_at = self._host.now.mono
         result = yield from self._send_start(term, tracked, command)
         if term.has_ended or worker.tracked_by_ref.get(ref) is not tracked:
@@ -100,6 +100,9 @@
         if not term.is_current(worker, incarnation):
             # The list of the worker's next incarnation tells what became of the run.
             return
+        if isinstance(result, CommandAccepted) and result.clock_ms >= known_clock_ms:
+            # A lower clock is that of the next incarnation: this one has crashed.
+            tracked.has_run, worker.alive_at = True, self._host.now.mono
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
 
@@ -146,9 +149,6 @@
         self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun, result: Any
     ) -> None:
         ref = tracked.ref
-        if isinstance(result, CommandAccepted):
-            worker.alive_at = self._host.now.mono
-            tracked.has_run = True
         if isinstance(result, CommandAccepted) or tracked.listed:
             tracked.start_resolved_at = tracked.start_resolved_at or self._host.now.mono
             return
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -312,3 +312,17 @@
     world.kill(world.owner())
     world.run_until(lambda: world.final_state(LOST) is not None, 30.0)
     assert world.final_state(LOST) == "completed"
+
+
+# Seed 6002 of benchmarks.step_fuzz --late. The owner sees the connection close some
+# milliseconds after the crash.
+@pytest.mark.parametrize("offset_s", [0.0, 0.005, 0.01, 0.015])
+def test_run_that_began_before_its_worker_was_seen_to_crash_is_not_blamed(offset_s):
+    world = StepWorld(entries=1, workers=1)
+    world.run(7.0 + offset_s)
+    restart_all_workers(world)
+    with capture_events() as events:
+        world.submit(LOST, payload="seconds=4")
+        world.run(0.5)
+    assert [event["suspects"] for event in events.named("worker_crashed")] == [[]]
+    assert not crashes_of(world, LOST)
