Do not let the next owner blame a run whose start got no answer

Its owner does not blame the run, as it is not known to have begun. The run stays stored with the worker's incarnation until the lease has ended; the worker restarts, the owner changes meanwhile, and the next one takes a stored incarnation for a run that had begun. With an earlier, real crash the job was given up. Change: an owner whose start got no answer clears the incarnation that is stored with the run, as it does after a crash, unless the worker closed the connection or has listed the run.

--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -15,7 +15,13 @@
     from .term import OwnerTerm
     from .worker_state import TrackedRun, WorkerState
 
-__all__ = ["blame_by_run", "forgive_crashes", "record_crash", "retract_crash"]
+__all__ = [
+    "blame_by_run",
+    "forgive_crashes",
+    "record_crash",
+    "record_unanswered_start",
+    "retract_crash",
+]
 
 # A worker that lives this long after it has started a task is not crashed by its start.
 SETTLED_AFTER_S = 0.3
@@ -108,6 +114,16 @@
         del record.crashes_by_task[tracked.ref.key]
 
 
+def record_unanswered_start(term: OwnerTerm, tracked: TrackedRun) -> None:
+    """Store that a run whose start got no answer may not have begun.
+
+    This owner does not blame it for a crash before its worker lists it. Another owner
+    would, if it found an incarnation stored with it that has crashed since.
+    """
+    if not tracked.has_run:
+        _forget_incarnation_of(term, tracked.ref)
+
+
 def _forget_incarnation(term: OwnerTerm, worker: WorkerState) -> None:
     """Store that the runs on a worker belong to no known incarnation any more.
 
@@ -116,11 +132,15 @@
     has crashed since, and count the crash again.
     """
     for ref in worker.tracked_by_ref:
-        record = term.record_by_id.get(ref.job_id)
-        if record is None or record.is_final:
-            continue
-        record.forget_incarnation(ref.key, ref.run)
-        term.journal.enqueue(record)
+        _forget_incarnation_of(term, ref)
+
+
+def _forget_incarnation_of(term: OwnerTerm, ref: TaskRef) -> None:
+    record = term.record_by_id.get(ref.job_id)
+    if record is None or record.is_final:
+        return
+    record.forget_incarnation(ref.key, ref.run)
+    term.journal.enqueue(record)
 
 
 def _was_sent_after(run: TrackedRun, closed_at: float | None) -> bool:
--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -19,6 +19,7 @@
     WorkerReport,
 )
 from ..workload.record import EndKind
+from .crashes import record_unanswered_start
 from .reports import apply_report
 from .run_ends import end_run
 
@@ -163,6 +164,7 @@
         if isinstance(result, CallFailed) and result.ran is not Ran.NO:
             # The start may still take effect; a confirmed stop rules that out.
             tracked.stop_requested = True
+            record_unanswered_start(term, tracked)
             term.avoid_worker_for_step(worker.info.id, ref)
             self.stop(term, worker, tracked)
             return
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -326,3 +326,23 @@
         world.run(0.5)
     assert [event["suspects"] for event in events.named("worker_crashed")] == [[]]
     assert not crashes_of(world, LOST)
+
+
+# Seed 301 of benchmarks.step_fuzz --late, on 334ff90.
+def test_start_without_an_answer_is_not_blamed_by_the_next_owner():
+    """The worker is cut off when the start is sent, and never carries it out."""
+    world = StepWorld(entries=2, workers=1)
+    world.run(8.0)
+    world.dead_workers.add("w0")
+    with capture_events() as events:
+        world.submit(LOST, payload="seconds=1")
+        world.run_until(lambda: events.named("start_failed"), 1.0)
+        world.run(0.5)
+        world.kill(world.owner())
+        restart_all_workers(world)
+        world.add_worker("w0")
+        world.dead_workers.clear()
+        world.run(2.0)
+    assert not any(event["suspects"] for event in events.named("worker_crashed"))
+    world.run_until(lambda: world.final_state(LOST) == "completed", 10.0)
+    assert len(world.executions(LOST)) == 1
