--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -346,3 +346,16 @@
     assert not any(event["suspects"] for event in events.named("worker_crashed"))
     world.run_until(lambda: world.final_state(LOST) == "completed", 10.0)
     assert len(world.executions(LOST)) == 1
+
+
+def test_run_that_its_worker_survived_is_not_blamed_by_the_next_owner():
+    world = StepWorld(entries=2, workers=1)
+    world.run(8.0)
+    world.submit(LOST, payload="seconds=9")
+    world.run(3.0)
+    world.kill(world.owner())
+    restart_all_workers(world)
+    world.add_worker("w0")
+    with capture_events() as events:
+        world.run(2.0)
+    assert [event["suspects"] for event in events.named("worker_crashed")] == [[]]
--- a/tests/owner/test_worker_restarts.py
+++ b/tests/owner/test_worker_restarts.py
@@ -226,6 +226,25 @@
     check_all(world, {FIRST: world.last_spec}, {})
 
 
+def test_task_waits_while_a_late_run_of_it_is_listed():
+    """Its next run has room beside the late one, which is being stopped."""
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    world.late_workers.add("w0")
+    world.late_s = 9.0
+    world.submit(FIRST, step(processors=4000), payload="seconds=4")
+    world.run(0.05)
+    world.late_workers.clear()
+    world.dead_workers.add("w0")
+    world.run(1.0)
+    world.restart_worker("w0")
+    world.add_worker("w0")
+    world.run_until(lambda: world.executions(FIRST), 9.0)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 12.0)
+    check_all(world, {FIRST: world.last_spec}, {})
+
+
 def test_late_acknowledgement_before_the_first_call_of_the_owner():
     """A late start ends there as done; a late acknowledgement forgets that."""
     world = StepWorld(workers=1)
