--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -20,6 +20,7 @@
     WorkerReport,
 )
 from ..workload.record import EndKind
+from .crashes import record_unanswered_start
 from .reports import apply_report
 from .run_ends import end_run
 
@@ -77,7 +78,7 @@
             self._end_unstarted_run(term, worker, ref, obstacle)
             return
         command = self._start_command(term, start, worker, ref)
-        incarnation = worker.incarnation
+        incarnation, known_clock_ms = worker.incarnation, worker.clock_ms or 0
         tracked.start_sent_at = self._host.now.mono
         result = yield from self._send_start(term, tracked, command)
         if term.has_ended or worker.tracked_by_ref.get(ref) is not tracked:
@@ -85,6 +86,9 @@
         if not term.is_current(worker, incarnation):
             # The list of the worker's next incarnation tells what became of the run.
             return
+        if isinstance(result, CommandAccepted) and result.clock_ms >= known_clock_ms:
+            # A lower clock is that of the next incarnation: this one has crashed.
+            tracked.has_run, worker.alive_at = True, self._host.now.mono
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
 
@@ -175,9 +179,6 @@
         self, term: OwnerTerm, worker: WorkerState, tracked: TrackedRun, result: Any
     ) -> None:
         ref = tracked.ref
-        if isinstance(result, CommandAccepted):
-            worker.alive_at = self._host.now.mono
-            tracked.has_run = True
         if isinstance(result, CommandAccepted) or tracked.listed:
             tracked.start_resolved_at = tracked.start_resolved_at or self._host.now.mono
             return
@@ -192,6 +193,7 @@
         if isinstance(result, CallFailed) and result.ran is not Ran.NO:
             # The start may still take effect; a confirmed stop rules that out.
             tracked.stop_requested = True
+            record_unanswered_start(term, tracked)
             term.avoid_worker_for_step(worker.info.id, ref)
             self.stop(term, worker, tracked)
             return
--- a/tests/owner/test_worker_restarts.py
+++ b/tests/owner/test_worker_restarts.py
@@ -220,6 +220,48 @@
     check_all(world, {FIRST: world.last_spec}, {})
 
 
+def test_late_start_behind_a_cut_runs_no_task_that_is_done():
+    """Its stop was confirmed by the incarnation that it was sent to."""
+    world = StepWorld(workers=2)
+    world.run(8.0)
+    world.late_workers.update(("w0", "w1"))
+    world.submit(FIRST, step(processors=16000), payload="seconds=0.3")
+    world.run(0.05)
+    (late,) = (
+        worker.info.id
+        for worker in world.owner().owner._term.worker_by_id.values()
+        if worker.tracked_by_ref
+    )
+    world.late_workers.clear()
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
+    world.run(0.5)
+    world.dead_workers.add(late)
+    world.restart_worker(late)
+    world.run(3.0)
+    world.dead_workers.clear()
+    world.run(1.0)
+    check_all(world, {FIRST: world.last_spec}, {})
+
+
+def test_task_waits_while_a_late_run_of_it_is_listed():
+    """Its next run has room beside the late one, which is being stopped."""
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    world.late_workers.add("w0")
+    world.late_s = 9.0
+    world.submit(FIRST, step(processors=4000), payload="seconds=4")
+    world.run(0.05)
+    world.late_workers.clear()
+    world.dead_workers.add("w0")
+    world.run(1.0)
+    world.restart_worker("w0")
+    world.add_worker("w0")
+    world.run_until(lambda: world.executions(FIRST), 9.0)
+    world.dead_workers.clear()
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 12.0)
+    check_all(world, {FIRST: world.last_spec}, {})
+
+
 def test_late_acknowledgement_before_the_first_call_of_the_owner():
     """A late start ends there as done; a late acknowledgement forgets that."""
     world = StepWorld(workers=1)
