--- a/src/lagoonpulley/scheduler/context.py
+++ b/src/lagoonpulley/scheduler/context.py
@@ -159,13 +159,21 @@
         """
         ...
 
+    def withdraw_task(self, record: JobRecord, task: TaskRecord) -> None:
+        """Remove a task that needs no placement any more from the waiting ones."""
+        ...
+
     def finalize(
         self,
         record: JobRecord,
         changed: list[TaskRecord],
         acknowledge: tuple[WorkerLink, str, int] | None = None,
     ) -> None:
-        """Commit terminal states, then acknowledge them and answer callers."""
+        """Commit ends of attempts, then acknowledge them and answer callers."""
+        ...
+
+    def awaits_commit(self, task_id: str, attempt: int) -> bool:
+        """Return whether the report of an attempt has to wait for a commit."""
         ...
 
     def stop_task(self, record: JobRecord, task: TaskRecord, checkpoint: bool) -> None:
--- a/src/lagoonpulley/scheduler/group.py
+++ b/src/lagoonpulley/scheduler/group.py
@@ -22,6 +22,7 @@
     TaskAdopted,
     TaskEnded,
     TaskOutcome,
+    TaskWithdrawn,
     UsageReported,
     WorkerChanged,
 )
@@ -373,15 +374,25 @@
         self.core.apply(ended, self.now.mono)
         self.request_decisions()
 
+    def withdraw_task(self, record: JobRecord, task: TaskRecord) -> None:
+        """Remove a task that needs no placement any more from the waiting ones."""
+        withdrawn = TaskWithdrawn(record.job.id, task.index)
+        self.core.apply(withdrawn, self.now.mono)
+        self.request_decisions()
+
     def finalize(
         self,
         record: JobRecord,
         changed: list[TaskRecord],
         acknowledge: tuple[WorkerLink, str, int] | None = None,
     ) -> None:
-        """Commit terminal states, then acknowledge them and answer callers."""
+        """Commit ends of attempts, then acknowledge them and answer callers."""
         self._finalizer.finalize(record, changed, acknowledge)
 
+    def awaits_commit(self, task_id: str, attempt: int) -> bool:
+        """Return whether the report of an attempt has to wait for a commit."""
+        return self._finalizer.awaits_commit(task_id, attempt)
+
     def job_finalized(self, record: JobRecord) -> None:
         """Answer the requests that wait for a job to end."""
         self._role.job_finalized(self, record)
