Hold a task back while a worker lists another run of it, and trust lost workers less

Cause: a run that is not the last one has no place in the record. Change: JobRecord.hold_back keeps the task from being started while such a run is tracked; it is stopped like any other, and nothing of it is stored.

--- a/src/lagoonpulley/observability/explain.py
+++ b/src/lagoonpulley/observability/explain.py
@@ -54,9 +54,7 @@
         "run {run} of task {task} stalled on {worker} at {percent} % progress"
     ),
     "task_ended": "run {run} of task {task} ended on {worker} ({end}) {reason}",
-    "unknown_run": (
-        "{worker} listed unknown run {run} of task {task} (resumed: {resumed})"
-    ),
+    "unknown_run": "{worker} listed unknown run {run} of task {task}; it is stopped",
     "job_final": "final: {state} ({reason}), {age_s} s after submission",
 }
 
--- a/src/lagoonpulley/owner/adoption.py
+++ b/src/lagoonpulley/owner/adoption.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from ..observability.events import log_event
-from ..workload.record import Run
 from .worker_state import BEFORE_THIS_TERM, TrackedRun
 
 if TYPE_CHECKING:
@@ -17,27 +16,21 @@
 
 
 def adopt_run(term: OwnerTerm, worker: WorkerState, ref: TaskRef) -> TrackedRun:
-    """Track a listed run, so that it keeps its room until it is gone.
+    """Track a listed run, so that it keeps its room until it is gone; request its stop.
 
-    It is stopped, but for the run of a task that waits: that becomes its current run
-    again, as another one would run beside it.
+    Its task is not started before that.
     """
     record = term.record_by_id.get(ref.job_id)
     task = record.task_by_key.get(ref.key) if record else None
     if task is not None:
         tracked = term.track_run(worker, record, ref)
+        record.hold_back(ref.key, worker.info.id, ref.run)
+        term.refresh_demands(record)
     else:
         tracked = TrackedRun(ref, term.now.mono, has_claim=False)
         worker.tracked_by_ref[ref] = tracked
     tracked.start_resolved_at = BEFORE_THIS_TERM
-    resumes = task is not None and task.is_waiting and not record.is_final
-    if resumes:
-        run = Run(ref.run, worker.info.id, worker.info.born)
-        record.resume_run(ref.key, run)
-        term.refresh_demands(record)
-        term.journal.enqueue(record)
-    # The other members of a gang have ended.
-    tracked.stop_requested = not resumes or record.step_of(ref.key).gang
+    tracked.stop_requested = True
     log_event(
         "unknown_run",
         job=ref.job_id,
@@ -47,6 +40,5 @@
         born=worker.info.born,
         token=worker.token,
         size_known=tracked.has_claim,
-        resumed=resumes,
     )
     return tracked
--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -102,6 +102,8 @@
         if term.worker_lease_s() < START_WINDOW_S:
             # A successor may count the worker's leases as expired by then.
             return "the session has expired"
+        if record.task_by_key[key].other_runs:
+            return "a worker lists an earlier run"
         if term.cell.is_overcommitted(worker.info.id):
             return "the worker's runs need more than its capacity"
         if self._needs_new_permit(term, record, key, worker.info.id):
--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -105,6 +105,9 @@
 def _untrack(term: OwnerTerm, worker: WorkerState, ref: TaskRef) -> TrackedRun | None:
     term.cell.release(worker.info.id, ref)
     term.needs_planning = True
+    record = term.record_by_id.get(ref.job_id)
+    if record and record.release(ref.key, worker.info.id, ref.run):
+        term.refresh_demands(record)
     return worker.tracked_by_ref.pop(ref, None)
 
 
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -244,7 +244,7 @@
         """Return why no task may be started on a worker, empty if one may."""
         if not worker.fenced:
             return "the worker has not accepted the fencing token"
-        if worker.failures:
+        if worker.failures or worker.overdue_syncs:
             return "the worker did not answer the latest call"
         if not worker.is_described:
             return "the directory does not describe the worker's incarnation yet"
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -25,7 +25,7 @@
 UNRESPONSIVE_AFTER_FAILURES = 2
 # Consecutive syncs that this process was too busy to follow, which tell nothing of the
 # worker; further ones count as failed.
-MAX_OVERDUE_SYNCS = 5
+MAX_OVERDUE_SYNCS = 2
 # Of leases that others may have granted: clocks that run slower, and commands on their
 # way.
 UNKNOWN_LEASE_RATIO = 1.05
@@ -252,7 +252,9 @@
             return
         granted_by = now
         for run in runs:
-            if run.may_start_late:
+            # A stored run that this owner has seen there is under way no more.
+            is_stored = run.start_sent_at is None
+            if run.may_start_late and not (is_stored and run.listed):
                 sent_at = run.start_sent_at or run.placed_at
                 granted_by = max(granted_by, sent_at + MAX_START_DELAY_S)
         self.leases_expire_at = latest_lease_end(granted_by, self.max_lease_s)
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -193,8 +193,7 @@
                 ended=len(report.ended),
             )
         for tracked in adopted:
-            if tracked.stop_requested:
-                self._dispatcher.stop(term, worker, tracked)
+            self._dispatcher.stop(term, worker, tracked)
         if worker.pending_commits:
             # The commit triggers the next sync. If it takes long, a sync is sent before
             # it to extend the worker's leases.
@@ -216,7 +215,8 @@
         elif isinstance(result, CallFailed) and result.closed:
             worker.record_closed(result.ran is not Ran.NO, self._host.now.mono)
         was_responsive = worker.is_responsive
-        is_overdue = lateness_s > MAX_LATENESS_S
+        is_silent = isinstance(result, CallFailed) and not result.closed
+        is_overdue = is_silent and lateness_s > MAX_LATENESS_S
         worker.record_failure(is_overdue)
         if is_overdue:
             worker_id = worker.info.id
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -73,7 +73,9 @@
     ``run`` is the current run, which uses, or may use, resources on a worker.
     ``last_run`` is the highest run number that the task has had. ``given_up_runs`` are
     the numbers of the runs that were given up and whose end no worker has listed yet;
-    a run of a gang that has counted as failed is not among them.
+    a run of a gang that has counted as failed is not among them. ``other_runs`` are
+    runs beside the current one that workers list, each with its worker's id and its
+    number; they are not stored.
     """
 
     last_run: int = 0
@@ -82,11 +84,12 @@
     failures: int = 0
     checkpoint: str = ""
     given_up_runs: set[int] = field(default_factory=set)
+    other_runs: set[tuple[str, int]] = field(default_factory=set)
 
     @property
     def is_waiting(self) -> bool:
-        """Whether the task still has to be started."""
-        return self.run is None and not self.done
+        """Whether the task still has to be started, and may be."""
+        return self.run is None and not self.done and not self.other_runs
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,13 +236,21 @@
             self.state = JobState.RUNNING
         return task.run
 
-    def resume_run(self, key: TaskKey, run: Run) -> None:
-        """Make a run that was given up, and goes on, the current run of its task."""
-        task = self.task_by_key[key]
-        task.run = run
-        task.given_up_runs.discard(run.number)
+    def hold_back(self, key: TaskKey, worker_id: str, run: int) -> None:
+        """Do not start a task while a worker lists a run beside the current one."""
+        self.task_by_key[key].other_runs.add((worker_id, run))
         self.waiting_by_step.get(key.step_key, {}).pop(key, None)
 
+    def release(self, key: TaskKey, worker_id: str, run: int) -> bool:
+        """Record that a run is gone, and return whether it held its task back."""
+        task = self.task_by_key[key]
+        if (worker_id, run) not in task.other_runs:
+            return False
+        task.other_runs.discard((worker_id, run))
+        if task.is_waiting:
+            self.waiting_by_step.setdefault(key.step_key, {})[key] = None
+        return True
+
     def forget_incarnation(self, key: TaskKey, number: int) -> None:
         """Record that the incarnation that has a run, if any, is not known any more."""
         task = self.task_by_key.get(key)
@@ -255,7 +266,7 @@
         task = self.task_by_key[key]
         run = task.run.number if task.run else task.last_run
         task.run = None
-        if not task.done:
+        if task.is_waiting:
             self.waiting_by_step.setdefault(key.step_key, {})[key] = None
         if checkpoint:
             task.checkpoint = checkpoint
--- a/tests/owner/test_second_review_41.py
+++ b/tests/owner/test_second_review_41.py
@@ -1,4 +1,4 @@
-"""What the second review of issue 41 found: resumed runs, and trust in lost workers."""
+"""What the second review of issue 41 found: late runs, and trust in lost workers."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from lagoonpulley.upstream.tasks import SyncWorker
 from lagoonpulley.workload.documents import ProgressDocument
-from lagoonpulley.workload.record import EndKind, JobRecord, Run
+from lagoonpulley.workload.record import EndKind, JobRecord
 from lagoonpulley.workload.spec import JobSpec, TaskKey
 
 FIRST = "a" * 16
@@ -38,7 +38,7 @@
     return copy
 
 
-def resume_an_earlier_run(record, keys):
+def list_an_earlier_run(record, keys):
     """Give up run 1 and let run 2 end as failed; then run 1 is listed."""
     for key in keys:
         record.begin_run(key, 1, "w0", 5)
@@ -50,7 +50,7 @@
     for key in keys[1:]:
         record.end_run(key, EndKind.GANG_MEMBER_ENDED, "")
     for key in keys:
-        record.resume_run(key, Run(1, "w0", 6))
+        record.hold_back(key, "w0", 1)
 
 
 class BusyWorld(StepWorld):
@@ -124,103 +124,84 @@
     world.run_until(lambda: len(world.executions(FIRST)) == 2, LOST_AFTER_S)
 
 
-def resume_in_the_cell(world):
-    """Let run 1 reach a restarted worker late and go on after run 2 has ended."""
+def list_a_late_run(world, seconds, loses_run_2):
+    """Let run 1 reach a restarted worker late, and be listed after run 2 has ended.
+
+    It takes long, and its worker needs three seconds to stop it.
+    """
     world.late_workers.add("w0")
-    world.submit(FIRST, step(processors=WHOLE), payload="seconds=9")
+    world.submit(FIRST, step(processors=WHOLE), payload=f"seconds={seconds}")
     term = world.owner().owner._term
     task = term.record_by_id[FIRST].task_by_key[ONLY]
     world.run_until(lambda: task.last_run == 2 and world.executions(FIRST), 2.0)
     world.late_workers.clear()
     world.dead_workers.update(("w0", "w1"))
-    world.restart_worker("w0")
-    # Ends run 2 before run 1 starts late.
-    world.restart_worker("w1")
+    world.restart_worker("w0").stop_s = 3.0
+    if loses_run_2:
+        world.restart_worker("w1")
     world.add_worker("w0")
+    world.run_until(lambda: len(world.executions(FIRST)) == 2, 3.0)
+    (late,) = (e for e in world.executions(FIRST) if e.ref.run == 1)
+    late.ends_at += 30.0
     world.run_until(lambda: task.is_waiting, 6.0)
     world.dead_workers.discard("w0")
-    world.run_until(lambda: task.run is not None, 2.0)
-    assert task.run == Run(1, "w0", world.worker_by_id["w0"].born)
-    assert task.last_run == 2
-    world.run(0.5)
+    world.run_until(lambda: task.other_runs, 2.0)
+    assert task.other_runs == {("w0", 1)}
+
+
+def late_run_of(world):
+    """Return the late run and those that started after it, in order of their start."""
+    executions = sorted(world.executions(FIRST), key=lambda run: run.started_at)
+    # That run 1 started after run 2 is 71 of KNOWN-RED.txt.
+    assert [run.ref.run for run in executions[:2]] == [2, 1]
+    return executions[1:]
 
 
-def test_resumed_run_is_stopped_and_run_beside_by_the_next_owner():
+def test_late_run_that_is_being_stopped_holds_its_task_back_across_owners():
     world = world_of(workers=2)
-    resume_in_the_cell(world)
+    list_a_late_run(world, seconds=9, loses_run_2=True)
     world.add_worker("w1")
     world.dead_workers.clear()
-    world.worker_by_id["w0"].stop_s = 3.0
     world.run(0.5)
     world.kill(world.owner())
     world.run_until(lambda: world.final_state(FIRST) == "completed", 25.0)
-    executions = world.executions(FIRST)
-    runs = sorted((e.started_at, e.ref.run, e.kind) for e in executions)
-    # That run 1 started after run 2 is 71 of KNOWN-RED.txt.
-    assert [run[1:] for run in runs[1:]] == [(1, EndKind.DONE)]
+    late, *later = late_run_of(world)
+    assert late.kind is EndKind.STOPPED
+    assert [run.kind for run in later] == [EndKind.DONE]
+    assert later[0].started_at >= late.ended_at
 
 
-def test_resumed_run_goes_on_after_a_later_run_is_known_to_be_done():
+def test_late_run_is_stopped_though_its_task_is_known_to_be_done_meanwhile():
     world = world_of(workers=2)
-    world.late_workers.add("w0")
-    world.submit(FIRST, step(processors=WHOLE), payload="seconds=1.5")
-    term = world.owner().owner._term
-    task = term.record_by_id[FIRST].task_by_key[ONLY]
-    world.run_until(lambda: task.last_run == 2 and world.executions(FIRST), 2.0)
-    world.late_workers.clear()
-    world.dead_workers.update(("w0", "w1"))
-    # Run 1 starts late, after the end of run 2, and takes longer.
-    world.restart_worker("w0")
-    world.add_worker("w0")
-    world.run_until(lambda: len(world.executions(FIRST)) == 2, 3.0)
-    (slow,) = (e for e in world.executions(FIRST) if e.ref.run == 1)
-    slow.ends_at += 30.0
-    world.run_until(lambda: task.is_waiting, 6.0)
-    world.dead_workers.discard("w0")
-    world.run_until(lambda: task.run is not None, 2.0)
-    assert (task.run.number, task.run.worker_id) == (1, "w0")
+    list_a_late_run(world, seconds=1.5, loses_run_2=False)
+    (late,) = (e for e in world.executions(FIRST) if e.ref.run == 1)
     world.dead_workers.clear()
     world.run_until(lambda: world.final_state(FIRST) == "completed", 2.0)
-    world.run(1.0)
-    assert slow.kind is EndKind.STOPPED
+    world.run(3.5)
+    assert late_run_of(world) == [late]
+    assert late.ended_at is not None
 
 
-def test_next_owner_takes_a_resumed_run_for_the_last_one():
-    record = record_of(step())
-    resume_an_earlier_run(record, [ONLY])
-    assert restored(record).task_by_key[ONLY].run == Run(1, "w0", 6)
+@pytest.mark.parametrize("count", [1, 2])
+def test_failure_of_a_late_run_counts_though_it_holds_its_task_back(count):
+    """Two tasks are a gang."""
+    record = record_of(step(count=count, gang=count > 1))
+    keys = [TaskKey(0, 0, index) for index in range(count)]
+    list_an_earlier_run(record, keys)
+    for known in (record, restored(record)):
+        known.apply_late_end(keys[0], 1, EndKind.FAILED)
+        assert known.failures_of(keys[0]) == 2
 
 
-def test_next_owner_does_not_count_the_failure_of_a_resumed_run():
+def test_task_waits_until_the_last_of_its_other_runs_is_gone():
     record = record_of(step())
-    resume_an_earlier_run(record, [ONLY])
-    copy = restored(record)
-    run = copy.task_by_key[ONLY].run
-    if run == Run(1, "w0", 6):
-        copy.end_run(ONLY, EndKind.FAILED, "")
-    else:
-        # As the owner does: the listed end is not that of the current run.
-        copy.apply_late_end(ONLY, 1, EndKind.FAILED)
-    assert copy.failures_of(ONLY) == 2
-
-
-def test_failure_of_a_resumed_run_of_a_gang_is_never_counted():
-    record = record_of(step(count=2, gang=True))
-    keys = [TaskKey(0, 0, 0), TaskKey(0, 0, 1)]
-    resume_an_earlier_run(record, keys)
-    record.end_run(keys[0], EndKind.FAILED, "")
-    record.end_run(keys[1], EndKind.GANG_MEMBER_ENDED, "")
-    assert record.failures_of(keys[0]) == 2
-
-
-def test_resumed_run_of_a_gang_that_is_given_up_again_never_counts_as_failed():
-    record = record_of(step(count=2, gang=True))
-    keys = [TaskKey(0, 0, 0), TaskKey(0, 0, 1)]
-    resume_an_earlier_run(record, keys)
-    for key in keys:
-        record.give_up_run(key)
-    record.apply_late_end(keys[0], 1, EndKind.FAILED)
-    assert record.failures_of(keys[0]) == 2
+    record.hold_back(ONLY, "w0", 1)
+    record.hold_back(ONLY, "w1", 1)
+    assert record.release(ONLY, "w0", 1)
+    assert not record.waiting_of(ONLY.step_key)
+    assert record.release(ONLY, "w1", 1)
+    assert not record.release(ONLY, "w1", 1)
+    assert record.waiting_of(ONLY.step_key) == [ONLY]
 
 
 def test_placement_that_awaits_its_commit_is_sent_beside_a_listed_earlier_run():
