Refuse no cancellation whose earlier write may have been carried out

What callers saw: a cancellation answered as not carried out (503), and the job cancelled. Cause: the write is done and its answer lost, the owner ends the job, the repeated write finds the submission gone, and the next read is lost: that read alone decided the answer. Change: from the second attempt on a lost read leaves the outcome unknown. Measured: test_cancellation_whose_answers_are_lost_is_never_said_not_to_have_run got 'refused' before.

--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -212,8 +212,11 @@
 
     def _cancel(self, operation: CancelJob, timeout_s: float) -> Flow:
         keys = JobKeys(operation.job_id)
-        for _ in range(CANCEL_ATTEMPTS):
+        for attempt in range(CANCEL_ATTEMPTS):
             found = yield Call(STORE, ReadRange(keys.prefix), READ_TIMEOUT_S)
+            if isinstance(found, CallFailed) and attempt:
+                # An earlier attempt may have cancelled the job, which then changed.
+                return Outcome(OutcomeKind.UNKNOWN, found.reason)
             if isinstance(found, CallFailed):
                 return _outcome_of_failure(found)
             by_key = {item.key: item for item in found.entries}
--- a/tests/intake/test_role.py
+++ b/tests/intake/test_role.py
@@ -14,6 +14,7 @@
     SubmitJob,
 )
 from lagoonpulley.intake.role import MAX_WRITE_S
+from lagoonpulley.store.messages import Transaction
 from lagoonpulley.workload.documents import JobKeys
 from lagoonpulley.workload.record import JobState
 from lagoonpulley.workload.spec import JobSpec
@@ -157,3 +158,29 @@
     began = world.clock.mono
     assert perform(world, submission(world)).kind is OutcomeKind.UNKNOWN
     assert world.clock.mono - began < MAX_WRITE_S + 0.1
+
+
+def test_cancellation_whose_answers_are_lost_is_never_said_not_to_have_run():
+    """Its write is done and not answered, the job ends, and the next read is lost."""
+    world = StepWorld(entries=1)
+    world.run(1.0)
+    world.set_policy(2, teams={"north": [1, 0, 0]})
+    world.run(1.0)
+    perform(world, submission(world))
+    world.run(0.5)
+    writes = []
+
+    def loses_answer(request):
+        if request.reply_to != "intake":
+            return False
+        if isinstance(request.operation, Transaction):
+            writes.append(request.operation)
+            return len(writes) == 1
+        return bool(writes)
+
+    world._loses_answer = loses_answer
+    outcome = perform(world, CancelJob(JOB, "north"))
+    assert len(writes) == 2
+    assert outcome.kind is OutcomeKind.UNKNOWN
+    writes.clear()
+    assert perform(world, ReadState(JOB, "north")).state is JobState.CANCELLED
