Stop a listed run of a task that its job does not have

What callers saw: nothing yet; a worker that lists such a run of a known job would end the owner's flow of that worker with a KeyError, each time. Found by reading the diff. Measured: test_listed_run_of_a_task_that_its_job_lacks_is_stopped failed before, and passes.

--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -243,8 +243,8 @@
 
     def release(self, key: TaskKey, worker_id: str, run: int) -> bool:
         """Record that a run is gone, and return whether it held its task back."""
-        task = self.task_by_key[key]
-        if (worker_id, run) not in task.other_runs:
+        task = self.task_by_key.get(key)
+        if task is None or (worker_id, run) not in task.other_runs:
             return False
         task.other_runs.discard((worker_id, run))
         if task.is_waiting:
--- a/tests/owner/test_capacity.py
+++ b/tests/owner/test_capacity.py
@@ -63,9 +63,9 @@
     return world, {FIRST: world.last_spec}
 
 
-def start_late(world, worker_id, job_id, payload):
+def start_late(world, worker_id, job_id, payload, index=0):
     """Let a worker carry out a late start of a run that the owner has done with."""
-    ref = TaskRef(job_id, TaskKey(0, 0, 0), 1)
+    ref = TaskRef(job_id, TaskKey(0, 0, index), 1)
     worker = world.restart_worker(worker_id)
     to = WorkerAddress(worker_id, worker_id)
     command = StartTask(to, ref, payload, not_after_ms=6000, token=0)
@@ -99,6 +99,17 @@
     check_capacity(world, specs)
 
 
+def test_listed_run_of_a_task_that_its_job_lacks_is_stopped():
+    world = StepWorld(workers=1)
+    world.run(8.0)
+    world.submit(FIRST, step(processors=1000), payload="seconds=4")
+    world.run(0.5)
+    start_late(world, "w0", FIRST, "seconds=9", index=7)
+    world.run_until(lambda: world.final_state(FIRST) == "completed", 9.0)
+    (odd,) = (e for e in world.executions(FIRST) if e.ref.key.index == 7)
+    assert odd.ended_at - odd.started_at < 3.0
+
+
 def test_placement_that_waits_for_its_commit_is_not_sent_beside_a_late_run():
     world, specs = complete_first_job()
     release = world.hold_commits()
