Start tasks also on a worker that has missed one call, not on one that closed its connections

Cause: since a worker that had missed its latest call got no tasks; with half of the calls late that is half of the cell. Of the reasons not to start there, a closed connection is certain and one silent call is not. Change: OwnerTerm.obstacle_to names closed connections, calls that were read too late and two missed ones.

--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -244,8 +244,8 @@
         """Return why no task may be started on a worker, empty if one may."""
         if not worker.fenced:
             return "the worker has not accepted the fencing token"
-        if worker.failures or worker.overdue_syncs:
-            return "the worker did not answer the latest call"
+        if worker.closed or worker.overdue_syncs or not worker.is_responsive:
+            return "the worker does not answer"
         if not worker.is_described:
             return "the directory does not describe the worker's incarnation yet"
         if self.is_draining(worker):
