Name the check for the next incarnation of a worker

No behaviour changes: is_other_incarnation and not is_earlier, which stood together in one place, are is_next_incarnation.

--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -222,9 +222,7 @@
         worker = self.worker_by_id.get(info.id)
         if worker is None:
             worker = self._add_worker(info)
-        elif worker.is_other_incarnation(info.born) and not worker.is_earlier(
-            info.born
-        ):
+        elif worker.is_next_incarnation(info.born):
             begin_incarnation(self, worker, info.born)
         worker.describe(info)
         worker.missing_since = None
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -201,12 +201,14 @@
         """Return whether ``born`` is not the current incarnation; 0 means unknown."""
         return bool(born and self.info.born and born != self.info.born)
 
-    def is_earlier(self, born: int) -> bool:
-        """Return whether ``born`` is of an incarnation before the current one.
+    def is_next_incarnation(self, born: int) -> bool:
+        """Return whether a record of the directory is of an incarnation not known yet.
 
-        A worker whose wall clock is back may start with a lower one than before.
+        A worker whose wall clock is back may start with a lower ``born`` than before.
+        Its reports tell of that one; the record of the one before lags behind.
         """
-        return born in self.earlier_born or born < self.info.born
+        is_later = born > self.info.born and born not in self.earlier_born
+        return self.is_other_incarnation(born) and is_later
 
     def renew_token(self, token: int) -> None:
         """Allow calls to the current incarnation, under a token above earlier ones."""
