--- a/tests/owner/test_review_41.py
+++ b/tests/owner/test_review_41.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import pytest
+from tests.support.late_starts import start_late_beside_a_busy_worker
 from tests.support.step_invariants import (
     check_all,
     check_capacity,
@@ -86,21 +87,7 @@
 
 def test_task_is_started_elsewhere_while_its_worker_lists_an_earlier_run():
     world = world_of(workers=2)
-    world.submit(SECOND, step(processors=WHOLE), payload="seconds=6")
-    specs = {SECOND: world.last_spec}
-    world.run(0.3)
-    (busy,) = (w for w in world.worker_by_id.values() if w.executions)
-    (idle,) = (w for w in world.worker_by_id.values() if w is not busy)
-    idle.stop_s = 3.0
-    world.late_workers.add(idle.id)
-    world.submit(FIRST, step(processors=WHOLE), payload="seconds=9")
-    specs[FIRST] = world.last_spec
-    # The stop is confirmed.
-    world.run(1.3)
-    world.late_workers.clear()
-    world.dead_workers.add(idle.id)
-    world.restart_worker(idle.id)
-    world.run_until(lambda: world.executions(FIRST), 4.0)
+    specs, idle = start_late_beside_a_busy_worker(world, FIRST, SECOND)
     world.add_worker(idle.id)
     world.dead_workers.clear()
     world.run_until(lambda: world.final_state(FIRST) == "completed", 25.0)
--- a/tests/owner/test_second_review_41.py
+++ b/tests/owner/test_second_review_41.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from tests.support.late_starts import start_late_beside_a_busy_worker
 from tests.support.step_invariants import check_all
 from tests.support.steps import CAPACITY, StepWorld, step
 
@@ -206,21 +207,7 @@
 
 def test_placement_that_awaits_its_commit_is_sent_beside_a_listed_earlier_run():
     world = world_of(workers=2)
-    world.submit(SECOND, step(processors=WHOLE), payload="seconds=6")
-    specs = {SECOND: world.last_spec}
-    world.run(0.3)
-    (busy,) = (w for w in world.worker_by_id.values() if w.executions)
-    (idle,) = (w for w in world.worker_by_id.values() if w is not busy)
-    idle.stop_s = 3.0
-    world.late_workers.add(idle.id)
-    world.submit(FIRST, step(processors=WHOLE), payload="seconds=9")
-    specs[FIRST] = world.last_spec
-    # The stop is confirmed.
-    world.run(1.3)
-    world.late_workers.clear()
-    world.dead_workers.add(idle.id)
-    world.restart_worker(idle.id)
-    world.run_until(lambda: world.executions(FIRST), 4.0)
+    specs, idle = start_late_beside_a_busy_worker(world, FIRST, SECOND)
     term = world.owner().owner._term
     task = term.record_by_id[FIRST].task_by_key[ONLY]
     release = world.hold_commits()
