--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -232,6 +232,7 @@
                 closed=worker.closed,
                 runs=len(worker.tracked_by_ref),
                 overdue_syncs=worker.overdue_syncs,
+                leases_left_s=round(worker.leases_expire_at - self._host.now.mono, 3),
             )
         term.refresh_accepting(worker)
         if reason is Refusal.FENCED:
@@ -244,6 +245,7 @@
             not worker.is_available and self._host.now.mono > worker.leases_expire_at
         )
         if worker.tracked_by_ref and is_dead:
+            self._log_presumed_dead(worker)
             if worker.closed:
                 record_crash(term, worker)
             give_up_all_runs(term, worker, "worker's lease has ended")
@@ -255,3 +257,16 @@
             due = self._host.now.mono - tracked.stop_sent_at > STOP_RETRY_INTERVAL_S
             if tracked.stop_requested and due:
                 self._dispatcher.stop(term, worker, tracked)
+
+    def _log_presumed_dead(self, worker: WorkerState) -> None:
+        """Log on what grounds the runs of a silent worker are given up."""
+        now, alive_at = self._host.now.mono, worker.alive_at
+        log_event(
+            "runs_presumed_dead",
+            worker=worker.info.id,
+            born=worker.info.born,
+            token=worker.token,
+            runs=len(worker.tracked_by_ref),
+            silent_s=None if alive_at is None else round(now - alive_at, 3),
+            leases_over_s=round(now - worker.leases_expire_at, 3),
+        )
