--- a/tests/owner/test_review_41.py
+++ b/tests/owner/test_review_41.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from dataclasses import replace
 
 import pytest
 from tests.support.late_starts import start_late_beside_a_busy_worker
@@ -13,11 +12,9 @@
     check_limits,
     check_one_run_at_a_time,
 )
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.steps import CAPACITY, Lateness, StepWorld, step
 
 from lagoonpulley.model.resources import Resources
-from lagoonpulley.model.verdict import Ran
-from lagoonpulley.runtime.role import CallFailed
 from lagoonpulley.standin.task_worker import TaskWorkerState
 from lagoonpulley.upstream.tasks import (
     StartTask,
@@ -193,51 +190,37 @@
     check_capacity(world, specs)
 
 
-class GrantsWorld(StepWorld):
-    """Some commands get no answer and are executed late; their times count from then.
-
-    ``delayed`` names the kinds of commands to ``delayed_worker`` for which this holds.
-    """
-
-    delayed_worker = ""
-    delayed: tuple[type, ...] = ()
-    late_s = LATE_S
+def world_with_late_times(workers):
+    """The times of late commands count from when these are carried out."""
+    made = StepWorld(workers=workers)
+    made.late_times_count_from_arrival = True
+    made.run(8.0)
+    return made
 
-    def _delays(self, worker_id, command):
-        return worker_id == self.delayed_worker and isinstance(command, self.delayed)
 
-    def _execute_late(self, entry, request, worker):
-        failed = CallFailed(Ran.MAYBE, "no answer")
-        self.clock.after(request.timeout_s, lambda: self._reply(entry, request, failed))
-        command = request.operation
-        late_ms = int(self.late_s * 1000)
-        if isinstance(command, StartTask):
-            command = replace(command, not_after_ms=command.not_after_ms + late_ms)
-        if isinstance(command, SyncWorker) and command.lease_until_ms is not None:
-            until_ms = command.lease_until_ms + late_ms
-            command = replace(command, lease_until_ms=until_ms)
-        self.clock.after(self.late_s, lambda: worker.apply(command, self.clock.mono))
+def leave_unanswered(world, worker_id, kinds, late_s):
+    lateness = Lateness(kinds=kinds, min_s=late_s, max_s=late_s)
+    world.lateness_by_worker[worker_id] = lateness
 
 
 def close_a_start_by_the_clock(world):
     """Let the time limit of a start pass whose stop no worker has confirmed."""
-    world.run(8.0)
-    world.delayed_worker, world.delayed = "w0", (StartTask, StopTask)
+    leave_unanswered(world, "w0", (StartTask, StopTask), LATE_S)
     world.submit(FIRST, step(processors=WHOLE), payload="seconds=9")
     world.run(2.9)
-    world.delayed = ()
+    world.lateness_by_worker.clear()
     return {FIRST: world.last_spec}
 
 
 def test_start_that_only_the_clock_has_closed_runs_beside_its_successor():
-    world = GrantsWorld(workers=2)
+    world = world_with_late_times(workers=2)
     close_a_start_by_the_clock(world)
     world.run_until(lambda: world.final_state(FIRST) == "completed", 25.0)
     check_one_run_at_a_time(world.executions(FIRST))
 
 
 def test_room_of_a_start_that_only_the_clock_has_closed_is_given_away():
-    world = GrantsWorld(workers=2)
+    world = world_with_late_times(workers=2)
     specs = close_a_start_by_the_clock(world)
     world.submit(SECOND, step(processors=WHOLE), payload="seconds=3")
     specs[SECOND] = world.last_spec
@@ -269,15 +252,13 @@
 
 
 def test_late_grant_keeps_a_run_alive_beside_its_successor():
-    world = GrantsWorld(workers=2)
-    world.late_s = 2.0
-    world.run(8.0)
+    world = world_with_late_times(workers=2)
     world.submit(FIRST, step(processors=WHOLE), payload="seconds=12")
     world.run(1.0)
     (worker,) = (w for w in world.worker_by_id.values() if w.executions)
-    world.delayed_worker, world.delayed = worker.id, (SyncWorker,)
+    leave_unanswered(world, worker.id, (SyncWorker,), 2.0)
     world.run(1.0)
-    world.delayed = ()
+    world.lateness_by_worker.clear()
     world.dead_workers.add(worker.id)
     world.run_until(lambda: world.final_state(FIRST) == "completed", 25.0)
     check_all(world, {FIRST: world.last_spec}, {})
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -43,6 +43,7 @@
     CommandRefused,
     Refusal,
     StartTask,
+    StopTask,
     SyncWorker,
 )
 from lagoonpulley.workload.documents import JobKeys, decode_final
@@ -75,11 +76,27 @@
 WEAK = EntryCapacity(processors_milli=500, link_mbps=10.0)
 
 
+@dataclass(frozen=True)
+class Lateness:
+    """Which commands a worker leaves unanswered and carries out late, each by how much.
+
+    :param share: how many of them, drawn for each.
+    :param min_s: least delay of a command; its delay is drawn for each.
+    """
+
+    share: float = 1.0
+    kinds: tuple[type, ...] = (StartTask, StopTask, SyncWorker)
+    min_s: float = 2.0
+    max_s: float = 12.0
+
+
 @dataclass(frozen=True)
 class LateCommand:
     """A command that an incarnation of a worker carried out late, and its result.
 
     ``sent_to`` is the ``born`` of the incarnation that it was sent to.
+    ``was_cut_off`` tells whether no entry reached the worker then, ``kept_runs``
+    whether the command extended the lease of runs there.
     """
 
     command: Any
@@ -87,6 +104,21 @@
     sent_to: int
     carried_out_by: int
     result: Any
+    was_cut_off: bool = False
+    kept_runs: bool = False
+
+
+@dataclass(frozen=True)
+class Permit:
+    """What a permit of the advisor allows: the starts of one step, on one incarnation.
+
+    ``step`` is the job's id with the numbers of the occurrence and the step.
+    """
+
+    step: tuple[str, int, int]
+    worker_id: str
+    born: int
+    expires_at: float
 
 
 class StepWorld(StepStore):
@@ -125,6 +157,10 @@
         self.late_start_probability = 0.0
         # Workers that do so with half of the starts and syncs.
         self.partly_late_workers: set[str] = set()
+        # Workers that do so with commands of any kind, each by a drawn delay.
+        self.lateness_by_worker: dict[str, Lateness] = {}
+        # Whether the times in late commands are shifted by as much as these are late.
+        self.late_times_count_from_arrival = False
         # Workers on which every task fails.
         self.failing_workers: set[str] = set()
         # Workers whose process does not run: connections to them are refused.
@@ -141,7 +177,7 @@
         # Workers for which the advisor gives no permit.
         self.forbidden_workers: set[str] = set()
         self.permit_valid_s = 2.0
-        self.permit_expires_at: dict[tuple[str, str], float] = {}
+        self.permit_by_text: dict[str, Permit] = {}
         self.refused_permits = 0
         self.set_policy(1)
         for number in range(workers):
@@ -492,17 +528,16 @@
                 refused = CallFailed(Ran.NO, "connection refused", closed=True)
                 self._reply(entry, request, refused)
                 return
-            if self._delays(worker_id, command):
-                self._execute_late(entry, request, worker)
+            late_s = self._delay_of(worker_id, command)
+            if late_s is not None:
+                self._execute_late(entry, request, worker, late_s)
                 return
             if worker_id in self.failing_workers and isinstance(command, StartTask):
                 command = replace(command, payload="fail " + command.payload)
-            if self._refuses_permit(worker_id, command):
-                self.refused_permits += 1
-                refused = CommandRefused(Refusal.PERMIT, worker.clock_ms(0.0))
-                self._reply(entry, request, refused)
+            result = self._apply(worker, command)
+            if isinstance(result, CommandRefused) and result.reason is Refusal.PERMIT:
+                self._reply(entry, request, result)
                 return
-            result = worker.apply(command, self.clock.mono)
             if isinstance(command, StartTask) and "deadly" in command.payload:
                 self.clock.after(DEADLY_AFTER_S, lambda: self.crash_worker(worker_id))
             if isinstance(command, SyncWorker) and self.clock.mono < until:
@@ -512,7 +547,20 @@
 
         self.clock.after(0.001, perform)
 
-    def _execute_late(self, entry, request, worker) -> None:
+    def _apply(self, worker: TaskWorkerState, command: Any) -> Any:
+        """Let a worker carry out a command, unless it does not accept its permit."""
+        if self._refuses_permit(worker, command):
+            self.refused_permits += 1
+            return CommandRefused(Refusal.PERMIT, worker.clock_ms(self.clock.mono))
+        return worker.apply(command, self.clock.mono)
+
+    def _execute_late(
+        self,
+        entry: StepEntry,
+        request: Request,
+        worker: TaskWorkerState,
+        late_s: float,
+    ) -> None:
         """Leave a command unanswered and execute it some seconds later.
 
         It outlives the incarnation of the worker that it was sent to.
@@ -520,16 +568,38 @@
         failed = CallFailed(Ran.MAYBE, "no answer")
         self.clock.after(request.timeout_s, lambda: self._reply(entry, request, failed))
         command = request.operation
+        if self.late_times_count_from_arrival:
+            command = shift_times(command, late_s)
         born = worker.born
 
         def perform() -> None:
             if worker.id in self.crashed_workers:
                 return
-            result = worker.apply(command, self.clock.mono)
-            late = LateCommand(command, worker.id, born, worker.born, result)
+            worker.advance(self.clock.mono)
+            lease_until_ms = worker._lease_until_ms
+            result = self._apply(worker, command)
+            is_longer = worker._lease_until_ms > lease_until_ms
+            late = LateCommand(
+                command,
+                worker.id,
+                born,
+                worker.born,
+                result,
+                was_cut_off=worker.id in self.dead_workers,
+                kept_runs=is_longer and bool(worker._running_by_ref),
+            )
             self.late_commands.append(late)
 
-        self.clock.after(self.late_s, perform)
+        self.clock.after(late_s, perform)
+
+    def _delay_of(self, worker_id: str, command: object) -> float | None:
+        """Return how late a worker executes a command, ``None`` if it does at once."""
+        lateness = self.lateness_by_worker.get(worker_id)
+        if lateness is not None and isinstance(command, lateness.kinds):
+            if self.random.random() >= lateness.share:
+                return None
+            return self.random.uniform(lateness.min_s, lateness.max_s)
+        return self.late_s if self._delays(worker_id, command) else None
 
     def _delays(self, worker_id: str, command: object) -> bool:
         is_start = isinstance(command, StartTask)
@@ -575,16 +645,29 @@
         self.clock.after(0.001, lambda: self._reply(entry, request, reply.result))
 
     def _advice(self, request: AskAdvice) -> Advice:
-        allowed = [w for w in request.worker_ids if w not in self.forbidden_workers]
-        for worker_id in allowed:
-            expires_at = self.clock.mono + self.permit_valid_s
-            self.permit_expires_at[request.job_id, worker_id] = expires_at
-        return Advice({w: f"permit-{w}" for w in allowed}, self.permit_valid_s)
-
-    def _refuses_permit(self, worker_id: str, command: Any) -> bool:
+        step_id = (request.job_id, request.occurrence, request.step)
+        expires_at = self.clock.mono + self.permit_valid_s
+        text_by_worker_id = {}
+        for worker_id in request.worker_ids:
+            worker = self.worker_by_id.get(worker_id)
+            if worker is None or worker_id in self.forbidden_workers:
+                continue
+            text = f"permit-{len(self.permit_by_text)}"
+            permit = Permit(step_id, worker_id, worker.born, expires_at)
+            self.permit_by_text[text] = permit
+            text_by_worker_id[worker_id] = text
+        return Advice(text_by_worker_id, self.permit_valid_s)
+
+    def _refuses_permit(self, worker: TaskWorkerState, command: Any) -> bool:
+        """Return whether a start has a permit that its worker does not accept now."""
         if not isinstance(command, StartTask) or not command.permit:
             return False
-        return self.permit_expires_at[command.ref.job_id, worker_id] < self.clock.mono
+        permit = self.permit_by_text[command.permit]
+        key = command.ref.key
+        step_id = (command.ref.job_id, key.occurrence, key.step)
+        allowed = (permit.step, permit.worker_id, permit.born)
+        is_other = allowed != (step_id, worker.id, worker.born)
+        return is_other or permit.expires_at < self.clock.mono
 
     def _call_peer(self, entry: StepEntry, request: Request) -> None:
         if isinstance(request, PreparePeers):
@@ -601,6 +684,16 @@
 _ADVICE_FIELDS = ("job_id", "occurrence", "step", "worker_ids")
 
 
+def shift_times(command: Any, late_s: float) -> Any:
+    """Return a command whose times on the worker's clock are later by some seconds."""
+    late_ms = int(late_s * 1000)
+    if isinstance(command, StartTask):
+        return replace(command, not_after_ms=command.not_after_ms + late_ms)
+    if isinstance(command, SyncWorker) and command.lease_until_ms is not None:
+        return replace(command, lease_until_ms=command.lease_until_ms + late_ms)
+    return command
+
+
 def step(count: int = 1, processors: int = 1000, **more: Any) -> StepSpec:
     """Return a step whose tasks need 512 MB and an estimated second each.
 
