Refuse records of workers without born, and trust none beside a known incarnation

Cause: WorkerState.is_described took a record without born for one of every incarnation, and the decoder accepted such records. Change: PlatformDirectory refuses a record without born, or with 0, which the owner reads as unknown. The owner takes a record for a description only if its born is that of the worker's incarnation, so one of a decoder without the field counts until a report or a record tells the incarnation. The record in tests/platform/test_entry.py gets a born: without it each odd record there would be refused for that, whatever else is odd in it.

--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -159,9 +159,10 @@
     def is_described(self) -> bool:
         """Whether the directory has described the current incarnation.
 
-        Another one may have less capacity, or be of another kind.
+        Another one may have less capacity, or be of another kind. A record that does
+        not tell which one it is of describes none, once that is known from elsewhere.
         """
-        return self.described_born in (0, self.info.born)
+        return self.described_born == self.info.born
 
     @property
     def is_responsive(self) -> bool:
--- a/src/lagoonpulley/platform/documents.py
+++ b/src/lagoonpulley/platform/documents.py
@@ -12,7 +12,7 @@
 from ..model.resources import Resources
 from ..policy.values import AdvicePolicy, Policy, Queue, Service, TeamLimits
 from ..upstream.directory import WorkerInfo
-from .ranges import Amount, BoundedInteger, BoundedNumber, Whole
+from .ranges import Amount, BoundedInteger, BoundedNumber, Incarnation, Whole
 
 if TYPE_CHECKING:
     from ..store.messages import KeyValue
@@ -173,7 +173,7 @@
     capacity: _Capacity
     # Counting every fault of a long list would take the owner's time at each reading.
     labels: list[str] = Field(fail_fast=True)
-    born: Whole = 0
+    born: Incarnation
     drain_remaining_ms: BoundedNumber = Field(0.0, alias="drainRemainingMs")
 
 
--- a/src/lagoonpulley/platform/ranges.py
+++ b/src/lagoonpulley/platform/ranges.py
@@ -11,6 +11,7 @@
     "Amount",
     "BoundedInteger",
     "BoundedNumber",
+    "Incarnation",
     "Milliseconds",
     "Revision",
     "Whole",
@@ -25,6 +26,8 @@
 Amount = Annotated[int, Field(ge=0, le=MAX_AMOUNT)]
 # A time, a count or a number that only grows.
 Whole = Annotated[int, Field(ge=0, le=MAX_WHOLE)]
+# When a worker started; 0 would mean that it is not known.
+Incarnation = Annotated[int, Field(gt=0, le=MAX_WHOLE)]
 Milliseconds = Annotated[float, Field(ge=0, le=MAX_WHOLE, allow_inf_nan=False)]
 # A revision or a lease of the store, which counts in 64 bits.
 Revision = Annotated[int, Field(ge=0, lt=2**64)]
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -163,6 +163,7 @@
         {"state": "sleeping"},
         {"capacity": {"cpu": "many"}},
         {"born": "1.5"},
+        {"born": 0},
         {"address": None},
         {"labels": None},
     ],
@@ -172,7 +173,9 @@
     assert PlatformDirectory().decode(entry).is_error()
 
 
-@pytest.mark.parametrize("field", ["service", "seq", "capacity", "labels", "zone"])
+@pytest.mark.parametrize(
+    "field", ["service", "seq", "capacity", "labels", "zone", "born"]
+)
 def test_directory_rejects_a_missing_field(field):
     value = {name: given for name, given in SERVER.items() if name != field}
     entry = KeyValue("servers/i-1", json.dumps(value), 3)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -158,7 +158,7 @@
 RECORD = (
     '{"address": "127.0.0.1:1", "service": "desk", "zone": "a", "version": "v1",'
     '"slots": 8, "state": "ready", "seq": 1, "capacity": {"cpu": 16000},'
-    '"labels": ["a", "r1-1"], '
+    '"labels": ["a", "r1-1"], "born": 1700000000000, '
 )
 
 
