Count runs of jobs that are gone for their team

Cause: adopt_run tracks such a run with unknown size, and nothing tells its team. Such a run claims what its task needs, from its worker and its team, and the worker gets tasks beside it. A job that an earlier owner ended has a final state with the team only: its run counts for the team as its whole worker, which no task exceeds, and the worker gets no tasks, as before. Both last until the run is gone; its stop is sent at once. Not chosen: the sizes in each final state. They are read by each entry that answers callers, and a late start across a change of owner is rarer than the bytes are.

--- a/src/lagoonpulley/owner/adoption.py
+++ b/src/lagoonpulley/owner/adoption.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from ..model.resources import ZERO
 from ..observability.events import log_event
+from ..planning.cell import Claim
 from .worker_state import BEFORE_THIS_TERM, TrackedRun
 
 if TYPE_CHECKING:
@@ -27,8 +29,7 @@
         record.hold_back(ref.key, worker.info.id, ref.run)
         term.refresh_demands(record)
     else:
-        tracked = TrackedRun(ref, term.now.mono, has_claim=False)
-        worker.tracked_by_ref[ref] = tracked
+        tracked = _track_run_of_ended_job(term, worker, ref)
     tracked.start_resolved_at = BEFORE_THIS_TERM
     tracked.stop_requested = True
     log_event(
@@ -42,3 +43,21 @@
         size_known=tracked.has_claim,
     )
     return tracked
+
+
+def _track_run_of_ended_job(
+    term: OwnerTerm, worker: WorkerState, ref: TaskRef
+) -> TrackedRun:
+    """Track a run without a record, which counts for its team all the same."""
+    tracked = worker.tracked_by_ref[ref] = TrackedRun(ref, term.now.mono)
+    job = term.ended_jobs.find(ref.job_id)
+    step = job.step_of(ref.key) if job else None
+    tracked.has_claim = step is not None
+    if step is not None:
+        claim = Claim(ref, job.team, step.request, step.capacity_request)
+        term.cell.claim(worker.info.id, claim)
+    elif job is not None:
+        # A run needs no more than its worker has, which gets no tasks meanwhile.
+        claim = Claim(ref, job.team, worker.info.capacity, ZERO)
+        term.cell.claim(worker.info.id, claim)
+    return tracked
--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -145,6 +145,7 @@
         record = term.record_by_id.get(job_id)
         if record is None:
             term.ended_at_by_job_id[job_id] = document.ended_at
+            term.ended_jobs.remember(job_id, document.team, (), term.now.mono)
         elif not record.is_final:
             term.restore_final(record, document)
             term.enqueue_record(record)
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -16,6 +16,7 @@
 from ..upstream.directory import WorkerInfo
 from ..upstream.tasks import TaskRef
 from ..workload.record import JobRecord, JobState
+from .ended_jobs import EndedJobs
 from .incarnations import begin_incarnation
 from .journal import Journal
 from .run_ends import give_up_all_runs
@@ -72,6 +73,7 @@
     queue_by_name: dict[str, Queue] = field(default_factory=dict)
     crashed_at_by_address: dict[str, float] = field(default_factory=dict)
     ended_at_by_job_id: dict[str, float] = field(default_factory=dict)
+    ended_jobs: EndedJobs = field(init=False)
     policy: Policy | None = None
     loaded: bool = False
     workers_listed_at: float | None = None
@@ -81,6 +83,9 @@
     needs_planning: bool = True
     now: Now | None = None
 
+    def __post_init__(self) -> None:
+        self.ended_jobs = EndedJobs(self.max_lease_s)
+
     def add_job(self, spec: JobSpec) -> JobRecord:
         """Add a submitted job and return its record; idempotent."""
         known = self.record_by_id.get(spec.id)
@@ -160,6 +165,8 @@
             self.repeating_by_id.pop(record.spec.id, None)
             self.permits.forget(record.spec.id)
             self.ended_at_by_job_id[record.spec.id] = record.ended_at
+            spec = record.spec
+            self.ended_jobs.remember(spec.id, spec.team, spec.steps, self.now.mono)
 
         self.journal.enqueue(record, forget)
 
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -59,8 +59,8 @@
     ``is_blamed`` is set when the run is counted for a crash of its worker.
     ``listed`` is set once the worker's current incarnation has listed the run.
     ``sent_to_earlier`` is set while the run was started on an earlier incarnation only.
-    ``has_claim`` is unset if the run's size is not known, as no record of its job is
-    left. Times without a unit are monotonic seconds.
+    ``has_claim`` is unset if the run's size is not known, so that it claims no room: no
+    record of its job is left. Times without a unit are monotonic seconds.
     """
 
     ref: TaskRef
