Count commands without an answer in the leases that a worker may have

Cause: the owner computed the end of a worker's leases from the time at which it sent a command. A command without an answer may be carried out 2 to 12 s later, and its time may count from then; behind a cut the worker's runs go on after their presumed end. Every sync carried a time, also those that wait for an end, so a worker that fell silent nearly always had one on its way, and a start was sent up to ten times into the silence.

Change: owner/worker_leases.py keeps what was sent and not answered. The leases end once nothing of it can have extended them; a command extends only a lease that has not expired yet, so one of 3.5 s adds no more than that. Syncs that wait extend no lease; short ones do, at most one a second, after an answer and none while one is unanswered. After a silence the next command has a later token (owner/fencing.py): once the worker has answered it, it refuses all that is still on its way. Starts (owner/starts.py) know when their permit expires; without a permit they may also reach the next incarnation. A new owner counts the same for starts of its predecessor.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -8,12 +8,9 @@
 from ..observability.events import log_event
 from ..runtime.flows import Call, Flow
 from ..runtime.role import UPSTREAM, CallFailed
-from ..store.answer_timeout import AnswerTimeout
 from ..upstream.tasks import (
     CommandAccepted,
-    CommandRefused,
     Refusal,
-    StartTask,
     StopTask,
     SyncWorker,
     TaskRef,
@@ -21,8 +18,11 @@
 )
 from ..workload.record import EndKind
 from .crashes import record_unanswered_start
+from .fencing import raise_token_if_needed
 from .reports import apply_report
 from .run_ends import end_run
+from .starts import StartSender
+from .worker_leases import START_WINDOW_S
 
 if TYPE_CHECKING:
     from ..planning.planner import Start
@@ -37,13 +37,6 @@
 # Workers answer within milliseconds; without an answer by then, the answer is lost
 # or the worker is down.
 COMMAND_TIMEOUT_S = 0.4
-# A worker refuses a start that reaches it later than this after it was sent.
-START_WINDOW_S = 1.5
-# Short, because a start can be retried safely: a worker starts a run only once.
-MIN_START_TIMEOUT_S = 0.1
-START_ATTEMPTS = 10
-# No attempt begins later than this after the first.
-START_EFFORT_S = 1.0
 # How long nothing is placed on a worker that refused a start as unhealthy, full or
 # restarted.
 REFUSAL_AVOID_S = 0.5
@@ -54,7 +47,7 @@
 
     def __init__(self, host: FlowHost) -> None:
         self._host = host
-        self._start_timeout = AnswerTimeout(MIN_START_TIMEOUT_S)
+        self._starts = StartSender(host, self._sync_now)
 
     def start_all(self, term: OwnerTerm, start: Start) -> None:
         """Send the start commands of a placement that is durably committed."""
@@ -77,10 +70,9 @@
         if obstacle:
             self._end_unstarted_run(term, worker, ref, obstacle)
             return
-        command = self._start_command(term, start, worker, ref)
         incarnation, known_clock_ms = worker.incarnation, worker.clock_ms or 0
         tracked.start_sent_at = self._host.now.mono
-        result = yield from self._send_start(term, tracked, command)
+        result = yield from self._starts.send(term, start, worker, tracked)
         if term.has_ended or worker.tracked_by_ref.get(ref) is not tracked:
             return
         if not term.is_current(worker, incarnation):
@@ -100,7 +92,6 @@
         if obstacle:
             return obstacle
         if term.worker_lease_s() < START_WINDOW_S:
-            # A successor may count the worker's leases as expired by then.
             return "the session has expired"
         if record.task_by_key[key].other_runs:
             return "a worker lists an earlier run"
@@ -110,63 +101,6 @@
             return "its permit has expired"
         return ""
 
-    def _start_command(
-        self, term: OwnerTerm, start: Start, worker: WorkerState, ref: TaskRef
-    ) -> StartTask:
-        """Return the start of a run, which grants its worker a lease."""
-        not_after_ms = worker.grant_lease(self._host.now.mono, START_WINDOW_S) or 0
-        permits = term.permits.for_step(ref.job_id, ref.key.step_key)
-        return StartTask(
-            to=worker.address,
-            ref=ref,
-            payload=start.record.spec.payload,
-            not_after_ms=not_after_ms,
-            token=worker.token,
-            checkpoint=start.checkpoint,
-            permit=permits.permit_by_worker_id.get(worker.info.id, ""),
-        )
-
-    def _send_start(
-        self, term: OwnerTerm, tracked: TrackedRun, command: StartTask
-    ) -> Flow:
-        """Send a start with a bounded number of retries; return the result.
-
-        No retry is sent once the term has ended.
-        Once an attempt went unanswered, a refusal of a later attempt is inconclusive:
-        the run may already have ended, or the first attempt may still take effect.
-        """
-        failed = CallFailed(Ran.NO, "not sent")
-        last_at = self._host.now.mono + START_EFFORT_S
-        for _ in range(START_ATTEMPTS):
-            result = yield from self._attempt_start(command)
-            if isinstance(result, CommandAccepted):
-                tracked.may_start_late = failed.ran is not Ran.NO
-                return result
-            if isinstance(result, CommandRefused) and failed.ran is Ran.NO:
-                return result
-            if isinstance(result, CommandRefused):
-                return CallFailed(Ran.MAYBE, f"then refused: {result.reason.value}")
-            if result.closed and result.ran is not Ran.NO:
-                # The worker may have crashed because of it.
-                tracked.has_run = True
-            failed = CallFailed(failed.ran.combine(result.ran), result.reason)
-            if failed.ran is Ran.NO or tracked.stop_requested or tracked.listed:
-                break
-            if term.has_ended or self._host.now.mono > last_at:
-                break
-        return failed
-
-    def _attempt_start(self, command: StartTask) -> Flow:
-        """Send a start once, and learn how soon this process reads answers."""
-        sent_at = self._host.now.mono
-        timeout_s = self._start_timeout.timeout_s
-        result = yield Call(UPSTREAM, command, timeout_s)
-        took_s = self._host.now.mono - sent_at
-        if isinstance(result, CallFailed):
-            took_s = max(0.0, took_s - timeout_s)
-        self._start_timeout.record_answer(took_s)
-        return result
-
     def _needs_new_permit(
         self, term: OwnerTerm, record: JobRecord, key: TaskKey, worker_id: str
     ) -> bool:
@@ -224,6 +158,7 @@
 
         A worker that awaits its token is not called; the stop stays requested.
         """
+        raise_token_if_needed(term, worker)
         if worker.awaits_token:
             return
         tracked.stop_sent_at = self._host.now.mono
@@ -236,6 +171,7 @@
         if not term.is_current(worker, incarnation):
             tracked.stop_sent_at = float("-inf")
         elif isinstance(result, CommandAccepted):
+            worker.record_token(command.token, self._host.now.mono)
             if tracked.start_resolved_at is None:
                 tracked.start_resolved_at = self._host.now.mono
             yield from self._sync_now(term, worker)
@@ -260,6 +196,7 @@
             return
         if not isinstance(result, WorkerReport):
             return
+        worker.record_token(command.token, self._host.now.mono)
         worker.forgotten = max(worker.forgotten, command.acknowledged)
         apply_report(term, worker, result, sent_at)
         self._host.plan_and_commit()
--- a/src/lagoonpulley/owner/ended_jobs.py
+++ b/src/lagoonpulley/owner/ended_jobs.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .worker_state import MAX_START_DELAY_S, latest_lease_end
+from .worker_leases import MAX_COMMAND_DELAY_S, latest_lease_end
 
 if TYPE_CHECKING:
     from ..workload.spec import StepSpec, TaskKey
@@ -56,7 +56,7 @@
         :param now: monotonic time in seconds.
         """
         if job_id not in self._job_by_id:
-            kept_until = latest_lease_end(now + MAX_START_DELAY_S, self._max_lease_s)
+            kept_until = latest_lease_end(now + MAX_COMMAND_DELAY_S, self._max_lease_s)
             self._job_by_id[job_id] = EndedJob(team, steps, kept_until)
         while self._job_by_id:
             oldest_id, oldest = next(iter(self._job_by_id.items()))
--- a/src/lagoonpulley/owner/incarnations.py
+++ b/src/lagoonpulley/owner/incarnations.py
@@ -8,6 +8,7 @@
 from ..planning.worker_speed import SpeedTier
 from ..workload.record import EndKind
 from .crashes import record_crash
+from .fencing import request_token
 from .run_ends import end_run
 
 if TYPE_CHECKING:
@@ -42,7 +43,7 @@
     _end_settled_runs(term, worker)
     worker.begin_incarnation(born, term.journal.head_revision, term.now.mono)
     if worker.awaits_token:
-        _renew_token(term, worker)
+        request_token(term, worker)
     term.idle_worker_by_id[worker.info.id] = worker
     term.cell.put_worker(worker.info)
     term.refresh_accepting(worker)
@@ -57,14 +58,3 @@
             end_run(term, worker, ref, EndKind.STOPPED, "", reason)
         elif tracked.listed and not tracked.may_start_late:
             end_run(term, worker, ref, EndKind.LAPSED, "", reason)
-
-
-def _renew_token(term: OwnerTerm, worker: WorkerState) -> None:
-    """Give the current incarnation of a worker the revision of the next commit."""
-    incarnation = worker.incarnation
-
-    def renew() -> None:
-        if term.is_current(worker, incarnation):
-            worker.renew_token(term.journal.head_revision)
-
-    term.journal.call_after_next_commit(renew)
--- /dev/null
+++ b/src/lagoonpulley/owner/starts.py
@@ -0,0 +1,157 @@
+"""Sends the start of one run to its worker, again if it gets no answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model.verdict import Ran
+from ..runtime.flows import Call, Flow
+from ..runtime.role import UPSTREAM, CallFailed
+from ..store.answer_timeout import AnswerTimeout
+from ..upstream.tasks import (
+    CommandAccepted,
+    CommandRefused,
+    Refusal,
+    StartTask,
+)
+from .fencing import raise_token_if_needed
+from .worker_leases import START_WINDOW_S, latest_lease_end
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..planning.planner import Start
+    from .flow_host import FlowHost
+    from .term import OwnerTerm
+    from .worker_leases import TimedCommand
+    from .worker_state import TrackedRun, WorkerState
+
+__all__ = ["StartSender"]
+
+# Short, because a start can be retried safely: a worker starts a run only once.
+MIN_START_TIMEOUT_S = 0.1
+# No attempt begins later than this after the first.
+START_EFFORT_S = 1.1
+# Attempts in a row during which the worker answers no command at all. Before a further
+# one, which might be carried out much later as well, it is asked whether it lives.
+MAX_ATTEMPTS_INTO_SILENCE = 3
+
+
+class StartSender:
+    """Sends starts, and learns how soon this process reads their answers.
+
+    :param sync_now: syncs with a worker at once, without extending its leases.
+    """
+
+    def __init__(
+        self, host: FlowHost, sync_now: Callable[[OwnerTerm, WorkerState], Flow]
+    ) -> None:
+        self._host = host
+        self._sync_now = sync_now
+        self._timeout = AnswerTimeout(MIN_START_TIMEOUT_S)
+
+    def send(
+        self, term: OwnerTerm, start: Start, worker: WorkerState, tracked: TrackedRun
+    ) -> Flow:
+        """Send a start with a bounded number of retries; return the result.
+
+        No retry is sent once the term has ended or the worker has restarted.
+        Once an attempt went unanswered, a refusal of a later attempt is inconclusive:
+        the run may already have ended, or the first attempt may still take effect.
+        """
+        failed = CallFailed(Ran.NO, "not sent")
+        incarnation = worker.incarnation
+        last_at = self._host.now.mono + START_EFFORT_S
+        attempts_into_silence = 0
+        while self._host.now.mono <= last_at:
+            if term.worker_lease_s() < START_WINDOW_S:
+                # A successor may count the worker's leases as expired by then.
+                break
+            sent_at = self._host.now.mono
+            raise_token_if_needed(term, worker)
+            token = worker.token
+            result = yield from self._attempt(term, start, worker, tracked)
+            if not term.is_current(worker, incarnation):
+                return result
+            if isinstance(result, CommandAccepted):
+                worker.record_token(token, self._host.now.mono)
+                return result
+            was_overtaken = _is_fenced(result) and token < worker.token
+            if isinstance(result, CommandRefused) and not was_overtaken:
+                if failed.ran is Ran.NO:
+                    return result
+                return CallFailed(Ran.MAYBE, f"then refused: {result.reason.value}")
+            if isinstance(result, CallFailed):
+                if result.closed and result.ran is not Ran.NO:
+                    # The worker may have crashed because of it.
+                    tracked.has_run = True
+                failed = CallFailed(failed.ran.combine(result.ran), result.reason)
+                if failed.ran is Ran.NO or result.closed:
+                    break
+                attempts_into_silence += 1
+            if worker.has_answered_since(sent_at):
+                attempts_into_silence = 0
+            if attempts_into_silence >= MAX_ATTEMPTS_INTO_SILENCE:
+                asked_at = self._host.now.mono
+                yield from self._sync_now(term, worker)
+                if not worker.has_answered_since(asked_at):
+                    break
+                attempts_into_silence = 0
+            if not term.is_current(worker, incarnation):
+                break
+            if tracked.stop_requested or tracked.listed or term.has_ended:
+                break
+        return failed
+
+    def _attempt(
+        self, term: OwnerTerm, start: Start, worker: WorkerState, tracked: TrackedRun
+    ) -> Flow:
+        """Send a start once."""
+        sent_at = self._host.now.mono
+        permits = term.permits.for_step(tracked.ref.job_id, tracked.ref.key.step_key)
+        permit = permits.permit_by_worker_id.get(worker.info.id, "")
+        refused_from = permits.refused_from(worker.info.id) if permit else None
+        timed = worker.begin_timed_command(sent_at, START_WINDOW_S, refused_from)
+        command = StartTask(
+            to=worker.address,
+            ref=tracked.ref,
+            payload=start.record.spec.payload,
+            not_after_ms=timed.until_ms if timed else 0,
+            token=worker.token,
+            checkpoint=start.checkpoint,
+            permit=permit,
+        )
+        known_until = tracked.late_lease_until
+        if timed is not None:
+            until = _late_lease_end(worker, timed, permit)
+            tracked.late_lease_until = max(known_until, until)
+        timeout_s = self._timeout.timeout_s
+        result = yield Call(UPSTREAM, command, timeout_s)
+        took_s = self._host.now.mono - sent_at
+        is_failure = isinstance(result, CallFailed)
+        if is_failure:
+            took_s = max(0.0, took_s - timeout_s)
+        self._timeout.record_answer(took_s)
+        worker.record_outcome(timed, result)
+        if not is_failure or result.ran is Ran.NO:
+            tracked.late_lease_until = known_until
+        if isinstance(result, CommandAccepted) and permit:
+            # An earlier attempt cannot start the run again on this incarnation, and
+            # another one refuses the permit.
+            tracked.late_lease_until = float("-inf")
+        return result
+
+
+def _is_fenced(result: object) -> bool:
+    return isinstance(result, CommandRefused) and result.reason is Refusal.FENCED
+
+
+def _late_lease_end(worker: WorkerState, timed: TimedCommand, permit: str) -> float:
+    """Return until when a run has a lease that a late start has begun.
+
+    Without a permit, the next incarnation of the worker may carry the start out. The
+    time is one of an earlier clock there, and may be worth the longest lease.
+    """
+    if permit:
+        return timed.is_over_at
+    return latest_lease_end(timed.latest_at, worker.max_lease_s)
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -20,12 +20,14 @@
 from .incarnations import begin_incarnation
 from .journal import Journal
 from .run_ends import give_up_all_runs
-from .worker_state import (
-    BEFORE_THIS_TERM,
-    TrackedRun,
-    WorkerState,
+from .worker_leases import (
+    MAX_COMMAND_DELAY_S,
+    START_WINDOW_S,
+    WorkerLeases,
     latest_lease_end,
+    longest_lease_s,
 )
+from .worker_state import BEFORE_THIS_TERM, TrackedRun, WorkerState
 
 if TYPE_CHECKING:
     from ..planning.team_use import TeamUse
@@ -107,10 +109,20 @@
             # A worker that has seen the new token refuses starts with an older one.
             tracked = self.track_run(worker, record, ref)
             tracked.start_resolved_at = BEFORE_THIS_TERM
+            tracked.late_lease_until = self._late_lease_end(worker, record)
             # Without an incarnation, an earlier owner has seen the worker's crash.
             tracked.has_run = run.born != 0
         self.refresh_demands(record)
 
+    def _late_lease_end(self, worker: WorkerState, record: JobRecord) -> float:
+        """Return until when a start by an earlier owner may keep a run alive."""
+        queue = self.queue_of(record)
+        if queue is None or queue.advice is None:
+            sent_by = self.began_at + MAX_COMMAND_DELAY_S
+            return latest_lease_end(sent_by, worker.max_lease_s)
+        # Its permit was valid from before the start was sent.
+        return self.began_at + queue.advice.valid_s + longest_lease_s(START_WINDOW_S)
+
     def restore_final(self, record: JobRecord, document: FinalDocument) -> None:
         """Apply a final state that an earlier owner stored, and stop remaining runs."""
         record.finish(document.state, document.ended_at)
@@ -305,13 +317,12 @@
         self.cell.remove_worker(worker.info.id)
 
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
-        self._close_predecessors(info.address)
+        self._close_predecessors(info)
         self.known_workers += 1
         worker = WorkerState(
             info,
             self.max_lease_s,
-            # An earlier owner may have extended leases until its session ended.
-            latest_lease_end(self.began_at, self.max_lease_s),
+            WorkerLeases(latest_lease_end(self.began_at, self.max_lease_s)),
             self.journal.head_revision,
             self.known_workers,
         )
@@ -320,12 +331,12 @@
         self.cell.put_worker(info)
         return worker
 
-    def _close_predecessors(self, address: str) -> None:
+    def _close_predecessors(self, info: WorkerInfo) -> None:
         """Record that the processes before a new worker at an address have ended."""
-        if not address:
+        if not info.address:
             return
         for other in self.worker_by_id.values():
-            if other.info.address == address:
+            if other.info.address == info.address:
                 other.mark_closed(self.now.mono)
 
     def begin_sync(self, worker: WorkerState) -> None:
--- /dev/null
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -0,0 +1,133 @@
+"""When the leases of all runs on a worker have certainly expired."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from operator import attrgetter
+
+__all__ = [
+    "MAX_COMMAND_DELAY_S",
+    "MAX_OPEN_LEASE_S",
+    "START_WINDOW_S",
+    "TimedCommand",
+    "WorkerLeases",
+    "latest_lease_end",
+    "longest_lease_s",
+]
+
+# How long after it was sent a command without an answer may still be carried out.
+MAX_COMMAND_DELAY_S = 12.5
+# A worker refuses a start that reaches it later than this after it was sent, by its own
+# clock. A start extends the leases by as much.
+START_WINDOW_S = 1.5
+# Longest lease that a sync grants. A worker gets no other sync that grants one while
+# such a sync has no answer.
+MAX_OPEN_LEASE_S = 5.0
+# Share by which a worker's clock may run slower than the owner's.
+CLOCK_DRIFT_RATIO = 0.02
+# Added to the computed end of a lease before the lease counts as expired.
+LEASE_MARGIN_S = 0.3
+# Of leases that others may have granted: clocks that run slower, and commands on their
+# way.
+UNKNOWN_LEASE_RATIO = 1.05
+UNKNOWN_LEASE_MARGIN_S = 0.5
+
+
+def latest_lease_end(granted_by: float, max_lease_s: float) -> float:
+    """Return by when a lease has surely expired that was granted by some time.
+
+    Times are monotonic seconds.
+    """
+    return granted_by + max_lease_s * UNKNOWN_LEASE_RATIO + UNKNOWN_LEASE_MARGIN_S
+
+
+def longest_lease_s(length_s: float) -> float:
+    """Return how long a lease of ``length_s`` on the worker's clock lasts at most."""
+    return length_s / (1.0 - CLOCK_DRIFT_RATIO) + LEASE_MARGIN_S
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class TimedCommand:
+    """A command that extends all leases on the worker that carries it out.
+
+    It is carried out by ``latest_at`` or never, and extends the leases to at most
+    ``lease_s`` seconds after that: its time may count from its arrival. If the worker
+    answers it, the leases end by ``answered_until``. ``until_ms`` is the time that it
+    carries, on the worker's clock. Times without a unit are monotonic seconds.
+    """
+
+    token: int
+    until_ms: int
+    latest_at: float
+    lease_s: float
+    answered_until: float
+
+    @property
+    def is_over_at(self) -> float:
+        """When the command extends no lease any more."""
+        return self.latest_at + self.lease_s
+
+
+@dataclass(slots=True, eq=False)
+class WorkerLeases:
+    """The leases that a worker may have by the commands that were sent to it.
+
+    ``certain_until`` is the end of those by commands that it has carried out, in
+    monotonic seconds. ``in_flight`` are commands whose answer is still awaited, and
+    ``unanswered`` are those that it may carry out without a further answer.
+    """
+
+    certain_until: float
+    in_flight: list[TimedCommand] = field(default_factory=list)
+    unanswered: list[TimedCommand] = field(default_factory=list)
+
+    @property
+    def expire_at(self) -> float:
+        """When the leases of all runs have expired, in monotonic seconds.
+
+        A command extends only a lease that has not expired before it is carried out, so
+        several ones extend it further if they are carried out one after the other.
+        """
+        until = self.certain_until
+        commands = self.in_flight + self.unanswered
+        for command in sorted(commands, key=attrgetter("latest_at")):
+            until = max(until, min(until, command.latest_at) + command.lease_s)
+        return until
+
+    def begin(self, command: TimedCommand, now: float) -> None:
+        """Record that a command is sent."""
+        self.unanswered = [each for each in self.unanswered if now < each.is_over_at]
+        self.in_flight.append(command)
+
+    def record_answer(self, command: TimedCommand) -> None:
+        """Record that the worker has carried out a command and answered it."""
+        self.withdraw(command)
+        self.certain_until = max(self.certain_until, command.answered_until)
+
+    def record_silence(self, command: TimedCommand) -> None:
+        """Record that a command got no answer; the worker may still carry it out."""
+        self.withdraw(command)
+        self.unanswered.append(command)
+
+    def withdraw(self, command: TimedCommand) -> None:
+        """Record that a command was not carried out, and will not be."""
+        if command in self.in_flight:
+            self.in_flight.remove(command)
+
+    def void_below(self, token: int, now: float) -> None:
+        """Record that the worker has seen a token, so that lower ones are refused.
+
+        It may have carried out any of the commands with a lower one just before.
+        """
+        kept = []
+        for command in self.unanswered:
+            if command.token >= token:
+                kept.append(command)
+                continue
+            until = min(now, command.latest_at) + command.lease_s
+            self.certain_until = max(self.certain_until, until)
+        self.unanswered = kept
+
+    def needs_token_above(self, token: int) -> bool:
+        """Return whether an unanswered command is refused only under a later token."""
+        return any(command.token >= token for command in self.unanswered)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -5,20 +5,27 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from ..model.verdict import Ran
 from ..planning.worker_failures import StallDetector
+from ..runtime.role import CallFailed
 from ..upstream.tasks import WorkerAddress
+from .worker_leases import (
+    CLOCK_DRIFT_RATIO,
+    LEASE_MARGIN_S,
+    MAX_COMMAND_DELAY_S,
+    TimedCommand,
+    WorkerLeases,
+    latest_lease_end,
+    longest_lease_s,
+)
 
 if TYPE_CHECKING:
     from ..upstream.directory import WorkerInfo
     from ..upstream.tasks import TaskRef, WorkerReport
 
-__all__ = ["BEFORE_THIS_TERM", "TrackedRun", "WorkerState", "latest_lease_end"]
+__all__ = ["BEFORE_THIS_TERM", "TrackedRun", "WorkerState"]
 
 MS_PER_S = 1000
-# Share by which a worker's clock may run slower than the owner's.
-CLOCK_DRIFT_RATIO = 0.02
-# Added to the computed end of a lease before the lease counts as expired.
-LEASE_MARGIN_S = 0.3
 # ``start_resolved_at`` of runs of an earlier owner: before any event of this term.
 BEFORE_THIS_TERM = float("-inf")
 # Consecutive failed syncs after which a worker counts as unresponsive.
@@ -26,21 +33,6 @@
 # Consecutive syncs that this process was too busy to follow, which tell nothing of the
 # worker; further ones count as failed.
 MAX_OVERDUE_SYNCS = 2
-# Of leases that others may have granted: clocks that run slower, and commands on their
-# way.
-UNKNOWN_LEASE_RATIO = 1.05
-UNKNOWN_LEASE_MARGIN_S = 0.5
-# How long after it was first sent a start without an answer may still be carried out,
-# with the time of its repetitions.
-MAX_START_DELAY_S = 13.0
-
-
-def latest_lease_end(granted_by: float, max_lease_s: float) -> float:
-    """Return by when a lease has surely expired that was granted by some time.
-
-    Times are monotonic seconds.
-    """
-    return granted_by + max_lease_s * UNKNOWN_LEASE_RATIO + UNKNOWN_LEASE_MARGIN_S
 
 
 @dataclass(slots=True, eq=False)
@@ -50,8 +42,9 @@
     ``placed_at`` is when the task was placed here, or read from the store.
     ``start_sent_at`` is when its start was first sent, ``None`` before that and for a
     run that was read from the store.
-    ``may_start_late`` is set while an attempt to start it went unanswered, or may have:
-    that may reach the worker's next incarnation, whatever the later attempts did.
+    ``late_lease_until`` is until when a start that is still on its way may keep the run
+    alive, minus infinity if there is none; that start may reach the worker's next
+    incarnation, whatever the later attempts did.
     ``start_resolved_at`` is when it became certain that no start command in flight
     can start the run any more, ``None`` before that; a sync sent later shows whether
     the run exists.
@@ -68,7 +61,7 @@
     has_run: bool = False
     is_blamed: bool = False
     start_sent_at: float | None = None
-    may_start_late: bool = True
+    late_lease_until: float = float("-inf")
     start_resolved_at: float | None = None
     listed: bool = False
     sent_to_earlier: bool = False
@@ -82,6 +75,11 @@
         """Whether a start was sent, or may have been by an earlier owner."""
         return self.start_sent_at is not None or self.start_resolved_at is not None
 
+    @property
+    def may_start_late(self) -> bool:
+        """Whether a start of it may still be on its way."""
+        return self.late_lease_until > float("-inf")
+
     def begin_incarnation(self, now: float) -> None:
         """Record that another incarnation of the worker is known.
 
@@ -102,26 +100,30 @@
     the ``incarnation``-th that this owner knows of; the results of commands to earlier
     ones are ignored. ``fenced`` is set once it has accepted the token and listed its
     runs; it is not called while ``awaits_token`` is set, because the token is not above
-    those of calls to an earlier incarnation yet. ``leases_expire_at`` is when every
-    lease on the worker has certainly expired if nothing more reaches it, in monotonic
-    seconds. ``processed`` and ``acknowledged`` are numbers of ended runs in the
+    those of calls to an earlier incarnation yet. ``token_requested`` is set until the
+    next commit provides a later token. ``leases`` are those that it may have, and
+    ``granted_at`` is when a sync last extended them, in monotonic seconds.
+    ``processed`` and ``acknowledged`` are numbers of ended runs in the
     worker's own numbering; an end is acknowledged only after the commit that records
     it. Ends up to ``forgotten`` were acknowledged in a call that was answered.
     ``position`` orders workers by when they first became known. ``alive_at`` is when
     it was last known to live, ``closed_at`` since when it refuses connections or has
     closed them, as after a crash, both in monotonic seconds. ``blamed_runs`` are those
-    that were blamed for its crash. ``described_born`` is the incarnation that ``info``
-    describes, ``earlier_born`` are those before the current one.
+    that were blamed for its crash. ``described_born`` is the
+    incarnation that ``info`` describes, ``earlier_born`` are those before the current
+    one.
     """
 
     info: WorkerInfo
     max_lease_s: float
-    leases_expire_at: float
+    leases: WorkerLeases
     token: int
     position: int = 0
     incarnation: int = 1
     fenced: bool = False
     awaits_token: bool = False
+    token_requested: bool = False
+    granted_at: float = float("-inf")
     clock_ms: int | None = None
     clock_at: float = 0.0
     processed: int = 0
@@ -155,6 +157,16 @@
         """Whether the worker has accepted the token and responds."""
         return self.fenced and self.is_responsive
 
+    @property
+    def may_be_granted(self) -> bool:
+        """Whether a sync may extend the leases.
+
+        Only one that follows an answer does, and none while an earlier command may
+        still extend them: a worker that falls silent then has few commands on the way
+        that keep its runs alive.
+        """
+        return self.fenced and not self.failures and not self.leases.unanswered
+
     @property
     def is_described(self) -> bool:
         """Whether the directory has described the current incarnation.
@@ -169,6 +181,22 @@
         """Whether the latest syncs did not all fail; true before the first sync."""
         return self.failures < UNRESPONSIVE_AFTER_FAILURES
 
+    def has_answered_since(self, sent_at: float) -> bool:
+        """Return whether the worker was known to live at or after a time."""
+        return self.alive_at is not None and self.alive_at >= sent_at
+
+    def is_over(self, run: TrackedRun, now: float) -> bool:
+        """Return whether a run has surely ended if the worker is out of reach."""
+        return now > max(self.leases.expire_at, run.late_lease_until)
+
+    def is_surely_empty(self, now: float) -> bool:
+        """Return whether every run has surely ended if the worker is out of reach."""
+        latest_run_end = max(
+            (run.late_lease_until for run in self.tracked_by_ref.values()),
+            default=float("-inf"),
+        )
+        return now > max(self.leases.expire_at, latest_run_end)
+
     @property
     def acknowledgement(self) -> int:
         """Number up to which the next sync acknowledges ends, 0 if it need not.
@@ -214,7 +242,7 @@
     def renew_token(self, token: int) -> None:
         """Allow calls to the current incarnation, under a token above earlier ones."""
         self.token = token
-        self.awaits_token = False
+        self.awaits_token = self.token_requested = False
 
     def begin_incarnation(self, born: int, token: int, now: float) -> None:
         """Forget what holds for the previous incarnation only, which has crashed.
@@ -230,6 +258,7 @@
         self.info = replace(self.info, born=born)
         self.incarnation += 1
         self.awaits_token = token <= self.token
+        self.token_requested = False
         self.token = token
         self.fenced = False
         self.clock_ms = None
@@ -253,35 +282,57 @@
         if any(run.sent_to_earlier for run in runs):
             # Otherwise a worker that restarts again and again would keep its runs.
             return
-        granted_by = now
+        until = latest_lease_end(now, self.max_lease_s)
         for run in runs:
-            # A stored run that this owner has seen there is under way no more.
-            is_stored = run.start_sent_at is None
-            if run.may_start_late and not (is_stored and run.listed):
-                sent_at = run.start_sent_at or run.placed_at
-                granted_by = max(granted_by, sent_at + MAX_START_DELAY_S)
-        self.leases_expire_at = latest_lease_end(granted_by, self.max_lease_s)
+            until = max(until, run.late_lease_until)
+        self.leases = WorkerLeases(until)
+        self.granted_at = float("-inf")
 
     def min_clock_ms(self, now: float) -> int:
         """Return the lowest time that the worker's clock can show now."""
         elapsed_s = max(0.0, now - self.clock_at) * (1.0 - CLOCK_DRIFT_RATIO)
         return int((self.clock_ms or 0) + elapsed_s * MS_PER_S)
 
-    def grant_lease(self, now: float, lease_s: float) -> int | None:
-        """Extend ``leases_expire_at`` by a lease and return its end.
+    def begin_timed_command(
+        self, now: float, length_s: float, latest_at: float | None = None
+    ) -> TimedCommand | None:
+        """Return the times of a command that extends the leases, which is sent now.
 
-        :param lease_s: length of the lease in seconds, from ``now`` on.
-        :returns: the end in milliseconds on the worker's clock, or ``None`` while that
-            clock is unknown.
+        :param length_s: length of the lease in seconds, from ``now`` on.
+        :param latest_at: when the worker refuses the command at the latest, if that is
+            known.
+        :returns: ``None`` while the worker's clock is unknown.
         """
         if self.clock_ms is None:
             return None
-        until_ms = self.min_clock_ms(now) + int(lease_s * MS_PER_S)
+        until_ms = self.min_clock_ms(now) + int(length_s * MS_PER_S)
         left_s = (until_ms - self.clock_ms) / MS_PER_S / (1.0 - CLOCK_DRIFT_RATIO)
-        self.leases_expire_at = max(
-            self.leases_expire_at, self.clock_at + left_s + LEASE_MARGIN_S
+        last_at = now + MAX_COMMAND_DELAY_S
+        command = TimedCommand(
+            token=self.token,
+            until_ms=until_ms,
+            latest_at=last_at if latest_at is None else min(last_at, latest_at),
+            lease_s=longest_lease_s(length_s),
+            answered_until=self.clock_at + left_s + LEASE_MARGIN_S,
         )
-        return until_ms
+        self.leases.begin(command, now)
+        return command
+
+    def record_outcome(self, command: TimedCommand | None, result: object) -> None:
+        """Record what became of a command that extends the leases."""
+        if command is None:
+            return
+        if not isinstance(result, CallFailed):
+            # A refusal may extend the leases as well, for example of an old run.
+            self.leases.record_answer(command)
+        elif result.ran is Ran.NO:
+            self.leases.withdraw(command)
+        else:
+            self.leases.record_silence(command)
+
+    def record_token(self, token: int, now: float) -> None:
+        """Record that the worker has answered a command under a token."""
+        self.leases.void_below(token, now)
 
     def record_report(self, report: WorkerReport, now: float) -> None:
         """Record a report received now: the worker is fenced and responds."""
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -13,8 +13,10 @@
 from ..upstream.tasks import Refusal, SyncWorker, WorkerReport
 from .crashes import record_crash
 from .dispatch import COMMAND_TIMEOUT_S
+from .fencing import raise_token_if_needed
 from .reports import apply_report
-from .run_ends import give_up_all_runs
+from .run_ends import give_up_run
+from .worker_leases import MAX_OPEN_LEASE_S
 
 if TYPE_CHECKING:
     from ..store.health import StoreHealth
@@ -23,6 +25,7 @@
     from .dispatch import Dispatcher
     from .flow_host import FlowHost
     from .term import OwnerTerm
+    from .worker_leases import TimedCommand
     from .worker_state import WorkerState
 
 __all__ = ["WorkerMonitor"]
@@ -36,8 +39,11 @@
 SYNC_RETRY_DELAY_S = 0.25
 # A timeout that is noticed later shows that this process cannot keep up.
 MAX_LATENESS_S = 0.2
-# Twice the time that another entry needs to take over from an owner that dies.
-WORKER_LEASE_S = 3.0
+# How long after a sync that extends the leases the next one does.
+GRANT_INTERVAL_S = 1.0
+# Twice the time that another entry needs to take over from an owner that dies, and the
+# age that the latest one may have then.
+WORKER_LEASE_S = 3.5
 
 
 class WorkerMonitor:
@@ -113,7 +119,7 @@
             worker.missing_since = self._host.now.mono
             log_event("worker_not_listed", worker=worker.info.id)
             term.refresh_accepting(worker)
-        if not worker.is_available and self._host.now.mono > worker.leases_expire_at:
+        if not worker.is_available and worker.is_surely_empty(self._host.now.mono):
             log_event("worker_gone", worker=worker.info.id)
             term.remove_worker(worker, "worker is gone")
 
@@ -127,6 +133,7 @@
         """Start a sync with a worker unless one is in flight or none is due."""
         if term.has_ended or worker.syncing or not worker.info.address:
             return
+        raise_token_if_needed(term, worker)
         if worker.awaits_token:
             return
         if self._host.now.mono < worker.next_sync_at:
@@ -136,20 +143,15 @@
 
     def _sync_once(self, term: OwnerTerm, worker: WorkerState) -> Flow:
         sent_at = self._host.now.mono
-        # A worker that does not respond may still receive commands. Its leases are not
-        # extended, so that its runs can be started elsewhere in bounded time.
-        lease_until_ms = None
-        lease_s = self._lease_s(term)
-        if not worker.failures and lease_s > 0:
-            lease_until_ms = worker.grant_lease(sent_at, lease_s)
-        waits = worker.fenced and not worker.failures and not worker.pending_commits
-        wait_s = SYNC_WAIT_S if waits else 0.0
+        grant = self._begin_grant(term, worker)
+        waits = grant is None and worker.fenced and not worker.failures
+        wait_s = SYNC_WAIT_S if waits and not worker.pending_commits else 0.0
         incarnation = worker.incarnation
         command = SyncWorker(
             to=worker.address,
             token=worker.token,
             acknowledged=worker.acknowledgement,
-            lease_until_ms=lease_until_ms,
+            lease_until_ms=grant.until_ms if grant else None,
             wait_s=wait_s,
         )
         timeout_s = wait_s + COMMAND_TIMEOUT_S
@@ -157,24 +159,45 @@
         is_current = term.end_sync(worker, incarnation)
         if term.has_ended or not is_current:
             return
+        worker.record_outcome(grant, result)
         if isinstance(result, WorkerReport):
+            worker.record_token(command.token, self._host.now.mono)
             worker.forgotten = max(worker.forgotten, command.acknowledged)
             self._apply_report(term, worker, result, sent_at)
+        elif _is_fenced_by_own_token(worker, command, result):
+            self.sync(term, worker)
         else:
             lateness_s = self._host.now.mono - sent_at - timeout_s
             self._record_sync_failure(term, worker, result, lateness_s)
         self._host.plan_and_commit()
 
-    def _lease_s(self, term: OwnerTerm) -> float:
+    def _begin_grant(self, term: OwnerTerm, worker: WorkerState) -> TimedCommand | None:
+        """Return the times of a sync that extends the leases, if it is to do so.
+
+        It does not wait for an end: a worker that crashes or is cut off meanwhile
+        might carry it out much later. The syncs that wait extend no lease.
+        """
+        now = self._host.now.mono
+        if not worker.may_be_granted or now < worker.granted_at + GRANT_INTERVAL_S:
+            return None
+        lease_s = self._lease_s(term, worker)
+        if lease_s <= 0:
+            return None
+        grant = worker.begin_timed_command(now, lease_s)
+        if grant is not None:
+            worker.granted_at = now
+        return grant
+
+    def _lease_s(self, term: OwnerTerm, worker: WorkerState) -> float:
         """Return the length of the lease to grant a worker now, in seconds.
 
-        The lease is short while the store is reachable, so that tasks of a worker that
-        dies are soon started elsewhere. Without the store nothing can be restarted, and
-        workers get the longest lease allowed.
+        The lease is short, so that tasks of a worker that dies are soon started
+        elsewhere. It is the longest one while nothing can be restarted without the
+        store, or while this process cannot follow the worker's answers.
         """
-        if self._health.is_unreachable():
-            return term.worker_lease_s()
-        return min(term.worker_lease_s(), WORKER_LEASE_S)
+        is_hindered = worker.overdue_syncs or self._health.is_unreachable()
+        lease_s = MAX_OPEN_LEASE_S if is_hindered else WORKER_LEASE_S
+        return min(term.worker_lease_s(), lease_s)
 
     def _apply_report(
         self, term: OwnerTerm, worker: WorkerState, report: WorkerReport, sent_at: float
@@ -232,7 +255,7 @@
                 closed=worker.closed,
                 runs=len(worker.tracked_by_ref),
                 overdue_syncs=worker.overdue_syncs,
-                leases_left_s=round(worker.leases_expire_at - self._host.now.mono, 3),
+                leases_left_s=round(worker.leases.expire_at - self._host.now.mono, 3),
             )
         term.refresh_accepting(worker)
         if reason is Refusal.FENCED:
@@ -241,14 +264,8 @@
 
     def check(self, term: OwnerTerm, worker: WorkerState) -> None:
         """End the runs of a dead worker, sync with it and resend due stops."""
-        is_dead = (
-            not worker.is_available and self._host.now.mono > worker.leases_expire_at
-        )
-        if worker.tracked_by_ref and is_dead:
-            self._log_presumed_dead(worker)
-            if worker.closed:
-                record_crash(term, worker)
-            give_up_all_runs(term, worker, "worker's lease has ended")
+        if not worker.is_available:
+            self._give_up_dead_runs(term, worker)
         self.sync(term, worker)
         if not worker.info.address:
             # Known only from runs of an earlier owner; the directory has not listed it.
@@ -258,15 +275,39 @@
             if tracked.stop_requested and due:
                 self._dispatcher.stop(term, worker, tracked)
 
-    def _log_presumed_dead(self, worker: WorkerState) -> None:
-        """Log on what grounds the runs of a silent worker are given up."""
-        now, alive_at = self._host.now.mono, worker.alive_at
-        log_event(
-            "runs_presumed_dead",
-            worker=worker.info.id,
-            born=worker.info.born,
-            token=worker.token,
-            runs=len(worker.tracked_by_ref),
-            silent_s=None if alive_at is None else round(now - alive_at, 3),
-            leases_over_s=round(now - worker.leases_expire_at, 3),
-        )
+    def _give_up_dead_runs(self, term: OwnerTerm, worker: WorkerState) -> None:
+        """Give up the runs of a silent worker that have surely ended."""
+        now = self._host.now.mono
+        runs = worker.tracked_by_ref.values()
+        dead = [run.ref for run in runs if worker.is_over(run, now)]
+        if not dead:
+            return
+        _log_presumed_dead(worker, len(dead), now)
+        if worker.closed:
+            record_crash(term, worker)
+        for ref in dead:
+            give_up_run(term, worker, ref, "worker's lease has ended")
+
+
+def _log_presumed_dead(worker: WorkerState, runs: int, now: float) -> None:
+    """Log on what grounds runs of a silent worker are given up."""
+    alive_at = worker.alive_at
+    log_event(
+        "runs_presumed_dead",
+        worker=worker.info.id,
+        born=worker.info.born,
+        token=worker.token,
+        runs=runs,
+        kept=len(worker.tracked_by_ref) - runs,
+        silent_s=None if alive_at is None else round(now - alive_at, 3),
+        leases_over_s=round(now - worker.leases.expire_at, 3),
+        unanswered=len(worker.leases.unanswered),
+    )
+
+
+def _is_fenced_by_own_token(
+    worker: WorkerState, command: SyncWorker, result: Any
+) -> bool:
+    """Return whether a command was overtaken by one of this owner's later tokens."""
+    is_fenced = result.reason is Refusal.FENCED
+    return is_fenced and command.token < worker.token
--- a/src/lagoonpulley/planning/permits.py
+++ b/src/lagoonpulley/planning/permits.py
@@ -52,6 +52,10 @@
         """Return whether the advisor allows a worker, or was not asked about it."""
         return worker_id in self.allowed_ids or worker_id not in self.known_ids
 
+    def refused_from(self, worker_id: str) -> float:
+        """Return from when on a worker surely refuses its latest permit."""
+        return self.expires_by_worker_id.get(worker_id, 0.0) + PERMIT_MARGIN_S
+
     def add_advice(self, asked: tuple[str, ...], advice: Advice, now: float) -> None:
         """Add an answer from the advisor.
 
--- /dev/null
+++ b/tests/owner/test_worker_leases.py
@@ -0,0 +1,84 @@
+"""When the leases on a worker have certainly expired."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from lagoonpulley.owner.worker_leases import TimedCommand, WorkerLeases
+
+EARLIER = TimedCommand(
+    token=3, until_ms=0, latest_at=12.0, lease_s=3.0, answered_until=3.0
+)
+LATER = replace(EARLIER, token=4, latest_at=14.0, answered_until=5.0)
+
+
+def leases_with_unanswered(*commands, certain_until=2.0):
+    leases = WorkerLeases(certain_until)
+    for command in commands:
+        leases.begin(command, 0.0)
+        leases.record_silence(command)
+    return leases
+
+
+def test_command_in_flight_may_extend_the_leases():
+    leases = WorkerLeases(2.0)
+    leases.begin(EARLIER, 0.0)
+    assert leases.expire_at == 5.0
+
+
+def test_unanswered_command_extends_a_lease_only_before_it_expires():
+    assert leases_with_unanswered(EARLIER).expire_at == 5.0
+
+
+def test_unanswered_commands_extend_the_leases_one_after_the_other():
+    assert leases_with_unanswered(EARLIER, LATER).expire_at == 8.0
+
+
+def test_command_that_is_never_carried_out_late_extends_no_later_lease():
+    soon = replace(EARLIER, latest_at=1.0)
+    assert leases_with_unanswered(soon, certain_until=9.0).expire_at == 9.0
+    assert leases_with_unanswered(soon, certain_until=2.0).expire_at == 4.0
+
+
+def test_answered_command_extends_the_leases_to_its_own_end():
+    leases = WorkerLeases(2.0)
+    leases.begin(EARLIER, 0.0)
+    leases.record_answer(EARLIER)
+    assert leases.expire_at == 3.0
+    assert not leases.needs_token_above(3)
+
+
+def test_command_that_was_not_sent_extends_nothing():
+    leases = WorkerLeases(2.0)
+    leases.begin(EARLIER, 0.0)
+    leases.withdraw(EARLIER)
+    assert leases.expire_at == 2.0
+
+
+def test_later_token_rules_out_unanswered_commands_that_it_finds():
+    """The worker may have carried out the earlier one just before."""
+    leases = leases_with_unanswered(EARLIER, LATER)
+    leases.void_below(4, now=4.0)
+    assert leases.unanswered == [LATER]
+    assert leases.certain_until == 7.0
+
+
+def test_equal_token_rules_out_nothing():
+    leases = leases_with_unanswered(EARLIER)
+    leases.void_below(3, now=4.0)
+    assert leases.unanswered == [EARLIER]
+    assert leases.needs_token_above(3)
+    assert not leases.needs_token_above(4)
+
+
+def test_command_that_cannot_matter_any_more_is_forgotten():
+    leases = leases_with_unanswered(EARLIER)
+    leases.begin(LATER, now=EARLIER.is_over_at)
+    assert leases.unanswered == []
+
+
+@pytest.mark.parametrize("order", [(EARLIER, LATER), (LATER, EARLIER)])
+def test_order_of_sending_does_not_matter(order):
+    assert leases_with_unanswered(*order).expire_at == 8.0
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -510,6 +510,10 @@
                 failed = CallFailed(Ran.MAYBE, reason, closed=True)
                 self._reply(entry, request, failed)
                 return
+            if self._is_cut(entry, worker_id):
+                failed = CallFailed(Ran.MAYBE, "no answer")
+                self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
+                return
             worker.advance(self.clock.mono)
             if self.clock.mono < until and not worker.has_ends():
                 self.clock.after(POLL_INTERVAL_S, lambda: answer_long_poll(born))
