Count an unanswered sync of the earlier owner, and store which runs have started

What callers see: after a change of owner, two runs of one task at once (TWICE) if the worker is cut off and carries out a sync of the earlier owner late. The other way round, tasks of a silent worker would wait 19 s for a start that was answered long ago.

Cause: a new owner presumed the leases of a worker that it does not reach to end one longest lease after its term began, and knew nothing of what its predecessor had sent without an answer.

Change: it presumes one such sync, the most that an owner has open, of at most 5 s; no sync grants more. Progress documents say which runs have started for certain, with no start on its way: that is written whenever the document is, and for all runs of a worker that falls silent. Only for others the new owner waits for a start that may be on its way.

--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -81,6 +81,8 @@
         if isinstance(result, CommandAccepted) and result.clock_ms >= known_clock_ms:
             # A lower clock is that of the next incarnation: this one has crashed.
             tracked.has_run, worker.alive_at = True, self._host.now.mono
+            if not tracked.may_start_late:
+                record.mark_started(key, ref.run)
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
 
--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -199,6 +199,7 @@
         """Append the rows of one record; return the size of its progress document."""
         job_id = record.spec.id
         keys = JobKeys(job_id)
+        record.has_unstored_starts = False
         if not record.is_final:
             document = ProgressDocument.from_record(record).model_dump_json()
             puts.append(Write(keys.progress, document))
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -123,6 +123,8 @@
         record = current_record(term, worker, running.ref)
         if record is None:
             continue
+        if not tracked.may_start_late:
+            record.mark_started(running.ref.key, running.ref.run)
         _set_checkpoint(record, running)
         forgive_crashes(record, tracked, term.now.mono)
         if _is_stalled(record, tracked, running.percent, term.now.mono):
--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -20,6 +20,7 @@
     "end_run",
     "give_up_all_runs",
     "give_up_run",
+    "store_starts",
 ]
 
 
@@ -67,6 +68,17 @@
     _continue_job(term, record, ref, EndKind.LAPSED)
 
 
+def store_starts(term: OwnerTerm, worker: WorkerState) -> None:
+    """Store which runs of a worker have started for certain.
+
+    Another owner that does not reach the worker then need not wait for their starts.
+    """
+    for ref in worker.tracked_by_ref:
+        record = term.record_by_id.get(ref.job_id)
+        if record is not None and record.has_unstored_starts:
+            term.enqueue_record(record)
+
+
 def apply_late_end(
     term: OwnerTerm, worker: WorkerState, ref: TaskRef, kind: EndKind
 ) -> JobRecord | None:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -22,7 +22,9 @@
 from .run_ends import give_up_all_runs
 from .worker_leases import (
     MAX_COMMAND_DELAY_S,
+    MAX_OPEN_LEASE_S,
     START_WINDOW_S,
+    TimedCommand,
     WorkerLeases,
     latest_lease_end,
     longest_lease_s,
@@ -109,7 +111,8 @@
             # A worker that has seen the new token refuses starts with an older one.
             tracked = self.track_run(worker, record, ref)
             tracked.start_resolved_at = BEFORE_THIS_TERM
-            tracked.late_lease_until = self._late_lease_end(worker, record)
+            if not run.started:
+                tracked.late_lease_until = self._late_lease_end(worker, record)
             # Without an incarnation, an earlier owner has seen the worker's crash.
             tracked.has_run = run.born != 0
         self.refresh_demands(record)
@@ -322,7 +325,7 @@
         worker = WorkerState(
             info,
             self.max_lease_s,
-            WorkerLeases(latest_lease_end(self.began_at, self.max_lease_s)),
+            self._leases_of_earlier_owner(),
             self.journal.head_revision,
             self.known_workers,
         )
@@ -331,6 +334,24 @@
         self.cell.put_worker(info)
         return worker
 
+    def _leases_of_earlier_owner(self) -> WorkerLeases:
+        """Return the leases that a worker may have before it answers this owner.
+
+        An earlier owner may have granted some until its session ended, and one more by
+        a sync whose answer it had not got by then.
+        """
+        leases = WorkerLeases(latest_lease_end(self.began_at, self.max_lease_s))
+        leases.record_silence(
+            TimedCommand(
+                token=self.token - 1,
+                until_ms=0,
+                latest_at=self.began_at + MAX_COMMAND_DELAY_S,
+                lease_s=longest_lease_s(MAX_OPEN_LEASE_S),
+                answered_until=self.began_at,
+            )
+        )
+        return leases
+
     def _close_predecessors(self, info: WorkerInfo) -> None:
         """Record that the processes before a new worker at an address have ended."""
         if not info.address:
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -15,7 +15,7 @@
 from .dispatch import COMMAND_TIMEOUT_S
 from .fencing import raise_token_if_needed
 from .reports import apply_report
-from .run_ends import give_up_run
+from .run_ends import give_up_run, store_starts
 from .worker_leases import MAX_OPEN_LEASE_S
 
 if TYPE_CHECKING:
@@ -247,6 +247,7 @@
         if not worker.is_responsive:
             worker.next_sync_at = self._host.now.mono + SYNC_RETRY_DELAY_S
         if was_responsive and not worker.is_responsive:
+            store_starts(term, worker)
             log_event(
                 "worker_lost",
                 worker=worker.info.id,
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -116,7 +116,9 @@
     ``given_up_runs``: occurrence, step, index and run. A row of
     ``uncounted_gang_runs``: occurrence, step and one of the given-up runs of a gang
     that is older than its last failed run. Earlier builds do not write these, and keep
-    given-up runs whose failure has been counted.
+    given-up runs whose failure has been counted. A row of ``started_tasks``:
+    occurrence, step and index of a task whose current run has started for certain.
+    Earlier builds do not write these either.
     """
 
     state: JobState
@@ -125,6 +127,7 @@
     crashes: list[tuple[int, int, int, int, float]] = []
     given_up_runs: list[tuple[int, int, int, int]] = []
     uncounted_gang_runs: list[tuple[int, int, int]] = []
+    started_tasks: list[tuple[int, int, int]] = []
 
     @classmethod
     def from_record(cls, record: JobRecord) -> ProgressDocument:
@@ -150,6 +153,7 @@
             for key, task in record.task_by_key.items()
             for run in sorted(task.given_up_runs)
         ]
+        started = [tuple(key) for key, _, run in record.runs() if run.started]
         return cls(
             state=record.state,
             tasks=rows,
@@ -157,6 +161,7 @@
             crashes=crashes,
             given_up_runs=given_up_runs,
             uncounted_gang_runs=_uncounted_gang_runs(record),
+            started_tasks=started,
         )
 
     def apply_to(self, record: JobRecord) -> None:
@@ -167,13 +172,15 @@
         """
         if not self.state.is_final:
             record.state = self.state
+        started = set(self.started_tasks)
         for *key_parts, last_run, worker_id, born, done, failures, saved in self.tasks:
             key = TaskKey(*key_parts)
             task = record.task_by_key.get(key)
             if task is None:
                 continue
             task.last_run = last_run
-            task.run = Run(last_run, worker_id, born) if worker_id else None
+            if worker_id:
+                task.run = Run(last_run, worker_id, born, tuple(key) in started)
             task.failures = failures
             task.checkpoint = saved
             if done:
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -59,11 +59,14 @@
     """One run of a task on a worker.
 
     ``born`` identifies the worker's incarnation; 0 means unknown, as after a crash.
+    ``started`` is set once the worker is known to have started it, and no other start
+    command of it can be on its way.
     """
 
     number: int
     worker_id: str
     born: int
+    started: bool = False
 
 
 @dataclass(slots=True)
@@ -131,7 +134,8 @@
     """A job and its tasks; ``ended_at`` is in seconds of the wall clock.
 
     ``avoided_workers_by_step`` holds the ids of workers on which a run of the step
-    failed, stalled or got no answer to its start.
+    failed, stalled or got no answer to its start. ``has_unstored_starts`` is set while
+    the stored progress may lack a run that has started.
     """
 
     spec: JobSpec
@@ -144,6 +148,7 @@
     waiting_by_step: dict[StepKey, dict[TaskKey, None]] = field(default_factory=dict)
     avoided_workers_by_step: dict[StepKey, set[str]] = field(default_factory=dict)
     crashes_by_task: dict[TaskKey, CrashHistory] = field(default_factory=dict)
+    has_unstored_starts: bool = False
 
     @classmethod
     def from_spec(cls, spec: JobSpec) -> JobRecord:
@@ -251,6 +256,13 @@
             self.waiting_by_step.setdefault(key.step_key, {})[key] = None
         return True
 
+    def mark_started(self, key: TaskKey, number: int) -> None:
+        """Record that a run has started and that no start of it is on its way."""
+        task = self.task_by_key.get(key)
+        if task and task.run and task.run.number == number and not task.run.started:
+            task.run = replace(task.run, started=True)
+            self.has_unstored_starts = True
+
     def forget_incarnation(self, key: TaskKey, number: int) -> None:
         """Record that the incarnation that has a run, if any, is not known any more."""
         task = self.task_by_key.get(key)
--- a/tests/owner/test_late_grants.py
+++ b/tests/owner/test_late_grants.py
@@ -14,6 +14,8 @@
 # How long a new owner waits at most for a run that it does not reach and whose start
 # may still be on its way, with the time until it is elected and starts the next.
 TAKEOVER_S = 22.0
+# The same of a run that has started for certain.
+SETTLED_TAKEOVER_S = 15.0
 
 
 def play_until_all_jobs_are_done(seed, kills_owner):
@@ -142,3 +144,13 @@
     world.dead_workers.clear()
     world.run_until(lambda: world.final_state(JOB) == "completed", 15.0)
     check_all(world, {JOB: world.last_spec}, {})
+
+
+def test_run_that_has_started_is_not_held_up_by_its_start_after_a_takeover(world):
+    worker = start_job(world)
+    world.dead_workers.add(worker.id)
+    # The owner notices that the worker is silent, and stores what it knows.
+    world.run(2.0)
+    world.kill(world.owner())
+    world.run_until(lambda: len(world.executions(JOB)) == 2, SETTLED_TAKEOVER_S)
+    check_all(world, {JOB: world.last_spec}, {})
