Start the tasks of a worker elsewhere once a later one has its address

What callers see: tasks of a worker that crashed without a word wait until its leases are over, though its machine already runs the next worker.

Cause: a new worker at a known address was taken as a sign that the one before had closed its connections, which may also be a cut, and not as what it is: two processes can't listen at one address.

Change: if its born is later, the runs of the one before have ended.

Evidence: test_run_of_a_worker_whose_address_has_a_later_one_is_started_at_ once failed before (not within 1.5 s).

--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -359,6 +359,7 @@
         for other in self.worker_by_id.values():
             if other.info.address == info.address:
                 other.mark_closed(self.now.mono)
+                other.is_replaced = 0 < other.info.born < info.born
 
     def begin_sync(self, worker: WorkerState) -> None:
         """Record that a sync with a worker is in flight."""
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -109,7 +109,8 @@
     ``position`` orders workers by when they first became known. ``alive_at`` is when
     it was last known to live, ``closed_at`` since when it refuses connections or has
     closed them, as after a crash, both in monotonic seconds. ``blamed_runs`` are those
-    that were blamed for its crash. ``described_born`` is the
+    that were blamed for its crash. ``is_replaced`` is set once a worker that started
+    later has its address, so that its process has ended. ``described_born`` is the
     incarnation that ``info`` describes, ``earlier_born`` are those before the current
     one.
     """
@@ -137,6 +138,7 @@
     missing_since: float | None = None
     alive_at: float | None = None
     closed_at: float | None = None
+    is_replaced: bool = False
     described_born: int = 0
     earlier_born: set[int] = field(default_factory=set)
     blamed_runs: dict[TaskRef, float] = field(default_factory=dict)
@@ -155,7 +157,7 @@
     @property
     def is_available(self) -> bool:
         """Whether the worker has accepted the token and responds."""
-        return self.fenced and self.is_responsive
+        return self.fenced and self.is_responsive and not self.is_replaced
 
     @property
     def may_be_granted(self) -> bool:
@@ -187,10 +189,14 @@
 
     def is_over(self, run: TrackedRun, now: float) -> bool:
         """Return whether a run has surely ended if the worker is out of reach."""
+        if self.is_replaced:
+            return True
         return now > max(self.leases.expire_at, run.late_lease_until)
 
     def is_surely_empty(self, now: float) -> bool:
         """Return whether every run has surely ended if the worker is out of reach."""
+        if self.is_replaced:
+            return True
         latest_run_end = max(
             (run.late_lease_until for run in self.tracked_by_ref.values()),
             default=float("-inf"),
--- a/tests/owner/test_late_grants.py
+++ b/tests/owner/test_late_grants.py
@@ -154,3 +154,14 @@
     world.kill(world.owner())
     world.run_until(lambda: len(world.executions(JOB)) == 2, SETTLED_TAKEOVER_S)
     check_all(world, {JOB: world.last_spec}, {})
+
+
+def test_run_of_a_worker_whose_address_has_a_later_one_is_started_at_once(world):
+    worker = start_job(world)
+    world.crash_worker(worker.id)
+    known = world.owner().owner._term.worker_by_id[worker.id]
+    replacement = f"{worker.id}+"
+    world.run_until(lambda: replacement in world.worker_by_id, 4.0)
+    # However long the leases of the one before might last.
+    known.leases.certain_until = world.clock.mono + 60.0
+    world.run_until(lambda: len(world.executions(JOB)) == 2, 1.5)
