Tell the next owner which stored runs their workers have survived

Cause: that a run has settled is known to the owner only; the next one finds a run and an incarnation. A run holds it back from its placement until its worker has survived its start by 0.3 s, or until its end, or the crash, is durable (owner/settled_runs.py). Candidates read the head before they replace it, and carry the mark over. A restored run below the mark has no blame; it still counts as a run of that crash. No call and no document is added: an owner commits its status once a second, and the head is part of each commit. Earlier builds neither write the field nor mind it; after one of them the mark is 0, and all are blamed as before. Not chosen: a flag with each run. A run that nothing else happens to would need a write of its own.

--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -18,6 +18,7 @@
 __all__ = [
     "blame_by_run",
     "forgive_crashes",
+    "is_settled",
     "record_crash",
     "record_unanswered_start",
     "retract_crash",
@@ -46,7 +47,7 @@
     started = [
         run for run in runs if run.has_run and not _was_sent_after(run, closed_at)
     ]
-    recent = [run for run in started if not _is_settled(run, alive_at)]
+    recent = [run for run in started if not is_settled(run, alive_at)]
     jobs = len({run.ref.job_id for run in recent})
     blame = {run.ref: 0.0 for run in started}
     for run in recent:
@@ -150,7 +151,13 @@
     return run.start_sent_at > closed_at
 
 
-def _is_settled(run: TrackedRun, alive_at: float | None) -> bool:
+def is_settled(run: TrackedRun, alive_at: float | None) -> bool:
+    """Return whether a worker has survived the start of a run.
+
+    :param alive_at: when the worker was last known to live, in monotonic seconds.
+    """
+    if run.had_settled:
+        return True
     if run.start_resolved_at is None or alive_at is None:
         return False
     return alive_at - run.start_resolved_at >= SETTLED_AFTER_S
--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -116,7 +116,7 @@
             if decoded.is_error():
                 log_event("progress_refused", key=item.key, reason=decoded.error)
                 continue
-            term.restore(record, decoded.ok)
+            term.restore(record, decoded.ok, item.revision)
 
     def load_states(self, term: OwnerTerm, items: Iterable[KeyValue]) -> None:
         """Apply the cancellations and final states among the items."""
--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ValidationError
 
-from ..store.messages import StoreResult, StoreStatus, Transaction, Write
+from ..store.messages import KeyValue, StoreResult, StoreStatus, Transaction, Write
 from ..workload.documents import FinalDocument, JobKeys, ProgressDocument
 from ..workload.record import JobRecord
 
@@ -27,10 +27,23 @@
 
 
 class HeadDocument(BaseModel):
-    """The journal's head: token of the writing owner and number of the commit."""
+    """The journal's head: token of the writing owner and number of the commit.
+
+    A candidate writes 0 for both. ``settled_revision`` is the mark of
+    :class:`~.settled_runs.SettledRuns`; earlier builds do not write it.
+    """
 
     token: int
     number: int
+    settled_revision: int = 0
+
+    @classmethod
+    def from_item(cls, item: KeyValue | None) -> HeadDocument:
+        """Return the stored head; one of an earlier build tells nothing."""
+        try:
+            return cls.model_validate_json(item.value if item else "")
+        except ValidationError:
+            return cls(token=0, number=0)
 
 
 @dataclass(slots=True, eq=False)
@@ -56,6 +69,8 @@
     """
 
     def __init__(self, token: int, head_revision: int) -> None:
+        # Returns the mark for the next commit, given the head's revision.
+        self.read_mark: Callable[[int], int] = _no_mark
         self._token = token
         self._head_revision = head_revision
         self._number = 0
@@ -134,7 +149,10 @@
         if not (self._record_by_id or self._value_by_key or self._head_callbacks):
             return None
         self._number += 1
-        head = HeadDocument(token=self._token, number=self._number)
+        mark = self.read_mark(self._head_revision)
+        head = HeadDocument(
+            token=self._token, number=self._number, settled_revision=mark
+        )
         puts = [Write(HEAD_KEY, head.model_dump_json())]
         puts += [Write(key, value) for key, value in self._value_by_key.items()]
         self._value_by_key = {}
@@ -185,10 +203,7 @@
         for item in result.entries:
             if item.key != HEAD_KEY:
                 continue
-            try:
-                head = HeadDocument.model_validate_json(item.value)
-            except ValidationError:
-                return 0
+            head = HeadDocument.from_item(item)
             if head.token == self._token and head.number == commit.number:
                 return item.revision
         return 0
@@ -220,3 +235,7 @@
             deletes.append(keys.progress)
             self._progress_stored_ids.discard(job_id)
         return 0
+
+
+def _no_mark(_head_revision: int) -> int:
+    return 0
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -129,6 +129,7 @@
             early_s=self._settings.early_s,
             began_at=self.now.mono,
             team_use=TeamUse(shares.half_life_s) if shares else None,
+            settled_revision=elected.settled_revision,
         )
         term.now = self.now
         self._term = term
@@ -222,6 +223,7 @@
         )
         self._jobs.check_watch(term)
         self._jobs.delete_expired(term)
+        term.settled_runs.refresh(term.journal)
 
     def _log_waiting_steps(self, term: OwnerTerm) -> None:
         """Log why the steps with the earliest due times still wait."""
--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -25,7 +25,7 @@
     Write,
 )
 from .entries import ENTRIES_PREFIX, EntryDocument, stronger_entries
-from .journal import HEAD_KEY
+from .journal import HEAD_KEY, HeadDocument
 from .messages import Deposed, Elected, Resign, SessionExtended, StoodDown
 
 __all__ = ["OWNER_KEY", "SessionRole"]
@@ -79,6 +79,8 @@
         self._ended_token = 0
         # Lease of the last election attempt.
         self._election_lease_id = ""
+        # The mark in the head that the last attempted election replaces.
+        self._settled_revision = 0
         # Lives of the stronger entries that had a head start; ``None`` before this
         # candidate has looked for them.
         self._stronger_lives: frozenset[str] | None = None
@@ -205,7 +207,7 @@
         self._token = revision
         self._log_elected(revision)
         passed_over_lives = self._stronger_lives or frozenset()
-        elected = Elected(revision, revision, passed_over_lives)
+        elected = Elected(revision, revision, passed_over_lives, self._settled_revision)
         self.emit(self._owner_role, elected)
         self._report_session(session)
 
@@ -248,11 +250,15 @@
             return
         head_revision = head.entry.revision if head.entry else ABSENT
         self._election_lease_id = session.lease_id
+        self._settled_revision = HeadDocument.from_item(head.entry).settled_revision
+        new_head = HeadDocument(
+            token=0, number=0, settled_revision=self._settled_revision
+        )
         change = Transaction(
             expected=((OWNER_KEY, ABSENT), (HEAD_KEY, head_revision)),
             puts=(
                 Write(OWNER_KEY, self._value, session.lease_id),
-                Write(HEAD_KEY, self._value),
+                Write(HEAD_KEY, new_head.model_dump_json()),
             ),
         )
         result = yield Call(STORE, change, CALL_TIMEOUT_S)
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -20,6 +20,7 @@
 from .incarnations import begin_incarnation
 from .journal import Journal
 from .run_ends import give_up_all_runs
+from .settled_runs import SettledRuns
 from .worker_state import (
     BEFORE_THIS_TERM,
     TrackedRun,
@@ -74,6 +75,8 @@
     crashed_at_by_address: dict[str, float] = field(default_factory=dict)
     ended_at_by_job_id: dict[str, float] = field(default_factory=dict)
     ended_jobs: EndedJobs = field(init=False)
+    settled_revision: int = 0
+    settled_runs: SettledRuns = field(init=False)
     policy: Policy | None = None
     loaded: bool = False
     workers_listed_at: float | None = None
@@ -85,6 +88,8 @@
 
     def __post_init__(self) -> None:
         self.ended_jobs = EndedJobs(self.max_lease_s)
+        self.settled_runs = SettledRuns(self.settled_revision)
+        self.journal.read_mark = self.settled_runs.mark
 
     def add_job(self, spec: JobSpec) -> JobRecord:
         """Add a submitted job and return its record; idempotent."""
@@ -97,8 +102,13 @@
         self.refresh_demands(record)
         return record
 
-    def restore(self, record: JobRecord, document: ProgressDocument) -> None:
-        """Restore a record from stored progress and track the runs it names."""
+    def restore(
+        self, record: JobRecord, document: ProgressDocument, revision: int
+    ) -> None:
+        """Restore a record from stored progress and track the runs it names.
+
+        :param revision: that of the document in the store.
+        """
         document.apply_to(record)
         self.journal.mark_progress_stored(record.spec.id)
         for key, _, run in record.runs():
@@ -109,6 +119,8 @@
             tracked.start_resolved_at = BEFORE_THIS_TERM
             # Without an incarnation, an earlier owner has seen the worker's crash.
             tracked.has_run = run.born != 0
+            if tracked.has_run:
+                self.settled_runs.restore(worker, tracked, revision)
         self.refresh_demands(record)
 
     def restore_final(self, record: JobRecord, document: FinalDocument) -> None:
@@ -379,7 +391,9 @@
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             return None
-        return self.track_run(worker, record, TaskRef(record.spec.id, key, run))
+        tracked = self.track_run(worker, record, TaskRef(record.spec.id, key, run))
+        self.settled_runs.hold(worker, tracked, self.journal.head_revision)
+        return tracked
 
     def track_run(
         self, worker: WorkerState, record: JobRecord, ref: TaskRef
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -56,7 +56,8 @@
     can start the run any more, ``None`` before that; a sync sent later shows whether
     the run exists.
     ``has_run`` is set once the worker is known to have carried out the start.
-    ``is_blamed`` is set when the run is counted for a crash of its worker.
+    ``had_settled`` is set if an earlier owner has stored that its worker had survived
+    the start. ``is_blamed`` is set when the run is counted for a crash of its worker.
     ``listed`` is set once the worker's current incarnation has listed the run.
     ``sent_to_earlier`` is set while the run was started on an earlier incarnation only.
     ``has_claim`` is unset if the run's size is not known, so that it claims no room: no
@@ -66,6 +67,7 @@
     ref: TaskRef
     placed_at: float
     has_run: bool = False
+    had_settled: bool = False
     is_blamed: bool = False
     start_sent_at: float | None = None
     may_start_late: bool = True
@@ -89,7 +91,7 @@
         has seen a later token, so its answer to a sync from now on is conclusive.
         """
         self.start_resolved_at = now
-        self.has_run = self.is_blamed = False
+        self.has_run = self.had_settled = self.is_blamed = False
         self.listed = False
         self.sent_to_earlier = True
 
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -258,7 +258,7 @@
     stored = JobRecord.from_spec(spec)
     stored.begin_run(TaskKey(0, 0, 0), 1, "w9", born)
     record = term.add_job(spec)
-    term.restore(record, ProgressDocument.from_record(stored))
+    term.restore(record, ProgressDocument.from_record(stored), revision=1)
     return record
 
 
