Extend the lease of a run that a late start begins by what else is on its way

Cause: the chain of unanswered commands was counted from the end of the known leases only. Change: WorkerLeases.latest_end counts it from any time. An unanswered grant is also followed by the next one as soon as the worker answers, not a second after it was sent. Evidence: the new case of test_worker_leases.py; the code before had no way to ask.

--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -83,12 +83,17 @@
 
     @property
     def expire_at(self) -> float:
-        """When the leases of all runs have expired, in monotonic seconds.
+        """When the leases of all runs have expired, in monotonic seconds."""
+        return self.latest_end(self.certain_until)
+
+    def latest_end(self, until: float) -> float:
+        """Return by when a lease has expired that lasts until some time by itself.
 
         A command extends only a lease that has not expired before it is carried out, so
         several ones extend it further if they are carried out one after the other.
+        Times are monotonic seconds.
         """
-        until = self.certain_until
+        until = max(until, self.certain_until)
         commands = self.in_flight + self.unanswered
         for command in sorted(commands, key=attrgetter("latest_at")):
             until = max(until, min(until, command.latest_at) + command.lease_s)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -193,7 +193,7 @@
         """Return whether a run has surely ended if the worker is out of reach."""
         if self.is_replaced:
             return True
-        return now > max(self.leases.expire_at, run.late_lease_until)
+        return now > self.leases.latest_end(run.late_lease_until)
 
     def is_surely_empty(self, now: float) -> bool:
         """Return whether every run has surely ended if the worker is out of reach."""
@@ -203,7 +203,7 @@
             (run.late_lease_until for run in self.tracked_by_ref.values()),
             default=float("-inf"),
         )
-        return now > max(self.leases.expire_at, latest_run_end)
+        return now > self.leases.latest_end(latest_run_end)
 
     @property
     def acknowledgement(self) -> int:
@@ -337,6 +337,8 @@
             self.leases.withdraw(command)
         else:
             self.leases.record_silence(command)
+            # The next grant follows as soon as the worker answers.
+            self.granted_at = float("-inf")
 
     def record_token(self, token: int, now: float) -> None:
         """Record that the worker has answered a command under a token."""
--- a/tests/owner/test_worker_leases.py
+++ b/tests/owner/test_worker_leases.py
@@ -42,6 +42,13 @@
     assert leases_with_unanswered(soon, certain_until=2.0).expire_at == 4.0
 
 
+def test_lease_of_a_run_that_a_late_start_begins_is_extended_as_well():
+    """The leases from before have expired by then."""
+    leases = leases_with_unanswered(EARLIER)
+    assert leases.expire_at == 5.0
+    assert leases.latest_end(8.0) == 11.0
+
+
 def test_answered_command_extends_the_leases_to_its_own_end():
     leases = WorkerLeases(2.0)
     leases.begin(EARLIER, 0.0)
