Move the take-over of stored runs out of the owner's term, and count all late starts

By reading: after a takeover, a start of the earlier owner that is carried out late extends the leases of the other runs on its worker as well, and these were taken for dead without regard to it.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -24,6 +24,7 @@
     decode_submission,
 )
 from .journal import HEAD_KEY
+from .takeover import restore_progress
 from .watch_progress import WatchProgress
 
 if TYPE_CHECKING:
@@ -116,7 +117,7 @@
             if decoded.is_error():
                 log_event("progress_refused", key=item.key, reason=decoded.error)
                 continue
-            term.restore(record, decoded.ok, item.revision)
+            restore_progress(term, record, decoded.ok, item.revision)
 
     def load_states(self, term: OwnerTerm, items: Iterable[KeyValue]) -> None:
         """Apply the cancellations and final states among the items."""
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -21,22 +21,14 @@
 from .journal import Journal
 from .run_ends import give_up_all_runs
 from .settled_runs import SettledRuns
-from .worker_leases import (
-    MAX_COMMAND_DELAY_S,
-    MAX_OPEN_LEASE_S,
-    START_WINDOW_S,
-    TimedCommand,
-    WorkerLeases,
-    latest_lease_end,
-    longest_lease_s,
-)
-from .worker_state import BEFORE_THIS_TERM, TrackedRun, WorkerState
+from .worker_leases import leases_of_earlier_owner
+from .worker_state import TrackedRun, WorkerState
 
 if TYPE_CHECKING:
     from ..planning.team_use import TeamUse
     from ..policy.values import Policy, Queue
     from ..runtime.role import Now
-    from ..workload.documents import FinalDocument, ProgressDocument
+    from ..workload.documents import FinalDocument
     from ..workload.record import Run
     from ..workload.spec import JobSpec, TaskKey
 
@@ -106,38 +98,6 @@
         self.refresh_demands(record)
         return record
 
-    def restore(
-        self, record: JobRecord, document: ProgressDocument, revision: int
-    ) -> None:
-        """Restore a record from stored progress and track the runs it names.
-
-        :param revision: that of the document in the store.
-        """
-        document.apply_to(record)
-        self.journal.mark_progress_stored(record.spec.id)
-        for key, _, run in record.runs():
-            worker = self._worker_of_run(run.worker_id, run.born)
-            ref = TaskRef(record.spec.id, key, run.number)
-            # A worker that has seen the new token refuses starts with an older one.
-            tracked = self.track_run(worker, record, ref)
-            tracked.start_resolved_at = BEFORE_THIS_TERM
-            if not run.started:
-                tracked.late_lease_until = self._late_lease_end(worker, record)
-            # Without an incarnation, an earlier owner has seen the worker's crash.
-            tracked.has_run = run.born != 0
-            if tracked.has_run:
-                self.settled_runs.restore(worker, tracked, revision)
-        self.refresh_demands(record)
-
-    def _late_lease_end(self, worker: WorkerState, record: JobRecord) -> float:
-        """Return until when a start by an earlier owner may keep a run alive."""
-        queue = self.queue_of(record)
-        if queue is None or queue.advice is None:
-            sent_by = self.began_at + MAX_COMMAND_DELAY_S
-            return latest_lease_end(sent_by, worker.max_lease_s)
-        # Its permit was valid from before the start was sent.
-        return self.began_at + queue.advice.valid_s + longest_lease_s(START_WINDOW_S)
-
     def restore_final(self, record: JobRecord, document: FinalDocument) -> None:
         """Apply a final state that an earlier owner stored, and stop remaining runs."""
         record.finish(document.state, document.ended_at)
@@ -337,7 +297,7 @@
         worker = WorkerState(
             info,
             self.max_lease_s,
-            self._leases_of_earlier_owner(),
+            leases_of_earlier_owner(self.token, self.began_at, self.max_lease_s),
             self.journal.head_revision,
             self.known_workers,
         )
@@ -346,24 +306,6 @@
         self.cell.put_worker(info)
         return worker
 
-    def _leases_of_earlier_owner(self) -> WorkerLeases:
-        """Return the leases that a worker may have before it answers this owner.
-
-        An earlier owner may have granted some until its session ended, and one more by
-        a sync whose answer it had not got by then.
-        """
-        leases = WorkerLeases(latest_lease_end(self.began_at, self.max_lease_s))
-        leases.record_silence(
-            TimedCommand(
-                token=self.token - 1,
-                until_ms=0,
-                latest_at=self.began_at + MAX_COMMAND_DELAY_S,
-                lease_s=longest_lease_s(MAX_OPEN_LEASE_S),
-                answered_until=self.began_at,
-            )
-        )
-        return leases
-
     def _close_predecessors(self, info: WorkerInfo) -> None:
         """Record that the processes before a new worker at an address have ended."""
         if not info.address:
@@ -394,7 +336,7 @@
         is_known = self.worker_by_id.get(worker.info.id) is worker
         return is_known and worker.incarnation == incarnation
 
-    def _worker_of_run(self, worker_id: str, born: int) -> WorkerState:
+    def worker_of_run(self, worker_id: str, born: int) -> WorkerState:
         """Return the worker of a stored run, adding it if it is not listed.
 
         Runs of several incarnations may be stored; the latest one is the worker's.
--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -11,6 +11,7 @@
     "START_WINDOW_S",
     "TimedCommand",
     "WorkerLeases",
+    "leases_of_earlier_owner",
     "latest_lease_end",
     "longest_lease_s",
 ]
@@ -136,3 +137,26 @@
     def needs_token_above(self, token: int) -> bool:
         """Return whether an unanswered command is refused only under a later token."""
         return any(command.token >= token for command in self.unanswered)
+
+
+def leases_of_earlier_owner(
+    token: int, session_end: float, max_lease_s: float
+) -> WorkerLeases:
+    """Return the leases that a worker may have by an earlier owner's syncs.
+
+    That may have granted some until its session ended, and one more by a sync whose
+    answer it had not got by then.
+
+    :param token: the first token of the present owner.
+    :param session_end: by when the earlier session had ended, in monotonic seconds.
+    """
+    leases = WorkerLeases(latest_lease_end(session_end, max_lease_s))
+    sync = TimedCommand(
+        token=token - 1,
+        until_ms=0,
+        latest_at=session_end + MAX_COMMAND_DELAY_S,
+        lease_s=longest_lease_s(MAX_OPEN_LEASE_S),
+        answered_until=session_end,
+    )
+    leases.record_silence(sync)
+    return leases
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -6,6 +6,7 @@
 from tests.support.logged_events import capture_events
 from tests.support.steps import CAPACITY, StepWorld, step
 
+from lagoonpulley.owner.takeover import restore_progress
 from lagoonpulley.owner.term import OwnerTerm
 from lagoonpulley.upstream.directory import WorkerInfo
 from lagoonpulley.workload.documents import ProgressDocument
@@ -258,7 +259,7 @@
     stored = JobRecord.from_spec(spec)
     stored.begin_run(TaskKey(0, 0, 0), 1, "w9", born)
     record = term.add_job(spec)
-    term.restore(record, ProgressDocument.from_record(stored), revision=1)
+    restore_progress(term, record, ProgressDocument.from_record(stored), revision=1)
     return record
 
 
