--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from ..planning.planner import Start
+    from ..upstream.tasks import TaskRef
     from .flow_host import FlowHost
     from .term import OwnerTerm
     from .worker_leases import TimedCommand
@@ -64,8 +65,7 @@
         last_at = self._host.now.mono + START_EFFORT_S
         attempts_into_silence = 0
         while self._host.now.mono <= last_at:
-            if term.worker_lease_s() < START_WINDOW_S:
-                # A successor may count the worker's leases as expired by then.
+            if not _may_attempt(term, worker, tracked, incarnation):
                 break
             sent_at = self._host.now.mono
             raise_token_if_needed(term, worker)
@@ -76,54 +76,41 @@
             if isinstance(result, CommandAccepted):
                 worker.record_token(token, self._host.now.mono)
                 return result
-            was_overtaken = _is_fenced(result) and token < worker.token
-            if isinstance(result, CommandRefused) and not was_overtaken:
-                if failed.ran is Ran.NO:
-                    return result
-                return CallFailed(Ran.MAYBE, f"then refused: {result.reason.value}")
-            if isinstance(result, CallFailed):
-                if result.closed and result.ran is not Ran.NO:
-                    # The worker may have crashed because of it.
-                    tracked.has_run = True
-                failed = CallFailed(failed.ran.combine(result.ran), result.reason)
-                if failed.ran is Ran.NO or result.closed:
-                    break
-                attempts_into_silence += 1
+            if _is_fenced(result) and token < worker.token:
+                # A later command of this owner has overtaken it.
+                continue
+            if isinstance(result, CommandRefused):
+                return _refused(result, failed)
+            if result.closed and result.ran is not Ran.NO:
+                # The worker may have crashed because of it.
+                tracked.has_run = True
+            failed = CallFailed(failed.ran.combine(result.ran), result.reason)
+            if failed.ran is Ran.NO or result.closed:
+                break
+            attempts_into_silence += 1
             if worker.has_answered_since(sent_at):
                 attempts_into_silence = 0
             if attempts_into_silence >= MAX_ATTEMPTS_INTO_SILENCE:
-                asked_at = self._host.now.mono
-                yield from self._sync_now(term, worker)
-                if not worker.has_answered_since(asked_at):
-                    break
                 attempts_into_silence = 0
-            if not term.is_current(worker, incarnation):
-                break
-            if tracked.stop_requested or tracked.listed or term.has_ended:
-                break
+                if not (yield from self._is_alive(term, worker)):
+                    break
         return failed
 
+    def _is_alive(self, term: OwnerTerm, worker: WorkerState) -> Flow:
+        """Return whether a worker answers a sync."""
+        asked_at = self._host.now.mono
+        yield from self._sync_now(term, worker)
+        return worker.has_answered_since(asked_at)
+
     def _attempt(
         self, term: OwnerTerm, start: Start, worker: WorkerState, tracked: TrackedRun
     ) -> Flow:
         """Send a start once."""
         sent_at = self._host.now.mono
-        permits = term.permits.for_step(tracked.ref.job_id, tracked.ref.key.step_key)
-        permit = permits.permit_by_worker_id.get(worker.info.id, "")
-        refused_from = permits.refused_from(worker.info.id) if permit else None
-        timed = worker.begin_timed_command(sent_at, START_WINDOW_S, refused_from)
-        command = StartTask(
-            to=worker.address,
-            ref=tracked.ref,
-            payload=start.record.spec.payload,
-            not_after_ms=timed.until_ms if timed else 0,
-            token=worker.token,
-            checkpoint=start.checkpoint,
-            permit=permit,
-        )
+        command, timed = _make_command(term, start, worker, tracked.ref, sent_at)
         known_until = tracked.late_lease_until
         if timed is not None:
-            until = _late_lease_end(worker, timed, permit)
+            until = _late_lease_end(worker, timed, command.permit)
             tracked.late_lease_until = max(known_until, until)
         timeout_s = self._timeout.timeout_s
         result = yield Call(UPSTREAM, command, timeout_s)
@@ -135,13 +122,57 @@
         worker.record_outcome(timed, result)
         if not is_failure or result.ran is Ran.NO:
             tracked.late_lease_until = known_until
-        if isinstance(result, CommandAccepted) and permit:
+        if isinstance(result, CommandAccepted) and command.permit:
             # An earlier attempt cannot start the run again on this incarnation, and
             # another one refuses the permit.
             tracked.late_lease_until = float("-inf")
         return result
 
 
+def _make_command(
+    term: OwnerTerm, start: Start, worker: WorkerState, ref: TaskRef, now: float
+) -> tuple[StartTask, TimedCommand | None]:
+    """Return the start of a run, which grants its worker a lease, and its times.
+
+    The latter are ``None`` while the worker's clock is unknown.
+    """
+    permits = term.permits.for_step(ref.job_id, ref.key.step_key)
+    permit = permits.permit_by_worker_id.get(worker.info.id, "")
+    refused_from = permits.refused_from(worker.info.id) if permit else None
+    timed = worker.begin_timed_command(now, START_WINDOW_S, refused_from)
+    command = StartTask(
+        to=worker.address,
+        ref=ref,
+        payload=start.record.spec.payload,
+        not_after_ms=timed.until_ms if timed else 0,
+        token=worker.token,
+        checkpoint=start.checkpoint,
+        permit=permit,
+    )
+    return command, timed
+
+
+def _may_attempt(
+    term: OwnerTerm, worker: WorkerState, tracked: TrackedRun, incarnation: int
+) -> bool:
+    """Return whether a start is still wanted, and may be sent."""
+    if term.has_ended or not term.is_current(worker, incarnation):
+        return False
+    if tracked.stop_requested or tracked.listed:
+        return False
+    # A successor may count the worker's leases as expired by then.
+    return term.worker_lease_s() >= START_WINDOW_S
+
+
+def _refused(
+    refusal: CommandRefused, earlier: CallFailed
+) -> CommandRefused | CallFailed:
+    """Return what a refusal tells after the earlier attempts."""
+    if earlier.ran is Ran.NO:
+        return refusal
+    return CallFailed(Ran.MAYBE, f"then refused: {refusal.reason.value}")
+
+
 def _is_fenced(result: object) -> bool:
     return isinstance(result, CommandRefused) and result.reason is Refusal.FENCED
 
