--- a/benchmarks/step_fuzz.py
+++ b/benchmarks/step_fuzz.py
@@ -4,7 +4,9 @@
 
 With ``--unequal``, one entry is stronger than the others; with ``--late``, workers
 carry out starts and syncs late, also after they have restarted. With ``--restarts``,
-they also restart while nobody reaches them, with less room or listed late.
+they also restart while nobody reaches them, with less room or listed late. With
+``--grants``, late commands of all kinds extend leases from when they are carried out,
+behind cuts and killed owners, and no worker restarts.
 
 Each seed runs a batch of histories. A failure is printed as the sequence of operations
 that leads to it; its seed reproduces it.
@@ -22,6 +24,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from tests.support.step_history import (
     LateCommandsHistory,
+    LateGrantsHistory,
     LateRestartsHistory,
     StepHistory,
     UnequalEntriesHistory,
@@ -64,6 +67,7 @@
     parser.add_argument("--unequal", action="store_true")
     parser.add_argument("--late", action="store_true")
     parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--grants", action="store_true")
     options = parser.parse_args()
     history = StepHistory
     if options.unequal:
@@ -72,6 +76,8 @@
         history = LateCommandsHistory
     if options.restarts:
         history = LateRestartsHistory
+    if options.grants:
+        history = LateGrantsHistory
     run = functools.partial(run_seed, history)
     batches = -(-options.histories // HISTORIES_PER_SEED)
     seeds = range(options.first_seed, options.first_seed + batches)
--- a/tests/owner/test_histories.py
+++ b/tests/owner/test_histories.py
@@ -4,11 +4,12 @@
 
 from collections import Counter
 
-from hypothesis import Phase
+from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 from tests.support.logged_events import capture_events
 from tests.support.step_history import (
     LateCommandsHistory,
+    LateGrantsHistory,
     LateRestartsHistory,
     StepHistory,
     UnequalEntriesHistory,
@@ -35,6 +36,9 @@
 TestLateRestartsHistories = LateRestartsHistory.TestCase
 TestLateRestartsHistories.settings = GENERATED
 
+TestLateGrantsHistories = LateGrantsHistory.TestCase
+TestLateGrantsHistories.settings = settings(GENERATED, max_examples=30)
+
 
 def test_late_restarts_histories_reach_what_they_are_for():
     """A batch that never gets there would prove nothing.
@@ -56,3 +60,20 @@
     assert reached["late StartTask behind a cut"] >= 1, reached
     assert reached["adopted run"] >= 1, reached
     assert reached["start on a smaller incarnation"] >= 1, reached
+
+
+def test_late_grants_histories_reach_what_they_are_for():
+    """As above; the invariants are those of the test case."""
+    reached: Counter[str] = Counter()
+
+    class CountedHistory(LateGrantsHistory):
+        def teardown(self):
+            self._end_faults()
+            reached.update(self.reached_states())
+
+    histories = TestLateGrantsHistories.settings
+    run_state_machine_as_test(CountedHistory, settings=histories)
+    assert reached["late grant behind a cut"] >= 1, reached
+    assert reached["late start behind a cut"] >= 1, reached
+    assert reached["start refused as old that extended a lease"] >= 1, reached
+    assert reached["owner killed around a cut"] >= 1, reached
--- a/tests/owner/test_histories_can_fail.py
+++ b/tests/owner/test_histories_can_fail.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
+
 import pytest
 from hypothesis import Phase
 from hypothesis.stateful import run_state_machine_as_test
+from tests.support.late_grants import complete_beside_a_late_grant
 from tests.support.logged_events import capture_events
 from tests.support.step_history import (
     LateRestartsHistory,
@@ -82,6 +85,12 @@
     patch.setattr(WorkerState, "is_described", property(lambda self: True))
 
 
+def count_answered_commands_only(patch):
+    # By name: the module is part of the fix of issue 44.
+    expire_at = "lagoonpulley.owner.worker_leases.WorkerLeases.expire_at"
+    patch.setattr(expire_at, property(attrgetter("certain_until")))
+
+
 @pytest.mark.parametrize(
     ("inject_fault", "machine", "message"),
     [
@@ -192,3 +201,10 @@
     inject_fault(monkeypatch)
     with pytest.raises(AssertionError, match="over its capacity"):
         play()
+
+
+def test_late_grant_that_the_owner_leaves_out_of_its_bound_is_detected(monkeypatch):
+    complete_beside_a_late_grant()
+    count_answered_commands_only(monkeypatch)
+    with pytest.raises(AssertionError, match="ran twice at once"):
+        complete_beside_a_late_grant()
--- a/tests/owner/test_review_41.py
+++ b/tests/owner/test_review_41.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from tests.support.late_grants import complete_beside_a_late_grant
 from tests.support.late_starts import start_late_beside_a_busy_worker
 from tests.support.step_invariants import (
     check_all,
@@ -19,7 +20,6 @@
 from lagoonpulley.upstream.tasks import (
     StartTask,
     StopTask,
-    SyncWorker,
     TaskRef,
     WorkerAddress,
 )
@@ -252,16 +252,7 @@
 
 
 def test_late_grant_keeps_a_run_alive_beside_its_successor():
-    world = world_with_late_times(workers=2)
-    world.submit(FIRST, step(processors=WHOLE), payload="seconds=12")
-    world.run(1.0)
-    (worker,) = (w for w in world.worker_by_id.values() if w.executions)
-    leave_unanswered(world, worker.id, (SyncWorker,), 2.0)
-    world.run(1.0)
-    world.lateness_by_worker.clear()
-    world.dead_workers.add(worker.id)
-    world.run_until(lambda: world.final_state(FIRST) == "completed", 25.0)
-    check_all(world, {FIRST: world.last_spec}, {})
+    complete_beside_a_late_grant()
 
 
 def test_sound_job_fails_for_crashes_long_after_late_starts_of_its_earlier_runs():
--- a/tests/support/late_grants.py
+++ b/tests/support/late_grants.py
@@ -5,12 +5,19 @@
 import random
 from typing import TYPE_CHECKING
 
+from lagoonpulley.upstream.tasks import SyncWorker
+
+from .step_invariants import check_all
 from .steps import CAPACITY, Lateness, StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.workload.spec import JobSpec
 
-__all__ = ["cut_off_workers_with_late_commands", "is_completed"]
+__all__ = [
+    "complete_beside_a_late_grant",
+    "cut_off_workers_with_late_commands",
+    "is_completed",
+]
 
 ENTRIES = 3
 WORKERS = 6
@@ -68,3 +75,24 @@
 def is_completed(world: StepWorld, spec_by_id: dict[str, JobSpec]) -> bool:
     """Return whether all jobs are completed."""
     return all(world.final_state(job_id) == "completed" for job_id in spec_by_id)
+
+
+def complete_beside_a_late_grant() -> None:
+    """Check a job whose worker is cut off right after a grant that it carries out late.
+
+    The grant is two seconds late, and its time counts from then.
+    """
+    world = StepWorld(workers=2)
+    world.late_times_count_from_arrival = True
+    world.run(8.0)
+    world.submit("a" * 16, step(processors=CAPACITY[0]), payload="seconds=12")
+    spec_by_id = {"a" * 16: world.last_spec}
+    world.run(1.0)
+    (worker,) = (w for w in world.worker_by_id.values() if w.executions)
+    lateness = Lateness(kinds=(SyncWorker,), min_s=2.0, max_s=2.0)
+    world.lateness_by_worker[worker.id] = lateness
+    world.run(1.0)
+    world.lateness_by_worker.clear()
+    world.dead_workers.add(worker.id)
+    world.run_until(lambda: is_completed(world, spec_by_id), 25.0)
+    check_all(world, spec_by_id, {})
--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -15,16 +15,17 @@
 
 from lagoonpulley.intake.messages import OutcomeKind
 from lagoonpulley.model.resources import Resources
-from lagoonpulley.upstream.tasks import CommandRefused
+from lagoonpulley.upstream.tasks import CommandRefused, Refusal, StartTask
 
 from .step_invariants import check_all
-from .steps import CAPACITY, STRONG, WEAK, StepWorld, step
+from .steps import CAPACITY, STRONG, WEAK, Lateness, StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.workload.spec import JobSpec
 
 __all__ = [
     "LateCommandsHistory",
+    "LateGrantsHistory",
     "LateRestartsHistory",
     "StepHistory",
     "UnequalEntriesHistory",
@@ -55,6 +56,8 @@
     "whole": (step(count=1, processors=16000),),
 }
 SHAPES = sorted(STEPS_BY_SHAPE)
+# Not among the shapes that all histories draw: it would change them.
+STEPS_BY_SHAPE["quarters"] = (step(count=3, processors=4000),)
 PAYLOADS = ("seconds=0.3", "seconds=1", "seconds=4")
 
 
@@ -408,3 +411,151 @@
         super()._end_faults()
         for worker_id in WORKERS:
             self._list_worker(worker_id)
+
+
+# Workers of a cell in which tasks of workers that are cut off find room elsewhere.
+ROOMY_WORKERS = (*WORKERS, "w3", "w4", "w5")
+LATE_SHARES = (0.5, 0.8, 0.8)
+# Of the jobs before a cut, in turn.
+CUT_PAYLOADS = ("seconds=0.6", "seconds=1.5", "seconds=2.5", "seconds=4")
+MOST_CUTS = 2
+# Longer than any of these histories.
+LONG_RETENTION_S = 3600.0
+# Of a cut behind which late commands are carried out: the jobs submitted before it, one
+# each tenth of a second, before commands are late and then, and the tenths of a second
+# from the last of them until the cut.
+CUT_WITH_LATE_COMMANDS = {
+    "workers": st.sets(st.sampled_from(ROOMY_WORKERS), min_size=3, max_size=3),
+    "shape": st.sampled_from(("chain", "quarters", "quarters", "quarters", "wide")),
+    "punctual_jobs": st.integers(1, 3),
+    "late_jobs": st.integers(6, 11),
+    "share": st.sampled_from(LATE_SHARES),
+    "tenths": st.integers(5, 20),
+    "cut_s": st.integers(8, 14),
+}
+
+
+class LateGrantsHistory(StepHistory):
+    """Histories with late commands of all kinds, whose times count from their arrival.
+
+    Workers are cut off from all entries for longer than a lease, and owners are killed
+    meanwhile. No worker restarts; see KNOWN-RED.txt, 71.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world.late_times_count_from_arrival = True
+        self.world.retention_s = LONG_RETENTION_S
+        self.cuts = 0
+        self.owners_killed_around_cuts = 0
+        for worker_id in ROOMY_WORKERS:
+            self.world.add_worker(worker_id)
+        for name in ENTRIES:
+            self.restart_entry(name)
+        self.world.run(7.0)
+
+    def restart_worker(self, worker):
+        """Leave the workers alone: this is no rule."""
+
+    @rule(
+        worker=st.sampled_from(ROOMY_WORKERS),
+        share=st.sampled_from((0.0, *LATE_SHARES)),
+    )
+    def carry_out_commands_of_all_kinds_late(self, worker, share):
+        self.world.lateness_by_worker[worker] = Lateness(share)
+
+    @precondition(lambda self: self.cuts < MOST_CUTS)
+    @rule(**CUT_WITH_LATE_COMMANDS)
+    def cut_off_workers_with_late_commands(self, **drawn):
+        self._cut_off_workers_with_late_commands(killed_at_tenths=None, **drawn)
+
+    @precondition(lambda self: self.cuts < MOST_CUTS)
+    @rule(
+        killed_at_tenths=st.sampled_from((-1, 0, 10, 40)),
+        **CUT_WITH_LATE_COMMANDS,
+    )
+    def cut_off_workers_with_late_commands_and_kill_the_owner(self, **drawn):
+        self._cut_off_workers_with_late_commands(**drawn)
+
+    def reached_states(self) -> Counter[str]:
+        """Count the events that these histories are meant to reach."""
+        reached: Counter[str] = Counter()
+        reached["owner killed around a cut"] = self.owners_killed_around_cuts
+        for late in self.world.late_commands:
+            is_start = isinstance(late.command, StartTask)
+            if late.was_cut_off and not is_start and late.kept_runs:
+                reached["late grant behind a cut"] += 1
+            if late.was_cut_off and late.began_run:
+                reached["late start behind a cut"] += 1
+            if not isinstance(late.result, CommandRefused) or not late.kept_runs:
+                continue
+            if late.result.reason is Refusal.OLD:
+                reached["start refused as old that extended a lease"] += 1
+        return reached
+
+    def _cut_off_workers_with_late_commands(
+        self,
+        *,
+        workers: set[str],
+        shape: str,
+        punctual_jobs: int,
+        late_jobs: int,
+        share: float,
+        tenths: int,
+        cut_s: int,
+        killed_at_tenths: int | None,
+    ) -> None:
+        """Cut off workers with runs, to which commands are on their way.
+
+        :param killed_at_tenths: when in the cut the owner is killed, in tenths of a
+            second; -1 just before it.
+        """
+        world = self.world
+        self.cuts += 1
+        self._restore_entries()
+        for number in range(punctual_jobs + late_jobs):
+            if number == punctual_jobs:
+                lateness = Lateness(share)
+                world.lateness_by_worker = dict.fromkeys(ROOMY_WORKERS, lateness)
+            payload = CUT_PAYLOADS[number % len(CUT_PAYLOADS)]
+            self._submit(shape, payload, "south")
+            world.run(0.05)
+        world.run(tenths / 10)
+        killed = self._kill_owners() if killed_at_tenths == -1 else []
+        world.lateness_by_worker.clear()
+        world.dead_workers |= workers
+        left_tenths = 10 * cut_s
+        if killed_at_tenths is not None and killed_at_tenths >= 0:
+            world.run(killed_at_tenths / 10)
+            left_tenths -= killed_at_tenths
+            killed = self._kill_owners()
+        world.run(left_tenths / 10)
+        world.dead_workers -= workers
+        for name in killed:
+            world.start_entry(name)
+
+    def _restore_entries(self) -> None:
+        """Start the entries that were killed, and let all use the store."""
+        self.world.store_up = True
+        for name in ENTRIES:
+            if not self.world.entry_by_name[name].alive:
+                self.world.start_entry(name)
+            self.world.entry_by_name[name].has_store = True
+        self.world.run(2.0)
+
+    def _kill_owners(self) -> list[str]:
+        """Kill the entries that hold the ownership, or still believe so."""
+        killed = []
+        for name, entry in self.world.entry_by_name.items():
+            if not entry.alive or entry.owner._term is None:
+                continue
+            self.world.kill(entry)
+            killed.append(name)
+        self.owners_killed_around_cuts += len(killed)
+        return killed
+
+    def _end_faults(self) -> None:
+        """End all faults, and let the last late commands be carried out."""
+        super()._end_faults()
+        self.world.lateness_by_worker.clear()
+        self.world.run(Lateness().max_s)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -62,6 +62,7 @@
 TICK_S = 0.2
 MAX_POLICY_AGE_S = 1.5
 LEASE_S = 6.0
+RETENTION_S = 120.0
 # How long a worker needs to stop a run, which uses its room meanwhile.
 STOP_S = 0.2
 # How late a command is that a worker leaves unanswered and carries out all the same.
@@ -95,8 +96,8 @@
     """A command that an incarnation of a worker carried out late, and its result.
 
     ``sent_to`` is the ``born`` of the incarnation that it was sent to.
-    ``was_cut_off`` tells whether no entry reached the worker then, ``kept_runs``
-    whether the command extended the lease of runs there.
+    ``was_cut_off`` tells whether no entry reached the worker then, ``began_run``
+    whether a run began, ``kept_runs`` whether the lease of runs there was extended.
     """
 
     command: Any
@@ -105,6 +106,7 @@
     carried_out_by: int
     result: Any
     was_cut_off: bool = False
+    began_run: bool = False
     kept_runs: bool = False
 
 
@@ -136,6 +138,8 @@
     ) -> None:
         super().__init__(random.Random(seed))
         self.shares = shares
+        # How long the entries that are started from now on keep final states.
+        self.retention_s = RETENTION_S
         self.incarnation_count = 0
         self.request_count = 0
         self.last_spec: JobSpec | None = None
@@ -300,7 +304,11 @@
             writes_status=True,
         )
         settings = OwnerSettings(
-            name, LEASE_S, capacity=document.capacity, shares=self.shares
+            name,
+            LEASE_S,
+            retention_s=self.retention_s,
+            capacity=document.capacity,
+            shares=self.shares,
         )
         store_health = StoreHealthTracker(lambda: self.clock.now)
         rng = random.Random(self.incarnation_count)
@@ -577,6 +585,7 @@
                 return
             worker.advance(self.clock.mono)
             lease_until_ms = worker._lease_until_ms
+            runs_before = len(worker.executions)
             result = self._apply(worker, command)
             is_longer = worker._lease_until_ms > lease_until_ms
             late = LateCommand(
@@ -586,6 +595,7 @@
                 worker.born,
                 result,
                 was_cut_off=worker.id in self.dead_workers,
+                began_run=len(worker.executions) > runs_before,
                 kept_runs=is_longer and bool(worker._running_by_ref),
             )
             self.late_commands.append(late)
