Merge the histories with late grants behind cuts

The mutant now leaves out what WorkerLeases.latest_end adds. The histories no longer reach a start refused as old that extends a lease, as a later token refuses it before; the test asks for that in its place: a late command that is fenced.

--- a/tests/owner/test_histories_can_fail.py
+++ b/tests/owner/test_histories_can_fail.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import Phase
 from hypothesis.stateful import run_state_machine_as_test
+from tests.support.late_grants import complete_beside_a_late_grant
 from tests.support.logged_events import capture_events
 from tests.support.step_history import (
     LateRestartsHistory,
@@ -20,6 +21,7 @@
 from lagoonpulley.intake.messages import OutcomeKind
 from lagoonpulley.owner import reports
 from lagoonpulley.owner.term import OwnerTerm
+from lagoonpulley.owner.worker_leases import WorkerLeases
 from lagoonpulley.owner.worker_state import WorkerState
 from lagoonpulley.planning.cell import Cell
 from lagoonpulley.policy.values import TeamLimits
@@ -82,6 +84,13 @@
     patch.setattr(WorkerState, "is_described", property(lambda self: True))
 
 
+def count_answered_commands_only(patch):
+    def latest_end(self, until):
+        return max(until, self.certain_until)
+
+    patch.setattr(WorkerLeases, "latest_end", latest_end)
+
+
 @pytest.mark.parametrize(
     ("inject_fault", "machine", "message"),
     [
@@ -192,3 +201,11 @@
     inject_fault(monkeypatch)
     with pytest.raises(AssertionError, match="over its capacity"):
         play()
+
+
+def test_late_grant_that_the_owner_leaves_out_of_its_bound_is_detected(monkeypatch):
+    # A grant may be 12 s late, and worth a lease then.
+    complete_beside_a_late_grant(within_s=40.0)
+    count_answered_commands_only(monkeypatch)
+    with pytest.raises(AssertionError, match="ran twice at once"):
+        complete_beside_a_late_grant(within_s=40.0)
--- a/tests/owner/test_late_grants.py
+++ b/tests/owner/test_late_grants.py
@@ -165,3 +165,24 @@
     # However long the leases of the one before might last.
     known.leases.certain_until = world.clock.mono + 60.0
     world.run_until(lambda: len(world.executions(JOB)) == 2, 1.5)
+
+
+@pytest.mark.parametrize(("restarts", "valid_s"), [(False, 2.0), (True, 60.0)])
+def test_late_start_is_refused_without_a_valid_permit(restarts, valid_s):
+    """This tests the simulated worker: a permit has a time and an incarnation."""
+    world = StepWorld(workers=1)
+    world.permit_valid_s = valid_s
+    queue = {"max_attempts": 2, "target_s": 1.0, "advice": [0.5, 0.01, valid_s]}
+    world.set_policy(2, queues={"reviews": queue})
+    world.run(8.0)
+    world.lateness_by_worker["w0"] = Lateness(kinds=(StartTask,), min_s=3.0, max_s=3.0)
+    world.submit("a" * 16)
+    world.run(1.0)
+    world.dead_workers.add("w0")
+    if restarts:
+        world.restart_worker("w0")
+    world.run(3.0)
+    assert world.late_commands
+    refusals = {getattr(late.result, "reason", None) for late in world.late_commands}
+    assert refusals == {Refusal.PERMIT}
+    assert not world.executions("a" * 16)
