--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from operator import attrgetter
 
 __all__ = [
     "MAX_COMMAND_DELAY_S",
@@ -68,6 +67,13 @@
         """When the command extends no lease any more."""
         return self.latest_at + self.lease_s
 
+    def longest_gain_s(self, until: float) -> float:
+        """Return by how much the command extends a lease at most.
+
+        :param until: when that lease ends without it, or later, in monotonic seconds.
+        """
+        return max(0.0, min(self.lease_s, self.is_over_at - until))
+
 
 @dataclass(slots=True, eq=False)
 class WorkerLeases:
@@ -91,14 +97,19 @@
         """Return by when a lease has expired that lasts until some time by itself.
 
         A command extends only a lease that has not expired before it is carried out, so
-        several ones extend it further if they are carried out one after the other.
-        Times are monotonic seconds.
+        several ones extend it further if they are carried out one after the other, in
+        any order: each by no more than its own length, and not beyond the end that it
+        has if it is carried out last. Times are monotonic seconds.
         """
         until = max(until, self.certain_until)
         commands = self.in_flight + self.unanswered
-        for command in sorted(commands, key=attrgetter("latest_at")):
-            until = max(until, min(until, command.latest_at) + command.lease_s)
-        return until
+        gain_by_command = {each: each.longest_gain_s(until) for each in commands}
+        gain_s = sum(gain_by_command.values())
+        latest = until
+        for command, own_gain_s in gain_by_command.items():
+            last_at = min(command.latest_at, until + gain_s - own_gain_s)
+            latest = max(latest, last_at + command.lease_s)
+        return latest
 
     def begin(self, command: TimedCommand, now: float) -> None:
         """Record that a command is sent."""
--- a/tests/support/late_grants.py
+++ b/tests/support/late_grants.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from lagoonpulley.upstream.tasks import SyncWorker
 
@@ -92,10 +92,19 @@
     spec_by_id = {"a" * 16: world.last_spec}
     world.run(1.0)
     (worker,) = (w for w in world.worker_by_id.values() if w.executions)
-    lateness = Lateness(kinds=(SyncWorker,), min_s=2.0, max_s=2.0)
-    world.lateness_by_worker[worker.id] = lateness
-    world.run(1.0)
-    world.lateness_by_worker.clear()
+
+    late_grants = []
+
+    def delay_of(worker_id: str, command: Any) -> float | None:
+        is_sync = worker_id == worker.id and isinstance(command, SyncWorker)
+        if not is_sync or command.lease_until_ms is None:
+            return None
+        late_grants.append(command)
+        return 2.0
+
+    world._delay_of = delay_of
+    world.run_until(lambda: late_grants, 3.0)
+    del world._delay_of
     world.dead_workers.add(worker.id)
     world.run_until(lambda: is_completed(world, spec_by_id), within_s)
     check_all(world, spec_by_id, {})
