--- a/tests/owner/test_review_44.py
+++ b/tests/owner/test_review_44.py
@@ -18,6 +18,8 @@
 WHOLE = CAPACITY[0]
 # Longest time after which a late command is carried out.
 MAX_LATE_S = 11.95
+# See tests/owner/test_late_grants.py.
+SETTLED_TAKEOVER_S = 15.0
 
 
 def world_with_late_times(workers=2, entries=2):
@@ -206,3 +208,52 @@
     world.run(20.0)
     worker.advance(world.clock.mono)
     check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_run_that_began_long_ago_is_held_up_if_its_worker_dies_with_the_owner():
+    """As with a machine or a data centre; nothing has stored that it has started."""
+    world = world_with_late_times()
+    worker, _ = start_first(world, processors=WHOLE)
+    world.run(16.0)
+    world.dead_workers.add(worker.id)
+    world.kill(world.owner())
+    world.run_until(lambda: len(world.executions(FIRST)) == 2, SETTLED_TAKEOVER_S)
+
+
+def test_run_of_a_replaced_worker_waits_for_its_leases_if_the_later_one_is_read_first():
+    world = world_with_late_times(workers=3)
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    world.run(0.5)
+    (worker,) = (w for w in world.worker_by_id.values() if w.executions)
+    world.run(2.0)
+    world.kill(world.owner())
+    # The next worker at the address, whose id sorts before that of the one before.
+    world.worker_by_id[worker.id].restart(world.clock.mono)
+    world.add_worker("a-later", address=worker.id)
+    world.run_until(lambda: len(world.executions(FIRST)) == 2, 5.0)
+
+
+def test_policy_with_advice_hides_a_start_that_was_sent_without_a_permit():
+    """A new owner takes it for one that is refused once its permit has expired."""
+    world = world_with_late_times()
+    sent = []
+
+    def delay_of(worker_id, command):
+        if not isinstance(command, StartTask):
+            return None
+        sent.append(worker_id)
+        return MAX_LATE_S
+
+    world._delay_of = delay_of
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    world.run(0.3)
+    del world._delay_of
+    world.dead_workers.add(sent[0])
+    advice = {"max_attempts": 2, "target_s": 1.0, "advice": [0.5, 0.01, 2.0]}
+    world.set_policy(2, {"reviews": advice})
+    world.kill(world.owner())
+    # Its machine starts again behind the cut.
+    worker = world.restart_worker(sent[0])
+    world.run(25.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(FIRST))
