--- a/tests/owner/test_review_44.py
+++ b/tests/owner/test_review_44.py
@@ -9,8 +9,12 @@
 from tests.support.step_invariants import check_one_run_at_a_time
 from tests.support.steps import CAPACITY, StepWorld, step
 
+from lagoonpulley.model.verdict import Ran
 from lagoonpulley.owner.worker_leases import TimedCommand, WorkerLeases
+from lagoonpulley.runtime.role import CallFailed
 from lagoonpulley.upstream.tasks import StartTask, SyncWorker
+from lagoonpulley.workload.documents import JobKeys
+from lagoonpulley.workload.spec import TaskKey
 
 FIRST = "a" * 16
 SECOND = "b" * 16
@@ -257,3 +261,79 @@
     world.run(25.0)
     worker.advance(world.clock.mono)
     check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_start_that_a_frozen_owner_sends_late_runs_beside_its_successor():
+    """It is sent four seconds after the session has expired, and carried out late.
+
+    The worker has restarted meanwhile, behind a cut.
+    """
+    world = world_with_late_times()
+    first = world.owner()
+    release = world.hold_commits()
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    world.run(0.1)
+    task = first.owner._term.record_by_id[FIRST].task_by_key[TaskKey(0, 0, 0)]
+    worker = world.worker_by_id[task.run.worker_id]
+    for entry in world.entry_by_name.values():
+        if entry is not first:
+            entry.unreachable_workers.add(worker.id)
+    release()
+    while JobKeys(FIRST).progress not in world.store.key_value_by_key:
+        world.run(0.0005)
+    first.alive = False
+    world.run(4.7)
+    sent = []
+
+    def delay_of(worker_id, command):
+        if not isinstance(command, StartTask):
+            return None
+        sent.append(command)
+        return MAX_LATE_S
+
+    world._delay_of = delay_of
+    first.alive = True
+    world._tick(first)
+    world.run(0.05)
+    assert sent
+    del world._delay_of
+    world.dead_workers.add(worker.id)
+    world.restart_worker(worker.id)
+    world.run(25.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_start_that_an_unknown_incarnation_accepts_runs_beside_its_successor():
+    """Its time is of the clock before, and is worth the longest lease there.
+
+    The cut hides that the connections of the one before are closed.
+    """
+    world = world_with_late_times()
+    reply = world._reply
+
+    def reply_later(entry, request, result):
+        if isinstance(result, CallFailed) and result.closed:
+            silent = CallFailed(Ran.MAYBE, "no answer")
+            timeout_s = request.timeout_s
+            world.clock.after(timeout_s, lambda: reply(entry, request, silent))
+            return
+        reply(entry, request, result)
+
+    world._reply = reply_later
+    world.submit(THIRD, step(processors=WHOLE), payload="seconds=3")
+    world.run(0.2)
+    (busy,) = (w for w in world.worker_by_id.values() if w.executions)
+    (worker,) = (w for w in world.worker_by_id.values() if w is not busy)
+    world.dead_workers.add(worker.id)
+    world.restart_worker(worker.id)
+    world.run(0.1)
+    world.dead_workers.clear()
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    while not world.executions(FIRST):
+        world.run(0.001)
+    world.run(0.002)
+    world.dead_workers.add(worker.id)
+    world.run(12.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(FIRST))
