--- a/tests/owner/test_review_44.py
+++ b/tests/owner/test_review_44.py
@@ -6,7 +6,10 @@
 from itertools import permutations
 
 from tests.support.step_documents import WORKERS_PREFIX
-from tests.support.step_invariants import check_one_run_at_a_time
+from tests.support.step_invariants import (
+    check_no_start_after_acknowledged_end,
+    check_one_run_at_a_time,
+)
 from tests.support.steps import CAPACITY, StepWorld, step
 
 from lagoonpulley.model.verdict import Ran
@@ -337,3 +340,40 @@
     world.run(12.0)
     worker.advance(world.clock.mono)
     check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_late_acknowledgement_reaches_ends_of_the_next_incarnation_behind_a_cut():
+    """A sync that grants nothing raises no token when it goes unanswered."""
+    world = world_with_late_times()
+    fill(world, seconds=4)
+    (busy,) = (w for w in world.worker_by_id.values() if w.executions)
+    (worker,) = (w for w in world.worker_by_id.values() if w is not busy)
+    late = []
+
+    def delay_of(worker_id, command):
+        is_sync = worker_id == worker.id and isinstance(command, SyncWorker)
+        if not is_sync or not command.acknowledged or command.lease_until_ms:
+            return None
+        late.append(command)
+        return 3.0
+
+    world._delay_of = delay_of
+    known = world.owner().owner._term.worker_by_id[worker.id]
+    granted_at = known.granted_at
+    world.run_until(lambda: known.granted_at > granted_at, 2.0)
+    world.submit(SECOND, payload="seconds=0.2")
+    while not late:
+        world.run(0.001)
+    del world._delay_of
+    world.dead_workers.add(worker.id)
+    world.restart_worker(worker.id)
+    world.run(0.1)
+    world.dead_workers.clear()
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=0.5")
+    while not world.executions(FIRST):
+        world.run(0.001)
+    world.run(0.002)
+    world.dead_workers.add(worker.id)
+    world.run(12.0)
+    worker.advance(world.clock.mono)
+    check_no_start_after_acknowledged_end(world.executions(FIRST))
