--- a/tests/owner/test_review_44.py
+++ b/tests/owner/test_review_44.py
@@ -6,11 +6,18 @@
 from itertools import permutations
 
 from tests.support.step_documents import WORKERS_PREFIX
-from tests.support.step_invariants import check_one_run_at_a_time
+from tests.support.step_invariants import (
+    check_no_start_after_acknowledged_end,
+    check_one_run_at_a_time,
+)
 from tests.support.steps import CAPACITY, StepWorld, step
 
+from lagoonpulley.model.verdict import Ran
 from lagoonpulley.owner.worker_leases import TimedCommand, WorkerLeases
+from lagoonpulley.runtime.role import CallFailed
 from lagoonpulley.upstream.tasks import StartTask, SyncWorker
+from lagoonpulley.workload.documents import JobKeys
+from lagoonpulley.workload.spec import TaskKey
 
 FIRST = "a" * 16
 SECOND = "b" * 16
@@ -18,6 +25,8 @@
 WHOLE = CAPACITY[0]
 # Longest time after which a late command is carried out.
 MAX_LATE_S = 11.95
+# See tests/owner/test_late_grants.py.
+SETTLED_TAKEOVER_S = 15.0
 
 
 def world_with_late_times(workers=2, entries=2):
@@ -206,3 +215,165 @@
     world.run(20.0)
     worker.advance(world.clock.mono)
     check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_run_that_began_long_ago_is_held_up_if_its_worker_dies_with_the_owner():
+    """As with a machine or a data centre; nothing has stored that it has started."""
+    world = world_with_late_times()
+    worker, _ = start_first(world, processors=WHOLE)
+    world.run(16.0)
+    world.dead_workers.add(worker.id)
+    world.kill(world.owner())
+    world.run_until(lambda: len(world.executions(FIRST)) == 2, SETTLED_TAKEOVER_S)
+
+
+def test_run_of_a_replaced_worker_waits_for_its_leases_if_the_later_one_is_read_first():
+    world = world_with_late_times(workers=3)
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    world.run(0.5)
+    (worker,) = (w for w in world.worker_by_id.values() if w.executions)
+    world.run(2.0)
+    world.kill(world.owner())
+    # The next worker at the address, whose id sorts before that of the one before.
+    world.worker_by_id[worker.id].restart(world.clock.mono)
+    world.add_worker("a-later", address=worker.id)
+    world.run_until(lambda: len(world.executions(FIRST)) == 2, 5.0)
+
+
+def test_policy_with_advice_hides_a_start_that_was_sent_without_a_permit():
+    """A new owner takes it for one that is refused once its permit has expired."""
+    world = world_with_late_times()
+    sent = []
+
+    def delay_of(worker_id, command):
+        if not isinstance(command, StartTask):
+            return None
+        sent.append(worker_id)
+        return MAX_LATE_S
+
+    world._delay_of = delay_of
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    world.run(0.3)
+    del world._delay_of
+    world.dead_workers.add(sent[0])
+    advice = {"max_attempts": 2, "target_s": 1.0, "advice": [0.5, 0.01, 2.0]}
+    world.set_policy(2, {"reviews": advice})
+    world.kill(world.owner())
+    # Its machine starts again behind the cut.
+    worker = world.restart_worker(sent[0])
+    world.run(25.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_start_that_a_frozen_owner_sends_late_runs_beside_its_successor():
+    """It is sent four seconds after the session has expired, and carried out late.
+
+    The worker has restarted meanwhile, behind a cut.
+    """
+    world = world_with_late_times()
+    first = world.owner()
+    release = world.hold_commits()
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    world.run(0.1)
+    task = first.owner._term.record_by_id[FIRST].task_by_key[TaskKey(0, 0, 0)]
+    worker = world.worker_by_id[task.run.worker_id]
+    for entry in world.entry_by_name.values():
+        if entry is not first:
+            entry.unreachable_workers.add(worker.id)
+    release()
+    while JobKeys(FIRST).progress not in world.store.key_value_by_key:
+        world.run(0.0005)
+    first.alive = False
+    world.run(4.7)
+    sent = []
+
+    def delay_of(worker_id, command):
+        if not isinstance(command, StartTask):
+            return None
+        sent.append(command)
+        return MAX_LATE_S
+
+    world._delay_of = delay_of
+    first.alive = True
+    world._tick(first)
+    world.run(0.05)
+    assert sent
+    del world._delay_of
+    world.dead_workers.add(worker.id)
+    world.restart_worker(worker.id)
+    world.run(25.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_start_that_an_unknown_incarnation_accepts_runs_beside_its_successor():
+    """Its time is of the clock before, and is worth the longest lease there.
+
+    The cut hides that the connections of the one before are closed.
+    """
+    world = world_with_late_times()
+    reply = world._reply
+
+    def reply_later(entry, request, result):
+        if isinstance(result, CallFailed) and result.closed:
+            silent = CallFailed(Ran.MAYBE, "no answer")
+            timeout_s = request.timeout_s
+            world.clock.after(timeout_s, lambda: reply(entry, request, silent))
+            return
+        reply(entry, request, result)
+
+    world._reply = reply_later
+    world.submit(THIRD, step(processors=WHOLE), payload="seconds=3")
+    world.run(0.2)
+    (busy,) = (w for w in world.worker_by_id.values() if w.executions)
+    (worker,) = (w for w in world.worker_by_id.values() if w is not busy)
+    world.dead_workers.add(worker.id)
+    world.restart_worker(worker.id)
+    world.run(0.1)
+    world.dead_workers.clear()
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=40")
+    while not world.executions(FIRST):
+        world.run(0.001)
+    world.run(0.002)
+    world.dead_workers.add(worker.id)
+    world.run(12.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(FIRST))
+
+
+def test_late_acknowledgement_reaches_ends_of_the_next_incarnation_behind_a_cut():
+    """A sync that grants nothing raises no token when it goes unanswered."""
+    world = world_with_late_times()
+    fill(world, seconds=4)
+    (busy,) = (w for w in world.worker_by_id.values() if w.executions)
+    (worker,) = (w for w in world.worker_by_id.values() if w is not busy)
+    late = []
+
+    def delay_of(worker_id, command):
+        is_sync = worker_id == worker.id and isinstance(command, SyncWorker)
+        if not is_sync or not command.acknowledged or command.lease_until_ms:
+            return None
+        late.append(command)
+        return 3.0
+
+    world._delay_of = delay_of
+    known = world.owner().owner._term.worker_by_id[worker.id]
+    granted_at = known.granted_at
+    world.run_until(lambda: known.granted_at > granted_at, 2.0)
+    world.submit(SECOND, payload="seconds=0.2")
+    while not late:
+        world.run(0.001)
+    del world._delay_of
+    world.dead_workers.add(worker.id)
+    world.restart_worker(worker.id)
+    world.run(0.1)
+    world.dead_workers.clear()
+    world.submit(FIRST, step(processors=WHOLE), payload="seconds=0.5")
+    while not world.executions(FIRST):
+        world.run(0.001)
+    world.run(0.002)
+    world.dead_workers.add(worker.id)
+    world.run(12.0)
+    worker.advance(world.clock.mono)
+    check_no_start_after_acknowledged_end(world.executions(FIRST))
