--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -22,7 +22,6 @@
 from .reports import apply_report
 from .run_ends import end_run
 from .starts import StartSender
-from .worker_leases import START_WINDOW_S
 
 if TYPE_CHECKING:
     from ..planning.planner import Start
@@ -81,7 +80,7 @@
         if isinstance(result, CommandAccepted) and result.clock_ms >= known_clock_ms:
             # A lower clock is that of the next incarnation: this one has crashed.
             tracked.has_run, worker.alive_at = True, self._host.now.mono
-            if not tracked.may_start_late:
+            if not tracked.may_start_late(self._host.now.mono):
                 record.mark_started(key, ref.run)
         self._apply_start_result(term, worker, tracked, result)
         self._host.plan_and_commit()
@@ -93,7 +92,7 @@
         obstacle = term.obstacle_to(worker)
         if obstacle:
             return obstacle
-        if term.worker_lease_s() < START_WINDOW_S:
+        if term.session_has_expired():
             return "the session has expired"
         if record.task_by_key[key].other_runs:
             return "a worker lists an earlier run"
--- a/src/lagoonpulley/owner/incarnations.py
+++ b/src/lagoonpulley/owner/incarnations.py
@@ -56,5 +56,5 @@
         if not tracked.was_sent:
             # The next incarnation may be of another kind.
             end_run(term, worker, ref, EndKind.STOPPED, "", reason)
-        elif tracked.listed and not tracked.may_start_late:
+        elif tracked.listed and not tracked.may_start_late(term.now.mono):
             end_run(term, worker, ref, EndKind.LAPSED, "", reason)
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -115,15 +115,12 @@
             adopted.append(tracked)
         tracked.listed = tracked.has_run = True
         tracked.sent_to_earlier = False
-        if tracked.start_sent_at is None:
-            # The start of an earlier owner has arrived, and is on its way no more.
-            tracked.late_lease_until = float("-inf")
         if tracked.start_resolved_at is None:
             tracked.start_resolved_at = term.now.mono
         record = current_record(term, worker, running.ref)
         if record is None:
             continue
-        if not tracked.may_start_late:
+        if not tracked.may_start_late(term.now.mono):
             record.mark_started(running.ref.key, running.ref.run)
         _set_checkpoint(record, running)
         forgive_crashes(record, tracked, term.now.mono)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -223,7 +223,7 @@
         )
         self._jobs.check_watch(term)
         self._jobs.delete_expired(term)
-        term.settled_runs.refresh(term.journal)
+        term.settled_runs.refresh(term.journal, self.now.mono)
 
     def _log_waiting_steps(self, term: OwnerTerm) -> None:
         """Log why the steps with the earliest due times still wait."""
--- a/src/lagoonpulley/owner/settled_runs.py
+++ b/src/lagoonpulley/owner/settled_runs.py
@@ -32,14 +32,23 @@
         is_same_life = self.worker.incarnation == self.incarnation
         return known is self.tracked and is_same_life and not self.tracked.is_blamed
 
+    def has_settled(self, now: float) -> bool:
+        """Return whether its worker has survived its start, and no other is on its way.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.tracked.may_start_late(now):
+            return False
+        return is_settled(self.tracked, self.worker.alive_at)
+
 
 class SettledRuns:
     """Keeps the mark: runs in progress documents up to this revision have settled.
 
-    A run holds the mark back until its worker has survived its start, or until what
-    happened instead, its end or a crash, is durable. The mark is part of the journal's
-    head, which each commit writes, so it costs no call: an owner commits its status
-    once a second.
+    A run holds the mark back until its worker has survived its start and no other start
+    of it is on its way, or until what happened instead, its end or a crash, is durable.
+    The mark is part of the journal's head, which each commit writes, so it costs no
+    call: an owner commits its status once a second.
 
     :param mark: the mark that the earlier owner has stored.
     """
@@ -66,12 +75,15 @@
         hold = _Hold(worker, tracked, incarnation, revision)
         self._hold_by_ref[tracked.ref] = hold
 
-    def refresh(self, journal: Journal) -> None:
-        """Release the runs that have settled, and those that have ended."""
+    def refresh(self, journal: Journal, now: float) -> None:
+        """Release the runs that have settled, and those that have ended.
+
+        :param now: monotonic time in seconds.
+        """
         for hold in list(self._hold_by_ref.values()):
             if not hold.is_current:
                 self._release_once_durable(hold, journal)
-            elif is_settled(hold.tracked, hold.worker.alive_at):
+            elif hold.has_settled(now):
                 del self._hold_by_ref[hold.tracked.ref]
 
     def _release_once_durable(self, hold: _Hold, journal: Journal) -> None:
--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -15,7 +15,7 @@
     StartTask,
 )
 from .fencing import raise_token_if_needed
-from .worker_leases import START_WINDOW_S, latest_lease_end
+from .worker_leases import MAX_OPEN_ATTEMPTS, START_WINDOW_S, latest_lease_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,9 +33,6 @@
 MIN_START_TIMEOUT_S = 0.1
 # No attempt begins later than this after the first.
 START_EFFORT_S = 1.1
-# Attempts in a row during which the worker answers no command at all. Before a further
-# one, which might be carried out much later as well, it is asked whether it lives.
-MAX_ATTEMPTS_INTO_SILENCE = 3
 
 
 class StartSender:
@@ -63,11 +60,10 @@
         failed = CallFailed(Ran.NO, "not sent")
         incarnation = worker.incarnation
         last_at = self._host.now.mono + START_EFFORT_S
-        attempts_into_silence = 0
+        open_tokens: list[int] = []
         while self._host.now.mono <= last_at:
             if not _may_attempt(term, worker, tracked, incarnation):
                 break
-            sent_at = self._host.now.mono
             raise_token_if_needed(term, worker)
             token = worker.token
             result = yield from self._attempt(term, start, worker, tracked)
@@ -87,28 +83,21 @@
             failed = CallFailed(failed.ran.combine(result.ran), result.reason)
             if failed.ran is Ran.NO or result.closed:
                 break
-            attempts_into_silence += 1
-            if worker.has_answered_since(sent_at):
-                attempts_into_silence = 0
-            if attempts_into_silence >= MAX_ATTEMPTS_INTO_SILENCE:
-                attempts_into_silence = 0
-                if not (yield from self._is_alive(term, worker)):
-                    break
+            open_tokens.append(token)
+            if _count_open(open_tokens, worker) >= MAX_OPEN_ATTEMPTS:
+                raise_token_if_needed(term, worker)
+                yield from self._sync_now(term, worker)
+            if _count_open(open_tokens, worker) >= MAX_OPEN_ATTEMPTS:
+                break
         return failed
 
-    def _is_alive(self, term: OwnerTerm, worker: WorkerState) -> Flow:
-        """Return whether a worker answers a sync."""
-        asked_at = self._host.now.mono
-        yield from self._sync_now(term, worker)
-        return worker.has_answered_since(asked_at)
-
     def _attempt(
         self, term: OwnerTerm, start: Start, worker: WorkerState, tracked: TrackedRun
     ) -> Flow:
         """Send a start once."""
         sent_at = self._host.now.mono
         command, timed = _make_command(term, start, worker, tracked.ref, sent_at)
-        known_until = tracked.late_lease_until
+        known_clock_ms, known_until = worker.clock_ms or 0, tracked.late_lease_until
         if timed is not None:
             until = _late_lease_end(worker, timed, command.permit)
             tracked.late_lease_until = max(known_until, until)
@@ -126,6 +115,10 @@
             # An earlier attempt cannot start the run again on this incarnation, and
             # another one refuses the permit.
             tracked.late_lease_until = float("-inf")
+        elif isinstance(result, CommandAccepted) and result.clock_ms < known_clock_ms:
+            # The next incarnation has, whose clock makes the lease the longest one.
+            until = latest_lease_end(self._host.now.mono, worker.max_lease_s)
+            tracked.late_lease_until = max(known_until, until)
         return result
 
 
@@ -160,8 +153,12 @@
         return False
     if tracked.stop_requested or tracked.listed:
         return False
-    # A successor may count the worker's leases as expired by then.
-    return term.worker_lease_s() >= START_WINDOW_S
+    return not term.session_has_expired()
+
+
+def _count_open(tokens: list[int], worker: WorkerState) -> int:
+    """Return how many unanswered attempts the worker may still carry out."""
+    return sum(token >= worker.seen_token for token in tokens)
 
 
 def _refused(
--- a/src/lagoonpulley/owner/takeover.py
+++ b/src/lagoonpulley/owner/takeover.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ..upstream.tasks import TaskRef
 from .worker_leases import (
     MAX_COMMAND_DELAY_S,
+    MAX_OPEN_ATTEMPTS,
     START_WINDOW_S,
     TimedCommand,
     latest_lease_end,
@@ -38,12 +40,12 @@
         # A worker that has seen the new token refuses starts with an older one.
         tracked = term.track_run(worker, record, ref)
         tracked.start_resolved_at = BEFORE_THIS_TERM
-        if not run.started:
-            _expect_late_start(term, record, worker, tracked)
         # Without an incarnation, an earlier owner has seen the worker's crash.
         tracked.has_run = run.born != 0
         if tracked.has_run:
             term.settled_runs.restore(worker, tracked, revision)
+        if not run.started and not tracked.had_settled:
+            _expect_late_start(term, record, worker, tracked)
     term.refresh_demands(record)
 
 
@@ -63,7 +65,8 @@
         lease_s=longest_lease_s(START_WINDOW_S),
         answered_until=term.began_at,
     )
-    worker.leases.record_silence(start)
+    for _ in range(MAX_OPEN_ATTEMPTS):
+        worker.leases.record_silence(replace(start))
     if queue is not None and queue.advice is not None:
         tracked.late_lease_until = start.is_over_at
     else:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -207,6 +207,10 @@
         left_s = self.session_expires_at + self.max_lease_s - self.now.mono
         return min(self.max_lease_s, left_s)
 
+    def session_has_expired(self) -> bool:
+        """Return whether another entry may be the owner by now."""
+        return self.now.mono >= self.session_expires_at
+
     def put_worker(self, info: WorkerInfo) -> WorkerState:
         """Add or update a worker; a new incarnation ends the previous one's runs.
 
@@ -292,7 +296,7 @@
         self.cell.remove_worker(worker.info.id)
 
     def _add_worker(self, info: WorkerInfo) -> WorkerState:
-        self._close_predecessors(info)
+        self._close_predecessors(info.address)
         self.known_workers += 1
         worker = WorkerState(
             info,
@@ -306,14 +310,13 @@
         self.cell.put_worker(info)
         return worker
 
-    def _close_predecessors(self, info: WorkerInfo) -> None:
+    def _close_predecessors(self, address: str) -> None:
         """Record that the processes before a new worker at an address have ended."""
-        if not info.address:
+        if not address:
             return
         for other in self.worker_by_id.values():
-            if other.info.address == info.address:
+            if other.info.address == address:
                 other.mark_closed(self.now.mono)
-                other.is_replaced = 0 < other.info.born < info.born
 
     def begin_sync(self, worker: WorkerState) -> None:
         """Record that a sync with a worker is in flight."""
--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "MAX_COMMAND_DELAY_S",
+    "MAX_OPEN_ATTEMPTS",
     "MAX_OPEN_LEASE_S",
     "START_WINDOW_S",
     "TimedCommand",
@@ -20,6 +21,9 @@
 # A worker refuses a start that reaches it later than this after it was sent, by its own
 # clock. A start extends the leases by as much.
 START_WINDOW_S = 1.5
+# Attempts to start one run that a worker may still carry out. Before another one, it
+# has to answer a command under a later token.
+MAX_OPEN_ATTEMPTS = 3
 # Longest lease that a sync grants. A worker gets no other sync that grants one while
 # such a sync has no answer.
 MAX_OPEN_LEASE_S = 5.0
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -77,10 +77,9 @@
         """Whether a start was sent, or may have been by an earlier owner."""
         return self.start_sent_at is not None or self.start_resolved_at is not None
 
-    @property
-    def may_start_late(self) -> bool:
-        """Whether a start of it may still be on its way."""
-        return self.late_lease_until > float("-inf")
+    def may_start_late(self, now: float) -> bool:
+        """Return whether a start of it may still keep it alive."""
+        return now < self.late_lease_until
 
     def begin_incarnation(self, now: float) -> None:
         """Record that another incarnation of the worker is known.
@@ -103,16 +102,17 @@
     ones are ignored. ``fenced`` is set once it has accepted the token and listed its
     runs; it is not called while ``awaits_token`` is set, because the token is not above
     those of calls to an earlier incarnation yet. ``token_requested`` is set until the
-    next commit provides a later token. ``leases`` are those that it may have, and
-    ``granted_at`` is when a sync last extended them, in monotonic seconds.
-    ``processed`` and ``acknowledged`` are numbers of ended runs in the
-    worker's own numbering; an end is acknowledged only after the commit that records
-    it. Ends up to ``forgotten`` were acknowledged in a call that was answered.
+    next commit provides a later token. ``seen_token`` is the latest one under which it
+    has answered. ``leases`` are those that it may have, and ``granted_at`` is when a
+    sync last extended them, in monotonic seconds. ``processed`` and ``acknowledged``
+    are numbers of ended runs in the worker's own numbering; an end is acknowledged only
+    after the commit that records it. Ends up to ``forgotten`` were acknowledged in a
+    call that was answered.
     ``position`` orders workers by when they first became known. ``alive_at`` is when
     it was last known to live, ``closed_at`` since when it refuses connections or has
     closed them, as after a crash, both in monotonic seconds. ``blamed_runs`` are those
-    that were blamed for its crash. ``is_replaced`` is set once a worker that started
-    later has its address, so that its process has ended. ``described_born`` is the
+    that were blamed for its crash. ``is_replaced`` is set while another worker
+    answers at its address, so that its process has ended. ``described_born`` is the
     incarnation that ``info`` describes, ``earlier_born`` are those before the current
     one.
     """
@@ -126,6 +126,7 @@
     fenced: bool = False
     awaits_token: bool = False
     token_requested: bool = False
+    seen_token: int = 0
     granted_at: float = float("-inf")
     clock_ms: int | None = None
     clock_at: float = 0.0
@@ -191,19 +192,21 @@
 
     def is_over(self, run: TrackedRun, now: float) -> bool:
         """Return whether a run has surely ended if the worker is out of reach."""
-        if self.is_replaced:
-            return True
-        return now > self.leases.latest_end(run.late_lease_until)
+        return self._is_over(run.late_lease_until, now)
 
     def is_surely_empty(self, now: float) -> bool:
         """Return whether every run has surely ended if the worker is out of reach."""
+        runs = self.tracked_by_ref.values()
+        starts_end = max((run.late_lease_until for run in runs), default=float("-inf"))
+        return self._is_over(starts_end, now)
+
+    def _is_over(self, late_lease_until: float, now: float) -> bool:
         if self.is_replaced:
             return True
-        latest_run_end = max(
-            (run.late_lease_until for run in self.tracked_by_ref.values()),
-            default=float("-inf"),
-        )
-        return now > self.leases.latest_end(latest_run_end)
+        # The full bound is rarely needed, and costs more.
+        if now <= max(late_lease_until, self.leases.certain_until):
+            return False
+        return now > self.leases.latest_end(late_lease_until)
 
     @property
     def acknowledgement(self) -> int:
@@ -267,6 +270,7 @@
         self.incarnation += 1
         self.awaits_token = token <= self.token
         self.token_requested = False
+        self.seen_token = 0
         self.token = token
         self.fenced = False
         self.clock_ms = None
@@ -275,6 +279,7 @@
         self.next_sync_at = 0.0
         self.failures = self.overdue_syncs = 0
         self.alive_at = self.closed_at = None
+        self.is_replaced = False
         self.blamed_runs = {}
         self._presume_leases(now)
         for run in self.tracked_by_ref.values():
@@ -342,6 +347,7 @@
 
     def record_token(self, token: int, now: float) -> None:
         """Record that the worker has answered a command under a token."""
+        self.seen_token = max(self.seen_token, token)
         self.leases.void_below(token, now)
 
     def record_report(self, report: WorkerReport, now: float) -> None:
@@ -352,6 +358,7 @@
         self.failures = self.overdue_syncs = 0
         self.alive_at = now
         self.closed_at = None
+        self.is_replaced = False
 
     def record_failure(self, is_overdue: bool) -> None:
         """Record a sync without an answer.
@@ -374,6 +381,11 @@
             self.alive_at = now
         self.mark_closed(now)
 
+    def mark_replaced(self, now: float) -> None:
+        """Record that another worker answers at the address."""
+        self.mark_closed(now)
+        self.is_replaced = True
+
     def mark_closed(self, now: float) -> None:
         """Record that the worker has closed its connections, unless it had before."""
         if self.closed_at is None:
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -234,7 +234,7 @@
         """
         reason = result.reason
         if reason is Refusal.OTHER_LIFE:
-            worker.mark_closed(self._host.now.mono)
+            worker.mark_replaced(self._host.now.mono)
         elif isinstance(result, CallFailed) and result.closed:
             worker.record_closed(result.ran is not Ran.NO, self._host.now.mono)
         was_responsive = worker.is_responsive
