--- a/tests/support/step_history.py
+++ b/tests/support/step_history.py
@@ -430,6 +430,7 @@
     "punctual_jobs": st.integers(1, 3),
     "late_jobs": st.integers(6, 11),
     "share": st.sampled_from(LATE_SHARES),
+    "spares_polls": st.booleans(),
     "tenths": st.integers(5, 20),
     "cut_s": st.integers(8, 14),
 }
@@ -503,6 +504,7 @@
         punctual_jobs: int,
         late_jobs: int,
         share: float,
+        spares_polls: bool,
         tenths: int,
         cut_s: int,
         killed_at_tenths: int | None,
@@ -517,7 +519,7 @@
         self._restore_entries()
         for number in range(punctual_jobs + late_jobs):
             if number == punctual_jobs:
-                lateness = Lateness(share)
+                lateness = Lateness(share, spares_polls=spares_polls)
                 world.lateness_by_worker = dict.fromkeys(ROOMY_WORKERS, lateness)
             payload = CUT_PAYLOADS[number % len(CUT_PAYLOADS)]
             self._submit(shape, payload, "south")
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -83,12 +83,22 @@
 
     :param share: how many of them, drawn for each.
     :param min_s: least delay of a command; its delay is drawn for each.
+    :param spares_polls: whether syncs that extend no lease are answered in time, so
+        that the owner sends those that do.
     """
 
     share: float = 1.0
     kinds: tuple[type, ...] = (StartTask, StopTask, SyncWorker)
     min_s: float = 2.0
     max_s: float = 12.0
+    spares_polls: bool = False
+
+    def is_spared(self, command: object) -> bool:
+        """Return whether a command is answered in time in any case."""
+        is_sync = isinstance(command, SyncWorker)
+        if self.spares_polls and is_sync and command.lease_until_ms is None:
+            return True
+        return not isinstance(command, self.kinds)
 
 
 @dataclass(frozen=True)
@@ -609,7 +619,7 @@
     def _delay_of(self, worker_id: str, command: object) -> float | None:
         """Return how late a worker executes a command, ``None`` if it does at once."""
         lateness = self.lateness_by_worker.get(worker_id)
-        if lateness is not None and isinstance(command, lateness.kinds):
+        if lateness is not None and not lateness.is_spared(command):
             if self.random.random() >= lateness.share:
                 return None
             return self.random.uniform(lateness.min_s, lateness.max_s)
