Grant no lease beyond 6 s after the owner's session, however long workers allow

Cause: a successor waits for a silent worker as long as the earlier owner may have granted leases: 10 s after its session there, 11 s with margins, and 5.4 s for an unanswered sync.

The successor waits for 12.2 s in place of 16.4 s. Evidence: the new test of test_worker_leases.py failed before.

--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -37,6 +37,9 @@
 # How long a new owner waits for every worker to accept its token. Reachable workers
 # answer within a few tens of milliseconds.
 FENCE_WAIT_S = 0.2
+# For so long the runs of workers survive an owner that has lost the store, and a
+# successor waits for those that it does not reach. Workers may grant more.
+MAX_GRANTED_LEASE_S = 6.0
 
 
 @dataclass(slots=True, eq=False)
@@ -200,12 +203,16 @@
     def worker_lease_s(self) -> float:
         """Return the longest lease that a worker may be granted now, in seconds.
 
-        A successor presumes a silent worker's runs dead one longest lease after its
-        takeover. No lease may therefore end later than one longest lease after this
-        owner's session expires.
+        A successor presumes that no lease lasts longer than
+        :attr:`longest_granted_lease_s` after this owner's session has expired.
         """
-        left_s = self.session_expires_at + self.max_lease_s - self.now.mono
-        return min(self.max_lease_s, left_s)
+        left_s = self.session_expires_at + self.longest_granted_lease_s - self.now.mono
+        return min(self.longest_granted_lease_s, left_s)
+
+    @property
+    def longest_granted_lease_s(self) -> float:
+        """Longest lease that an owner grants by a sync, in seconds."""
+        return min(self.max_lease_s, MAX_GRANTED_LEASE_S)
 
     def session_has_expired(self) -> bool:
         """Return whether another entry may be the owner by now."""
@@ -301,7 +308,9 @@
         worker = WorkerState(
             info,
             self.max_lease_s,
-            leases_of_earlier_owner(self.token, self.began_at, self.max_lease_s),
+            leases_of_earlier_owner(
+                self.token, self.began_at, self.longest_granted_lease_s
+            ),
             self.journal.head_revision,
             self.known_workers,
         )
--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -155,7 +155,7 @@
 
 
 def leases_of_earlier_owner(
-    token: int, session_end: float, max_lease_s: float
+    token: int, session_end: float, granted_lease_s: float
 ) -> WorkerLeases:
     """Return the leases that a worker may have by an earlier owner's syncs.
 
@@ -164,8 +164,9 @@
 
     :param token: the first token of the present owner.
     :param session_end: by when the earlier session had ended, in monotonic seconds.
+    :param granted_lease_s: how long after that its grants last at most, in seconds.
     """
-    leases = WorkerLeases(latest_lease_end(session_end, max_lease_s))
+    leases = WorkerLeases(latest_lease_end(session_end, granted_lease_s))
     sync = TimedCommand(
         token=token - 1,
         until_ms=0,
--- a/tests/owner/test_worker_leases.py
+++ b/tests/owner/test_worker_leases.py
@@ -6,7 +6,16 @@
 
 import pytest
 
-from lagoonpulley.owner.worker_leases import TimedCommand, WorkerLeases
+from lagoonpulley.owner.journal import Journal
+from lagoonpulley.owner.term import OwnerTerm
+from lagoonpulley.owner.worker_leases import (
+    MAX_OPEN_LEASE_S,
+    TimedCommand,
+    WorkerLeases,
+    latest_lease_end,
+    longest_lease_s,
+)
+from lagoonpulley.runtime.role import Now
 
 EARLIER = TimedCommand(
     token=3, until_ms=0, latest_at=12.0, lease_s=3.0, answered_until=3.0
@@ -89,3 +98,16 @@
 @pytest.mark.parametrize("order", [(EARLIER, LATER), (LATER, EARLIER)])
 def test_order_of_sending_does_not_matter(order):
     assert leases_with_unanswered(*order).expire_at == 8.0
+
+
+def test_successor_waits_as_long_as_owners_grant_and_not_as_workers_allow():
+    """Tasks of a worker that dies with its owner must run again 14 s later."""
+    term = OwnerTerm(1, Journal(1, 1), max_lease_s=10.0, early_s=0.0, began_at=0.0)
+    term.now = Now(0.0, 0.0)
+    term.session_expires_at = 0.0
+    assert term.worker_lease_s() == 6.0
+    silent = term.worker_of_run("w0", 1)
+    granted_until = latest_lease_end(0.0, 6.0)
+    open_s = longest_lease_s(MAX_OPEN_LEASE_S)
+    assert silent.leases.expire_at == pytest.approx(granted_until + open_s)
+    assert silent.leases.expire_at < 14.0 - 1.5
