--- a/benchmarks/step_fuzz.py
+++ b/benchmarks/step_fuzz.py
@@ -22,10 +22,12 @@
 
 from hypothesis import Phase, seed
 from hypothesis.stateful import run_state_machine_as_test
-from tests.support.step_history import (
+from tests.support.late_histories import (
     LateCommandsHistory,
     LateGrantsHistory,
     LateRestartsHistory,
+)
+from tests.support.step_history import (
     StepHistory,
     UnequalEntriesHistory,
     history_settings,
--- a/tests/owner/test_histories.py
+++ b/tests/owner/test_histories.py
@@ -6,11 +6,13 @@
 
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
-from tests.support.logged_events import capture_events
-from tests.support.step_history import (
+from tests.support.late_histories import (
     LateCommandsHistory,
     LateGrantsHistory,
     LateRestartsHistory,
+)
+from tests.support.logged_events import capture_events
+from tests.support.step_history import (
     StepHistory,
     UnequalEntriesHistory,
     history_settings,
--- a/tests/owner/test_histories_can_fail.py
+++ b/tests/owner/test_histories_can_fail.py
@@ -10,12 +10,9 @@
 from hypothesis import Phase
 from hypothesis.stateful import run_state_machine_as_test
 from tests.support.late_grants import complete_beside_a_late_grant
+from tests.support.late_histories import LateRestartsHistory
 from tests.support.logged_events import capture_events
-from tests.support.step_history import (
-    LateRestartsHistory,
-    StepHistory,
-    history_settings,
-)
+from tests.support.step_history import StepHistory, history_settings
 from tests.support.step_invariants import check_capacity
 
 from lagoonpulley.intake.messages import OutcomeKind
--- a/tests/owner/test_late_grants.py
+++ b/tests/owner/test_late_grants.py
@@ -4,8 +4,9 @@
 
 import pytest
 from tests.support.late_grants import cut_off_workers_with_late_commands, is_completed
+from tests.support.lateness import Lateness
 from tests.support.step_invariants import check_all
-from tests.support.steps import CAPACITY, Lateness, StepWorld, step
+from tests.support.steps import CAPACITY, StepWorld, step
 
 from lagoonpulley.upstream.tasks import Refusal, StartTask, SyncWorker
 
--- a/tests/owner/test_review_41.py
+++ b/tests/owner/test_review_41.py
@@ -7,13 +7,14 @@
 import pytest
 from tests.support.late_grants import complete_beside_a_late_grant
 from tests.support.late_starts import start_late_beside_a_busy_worker
+from tests.support.lateness import Lateness
 from tests.support.step_invariants import (
     check_all,
     check_capacity,
     check_limits,
     check_one_run_at_a_time,
 )
-from tests.support.steps import CAPACITY, Lateness, StepWorld, step
+from tests.support.steps import CAPACITY, StepWorld, step
 
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.standin.task_worker import TaskWorkerState
--- a/tests/owner/test_review_44.py
+++ b/tests/owner/test_review_44.py
@@ -52,6 +52,14 @@
     world.run(0.3)
 
 
+def cut_off_until_the_next_run(world, worker):
+    """Cut a worker off until its task runs elsewhere, and for a while longer."""
+    world.dead_workers.add(worker.id)
+    world.run_until(lambda: len(world.executions(FIRST)) == 2, 30.0)
+    world.run(4.0)
+    worker.advance(world.clock.mono)
+
+
 def latest_end(certain_until, commands):
     """Return the latest end of the leases over all orders of carrying out commands."""
     latest = certain_until
@@ -104,10 +112,7 @@
     world.run(1.0)
     assert len(starts) >= 8
     del world._delay_of
-    world.dead_workers.add(worker.id)
-    world.run_until(lambda: len(world.executions(FIRST)) == 2, 30.0)
-    world.run(4.0)
-    worker.advance(world.clock.mono)
+    cut_off_until_the_next_run(world, worker)
     check_one_run_at_a_time(world.executions(FIRST))
 
 
@@ -148,10 +153,7 @@
     # Three of each run; more are not sent into the silence.
     assert len(starts) >= 4
     del world._delay_of
-    world.dead_workers.add(worker.id)
-    world.run_until(lambda: len(world.executions(FIRST)) == 2, 30.0)
-    world.run(4.0)
-    worker.advance(world.clock.mono)
+    cut_off_until_the_next_run(world, worker)
     check_one_run_at_a_time(world.executions(FIRST))
 
 
--- a/tests/support/late_grants.py
+++ b/tests/support/late_grants.py
@@ -7,8 +7,9 @@
 
 from lagoonpulley.upstream.tasks import SyncWorker
 
+from .lateness import Lateness
 from .step_invariants import check_all
-from .steps import CAPACITY, Lateness, StepWorld, step
+from .steps import CAPACITY, StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.workload.spec import JobSpec
