--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -186,10 +186,6 @@
         """Whether the latest syncs did not all fail; true before the first sync."""
         return self.failures < UNRESPONSIVE_AFTER_FAILURES
 
-    def has_answered_since(self, sent_at: float) -> bool:
-        """Return whether the worker was known to live at or after a time."""
-        return self.alive_at is not None and self.alive_at >= sent_at
-
     def is_over(self, run: TrackedRun, now: float) -> bool:
         """Return whether a run has surely ended if the worker is out of reach."""
         return self._is_over(run.late_lease_until, now)
