Bound grants so that a successor need not count an open one

Cause: since a successor waits 12.2 s for a silent worker, before 6.8 s: it added an unanswered sync of the earlier owner to the end of the leases.

Change: an owner grants no lease that ends later than 6 s after its session even if it is carried out when the one before ends. So that sync is within what the successor waits for anyway, and it waits 6.8 s again. While the owner has its session, a grant is at least 2.9 s by that; without the store the leases shrink towards the 6 s.

--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -21,7 +21,7 @@
 from .journal import Journal
 from .run_ends import give_up_all_runs
 from .settled_runs import SettledRuns
-from .worker_leases import leases_of_earlier_owner
+from .worker_leases import WorkerLeases, latest_lease_end
 from .worker_state import TrackedRun, WorkerState
 
 if TYPE_CHECKING:
@@ -200,13 +200,15 @@
         chain_s = spec.critical_path_s()
         return spec.scheduled_at(occurrence) + queue.slack * chain_s + queue.target_s
 
-    def worker_lease_s(self) -> float:
+    def longest_grant_s(self, worker: WorkerState) -> float:
         """Return the longest lease that a worker may be granted now, in seconds.
 
         A successor presumes that no lease lasts longer than
-        :attr:`longest_granted_lease_s` after this owner's session has expired.
+        :attr:`longest_granted_lease_s` after this owner's session has expired, also if
+        the grant is carried out when the one before ends.
         """
-        left_s = self.session_expires_at + self.longest_granted_lease_s - self.now.mono
+        from_time = max(self.now.mono, worker.leases.granted_until)
+        left_s = self.session_expires_at + self.longest_granted_lease_s - from_time
         return min(self.longest_granted_lease_s, left_s)
 
     @property
@@ -308,9 +310,8 @@
         worker = WorkerState(
             info,
             self.max_lease_s,
-            leases_of_earlier_owner(
-                self.token, self.began_at, self.longest_granted_lease_s
-            ),
+            # An earlier owner may have granted some until its session ended.
+            WorkerLeases(latest_lease_end(self.began_at, self.longest_granted_lease_s)),
             self.journal.head_revision,
             self.known_workers,
         )
--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -11,7 +11,6 @@
     "START_WINDOW_S",
     "TimedCommand",
     "WorkerLeases",
-    "leases_of_earlier_owner",
     "latest_lease_end",
     "longest_lease_s",
 ]
@@ -83,12 +82,14 @@
 class WorkerLeases:
     """The leases that a worker may have by the commands that were sent to it.
 
-    ``certain_until`` is the end of those by commands that it has carried out, in
-    monotonic seconds. ``in_flight`` are commands whose answer is still awaited, and
+    ``certain_until`` is the end of those by commands that it has carried out, and
+    ``granted_until`` of those of the present owner among them, in monotonic seconds.
+    ``in_flight`` are commands whose answer is still awaited, and
     ``unanswered`` are those that it may carry out without a further answer.
     """
 
     certain_until: float
+    granted_until: float = float("-inf")
     in_flight: list[TimedCommand] = field(default_factory=list)
     unanswered: list[TimedCommand] = field(default_factory=list)
 
@@ -123,7 +124,7 @@
     def record_answer(self, command: TimedCommand) -> None:
         """Record that the worker has carried out a command and answered it."""
         self.withdraw(command)
-        self.certain_until = max(self.certain_until, command.answered_until)
+        self._extend(command.answered_until)
 
     def record_silence(self, command: TimedCommand) -> None:
         """Record that a command got no answer; the worker may still carry it out."""
@@ -145,34 +146,13 @@
             if command.token >= token:
                 kept.append(command)
                 continue
-            until = min(now, command.latest_at) + command.lease_s
-            self.certain_until = max(self.certain_until, until)
+            self._extend(min(now, command.latest_at) + command.lease_s)
         self.unanswered = kept
 
+    def _extend(self, until: float) -> None:
+        self.certain_until = max(self.certain_until, until)
+        self.granted_until = max(self.granted_until, until)
+
     def needs_token_above(self, token: int) -> bool:
         """Return whether an unanswered command is refused only under a later token."""
         return any(command.token >= token for command in self.unanswered)
-
-
-def leases_of_earlier_owner(
-    token: int, session_end: float, granted_lease_s: float
-) -> WorkerLeases:
-    """Return the leases that a worker may have by an earlier owner's syncs.
-
-    That may have granted some until its session ended, and one more by a sync whose
-    answer it had not got by then.
-
-    :param token: the first token of the present owner.
-    :param session_end: by when the earlier session had ended, in monotonic seconds.
-    :param granted_lease_s: how long after that its grants last at most, in seconds.
-    """
-    leases = WorkerLeases(latest_lease_end(session_end, granted_lease_s))
-    sync = TimedCommand(
-        token=token - 1,
-        until_ms=0,
-        latest_at=session_end + MAX_COMMAND_DELAY_S,
-        lease_s=longest_lease_s(MAX_OPEN_LEASE_S),
-        answered_until=session_end,
-    )
-    leases.record_silence(sync)
-    return leases
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -197,7 +197,7 @@
         """
         is_hindered = worker.overdue_syncs or self._health.is_unreachable()
         lease_s = MAX_OPEN_LEASE_S if is_hindered else WORKER_LEASE_S
-        return min(term.worker_lease_s(), lease_s)
+        return min(term.longest_grant_s(worker), lease_s)
 
     def _apply_report(
         self, term: OwnerTerm, worker: WorkerState, report: WorkerReport, sent_at: float
