--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -99,10 +99,13 @@
             file.write(json.dumps(line) + "\n")
         return line
 
+    def all_lines(self):
+        """Return all lines of the record."""
+        return list(map(json.loads, self.record_path.read_text().splitlines()))
+
     def lines(self, event):
         """Return the lines of the record of one event."""
-        lines = map(json.loads, self.record_path.read_text().splitlines())
-        return [line for line in lines if line["event"] == event]
+        return [line for line in self.all_lines() if line["event"] == event]
 
     def wait(self, condition, limit_s, what, every_s=0.02):
         """Wait until a condition holds, and return what it returned."""
@@ -131,13 +134,24 @@
         return http_call(self.store, "GET", f"/api/kv-key?key={key}", {})
 
     def start_worker(
-        self, worker_id, port=None, labels=("a", "r1-1"), cpu=16000, gpu=0
+        self,
+        worker_id,
+        port=None,
+        labels=("a", "r1-1"),
+        cpu=16000,
+        gpu=0,
+        make_path=None,
     ):
-        """Start a worker; the same id and port begin a new lifetime of it."""
+        """Start a worker; the same id and port begin a new lifetime of it.
+
+        With ``make_path``, others reach it by the path that this makes of its address.
+        """
         port = port or free_ports(1)[0]
+        path = make_path(f"{HOST}:{port}") if make_path else None
         options = {
             "worker_id": worker_id,
             "port": port,
+            "told_port": path.port if path else port,
             "store": self.store,
             "record": str(self.record_path),
             "service": SERVICE,
@@ -149,6 +163,7 @@
         process = self.start(command)
         process.address = f"{HOST}:{port}"
         process.port = port
+        process.path = path
         self.wait(lambda: self.answers(process.address), 10, f"{worker_id} answers")
         return process
 
@@ -340,6 +355,7 @@
 
 def run(case_file, scenario):
     """Run a scenario; exit with 1 if the rule was broken, 2 if it could not run."""
+
     def stop(_number, _frame):
         raise CouldNotRun("stopped from outside")
 
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -25,10 +25,20 @@
     """What one lifetime of a worker runs, and which ends it lists."""
 
     def __init__(
-        self, worker_id, port, store, record, service, labels, capacity, max_s
+        self,
+        worker_id,
+        port,
+        told_port,
+        store,
+        record,
+        service,
+        labels,
+        capacity,
+        max_s,
     ):
         self.id = worker_id
         self.port = port
+        self.told_port = told_port
         self.store = store
         self.record_path = record
         self.service = service
@@ -157,7 +167,7 @@
     def entry(self, seq):
         return {
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.told_port}",
             "zone": "a",
             "version": "v1",
             "slots": 8,
