--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -14,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 COMMON = Path(__file__).resolve().parent
@@ -22,6 +24,7 @@
 KEY = "secret-of-north"
 SERVICE = "desk"
 HOLD_MAX_S = 6.0
+PORTS = (16000, 32000)
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 
 
@@ -35,13 +38,13 @@
 
 
 def free_ports(count):
-    """Return ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports that nothing listens on, below those of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            ports.append(port)
     return ports
 
 
@@ -75,7 +78,6 @@
         (port,) = free_ports(1)
         self.store = f"{HOST}:{port}"
         self.start([sys.executable, str(COMMON / "store.py"), str(port)])
-        self.wait(lambda: self.answers(self.store), 10, "the store answers")
 
     def close(self):
         """Kill what still runs."""
@@ -363,6 +365,7 @@
     cell = None
     try:
         cell = Cell(Path(case_file).resolve().parent)
+        cell.wait(lambda: cell.answers(cell.store), 10, "the store answers")
         broken = scenario(cell)
         cell.record("verdict", broken=broken)
         print(broken or "the rule held")
@@ -370,6 +373,10 @@
     except CouldNotRun as error:
         print(f"could not run: {error}")
         code = COULD_NOT_RUN
+    except Exception:
+        # Only a broken rule may end with 1.
+        traceback.print_exc()
+        code = COULD_NOT_RUN
     finally:
         if cell is not None:
             keep = os.environ.get("KEEP_LOGS")
