review: keep case 7 within the burst of its site

Cause: the claim named `burst` without its limit, and 24 jobs at once are more than the 15.6 that it brings of the class in 4 s.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,9 @@
 
 from harness import CannotRun, Deployment, has_trouble, play, queue  # noqa: E402
 
-TIMED_JOBS = 24
+# A burst of material-recon at the site: 2.17 a second, 1.8 times, for 4 s.
+TIMED_JOBS = 15
+BURST_S = 4.0
 # One occurrence a minute for a day; the site files have jobs of 8.
 TIMES = 1440
 FEW_TIMES = 8
@@ -68,6 +70,7 @@
         status, _ = deployment.call("POST", f"/reports/7e0e7a21d94b{number:04x}", body)
         if status != 200:
             deployment.note("this timed job was not accepted")
+        time.sleep(BURST_S / TIMED_JOBS)
     accepted_at: dict[str, float] = {}
     began = time.monotonic()
     next_at = began
