owner: log starts that reach another incarnation of a worker, and the age of a term

The logs did not tell a lease by a former clock from one that was granted: an answer to a start with a lower clock left no line, and runs_presumed_dead did not tell whether the presumption of a new owner was used. Changed: the event start_reached_next_incarnation; term_age_s in runs_presumed_dead.

--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..model.verdict import Ran
+from ..observability.events import log_event
 from ..runtime.flows import Call, Flow
 from ..runtime.role import UPSTREAM, CallFailed
 from ..store.answer_timeout import AnswerTimeout
@@ -109,6 +110,8 @@
             took_s = max(0.0, took_s - timeout_s)
         self._timeout.record_answer(took_s)
         worker.record_outcome(timed, result)
+        if not is_failure and _is_clock_behind(result, known_clock_ms):
+            _log_reached_next_incarnation(worker, tracked.ref, result, known_clock_ms)
         if not is_failure or result.ran is Ran.NO:
             tracked.late_lease_until = known_until
         if isinstance(result, CommandAccepted) and command.permit:
@@ -170,6 +173,34 @@
     return CallFailed(Ran.MAYBE, f"then refused: {refusal.reason.value}")
 
 
+def _is_clock_behind(
+    result: CommandAccepted | CommandRefused, known_clock_ms: int
+) -> bool:
+    """Return whether an answer tells a lower clock than its worker has shown before."""
+    return result.clock_ms is not None and result.clock_ms < known_clock_ms
+
+
+def _log_reached_next_incarnation(
+    worker: WorkerState,
+    ref: TaskRef,
+    result: CommandAccepted | CommandRefused,
+    known_clock_ms: int,
+) -> None:
+    """Log that a start has reached another incarnation than it was meant for."""
+    refusal = result.reason.value if isinstance(result, CommandRefused) else ""
+    log_event(
+        "start_reached_next_incarnation",
+        job=ref.job_id,
+        task=list(ref.key),
+        run=ref.run,
+        worker=worker.info.id,
+        born=worker.info.born,
+        refusal=refusal,
+        clock_ms=result.clock_ms,
+        known_clock_ms=known_clock_ms,
+    )
+
+
 def _is_fenced(result: object) -> bool:
     return isinstance(result, CommandRefused) and result.reason is Refusal.FENCED
 
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -283,14 +283,16 @@
         dead = [run.ref for run in runs if worker.is_over(run, now)]
         if not dead:
             return
-        _log_presumed_dead(worker, len(dead), now)
+        _log_presumed_dead(worker, len(dead), now, now - term.began_at)
         if worker.closed:
             record_crash(term, worker)
         for ref in dead:
             give_up_run(term, worker, ref, "worker's lease has ended")
 
 
-def _log_presumed_dead(worker: WorkerState, runs: int, now: float) -> None:
+def _log_presumed_dead(
+    worker: WorkerState, runs: int, now: float, term_age_s: float
+) -> None:
     """Log on what grounds runs of a silent worker are given up."""
     alive_at = worker.alive_at
     log_event(
@@ -302,6 +304,7 @@
         kept=len(worker.tracked_by_ref) - runs,
         silent_s=None if alive_at is None else round(now - alive_at, 3),
         leases_over_s=round(now - worker.leases.expire_at, 3),
+        term_age_s=round(term_age_s, 3),
         unanswered=len(worker.leases.unanswered),
     )
 
