--- /dev/null
+++ b/tests/owner/test_recut.py
@@ -0,0 +1,64 @@
+"""Workers that are back under their ids and are cut off soon after."""
+
+from __future__ import annotations
+
+import pytest
+from tests.support.late_grants import is_completed
+from tests.support.lateness import Lateness
+from tests.support.recut import QUIET_S, crash_silently_and_cut_off
+from tests.support.step_invariants import check_all, check_one_run_at_a_time
+from tests.support.steps import StepWorld, step
+
+from lagoonpulley.upstream.tasks import StartTask
+
+JOB = "a" * 16
+
+
+def play_until_all_jobs_are_done(seed, kills_owner, directory_lag_s=0.1):
+    world, specs = crash_silently_and_cut_off(seed, kills_owner, directory_lag_s)
+    world.run_until(lambda: is_completed(world, specs), 60.0)
+    check_all(world, specs, {})
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 7, 9])
+def test_lease_by_a_former_clock_outlives_the_wait_of_the_next_owner(seed):
+    play_until_all_jobs_are_done(seed, kills_owner=True)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_lease_by_a_former_clock_outlives_the_wait_of_the_same_owner(seed):
+    play_until_all_jobs_are_done(seed, kills_owner=False)
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_start_with_a_permit_of_an_unknown_incarnation_runs_beside_its_successor(
+    is_answered,
+):
+    world = StepWorld(workers=1, max_lease_s=10.0)
+    queue = {"max_attempts": 2, "target_s": 1.0, "advice": [0.02, 0.001, 2.0]}
+    world.set_policy(2, {"reviews": queue})
+    world.advice_s = 0.02
+    world.run(QUIET_S)
+    worker = world.worker_by_id["w0"]
+    # The open poll stays without an answer, so the owner does not notice.
+    world.dead_workers.add("w0")
+    world.run(0.1)
+    world.restart_worker("w0")
+    world.dead_workers.clear()
+    apply = world._apply
+
+    def apply_and_cut_off(to, command):
+        result = apply(to, command)
+        if to is worker and worker.executions:
+            world.dead_workers.add("w0")
+        return result
+
+    world._apply = apply_and_cut_off
+    if not is_answered:
+        world.lateness_by_worker["w0"] = Lateness(1.0, (StartTask,), 0.01, 0.02)
+    world.submit(JOB, step(), payload="seconds=12")
+    world.run_until(lambda: worker.executions, 0.5)
+    world.add_worker("w1")
+    world.run_until(lambda: len(world.executions(JOB)) == 2, 30.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(JOB))
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -62,6 +62,8 @@
 TICK_S = 0.2
 MAX_POLICY_AGE_S = 1.5
 LEASE_S = 6.0
+# How long the advisor takes for an answer.
+ADVICE_S = 0.5
 RETENTION_S = 120.0
 # How long a worker needs to stop a run, which uses its room meanwhile.
 STOP_S = 0.2
@@ -81,6 +83,8 @@
     """Entries, workers and the store of a small simulated cell.
 
     The capacity of an entry that is not in ``capacity_by_name`` is unknown.
+
+    :param max_lease_s: longest lease that the workers grant, in seconds.
     """
 
     def __init__(
@@ -89,9 +93,11 @@
         workers: int = 3,
         seed: int = 1,
         shares: ShareSettings | None = None,
+        max_lease_s: float = LEASE_S,
     ) -> None:
         super().__init__(random.Random(seed))
         self.shares = shares
+        self.max_lease_s = max_lease_s
         # How long the entries that are started from now on keep final states.
         self.retention_s = RETENTION_S
         self.incarnation_count = 0
@@ -135,6 +141,7 @@
         # Workers for which the advisor gives no permit.
         self.forbidden_workers: set[str] = set()
         self.permit_valid_s = 2.0
+        self.advice_s = ADVICE_S
         self.permit_by_text: dict[str, Permit] = {}
         self.refused_permits = 0
         self.set_policy(1)
@@ -176,7 +183,7 @@
         """List a worker, and start it if it does not run yet."""
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
-            worker = TaskWorkerState(worker_id, LEASE_S, self.clock.mono)
+            worker = TaskWorkerState(worker_id, self.max_lease_s, self.clock.mono)
             worker.stop_s = STOP_S
             self.worker_by_id[worker_id] = worker
             self.address_by_worker_id[worker_id] = address or worker_id
@@ -259,7 +266,7 @@
         )
         settings = OwnerSettings(
             name,
-            LEASE_S,
+            self.max_lease_s,
             retention_s=self.retention_s,
             capacity=document.capacity,
             shares=self.shares,
@@ -455,7 +462,7 @@
             return
         if isinstance(command, AskAdvice):
             advice = self._advice(command)
-            self.clock.after(0.5, lambda: self._reply(entry, request, advice))
+            self.clock.after(self.advice_s, lambda: self._reply(entry, request, advice))
             return
         worker = self.worker_by_address[command.to.address]
         worker_id = worker.id
@@ -465,17 +472,17 @@
         def answer_long_poll(born: int) -> None:
             """Answer once a run has ended or the wait is over.
 
-            A restart of the worker resets the connection.
+            A restart of the worker resets the connection, but not through a cut.
             """
+            if self._is_cut(entry, worker_id):
+                failed = CallFailed(Ran.MAYBE, "no answer")
+                self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
+                return
             if worker.born != born or worker_id in self.crashed_workers:
                 reason = "the connection was reset"
                 failed = CallFailed(Ran.MAYBE, reason, closed=True)
                 self._reply(entry, request, failed)
                 return
-            if self._is_cut(entry, worker_id):
-                failed = CallFailed(Ran.MAYBE, "no answer")
-                self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
-                return
             worker.advance(self.clock.mono)
             if self.clock.mono < until and not worker.has_ends():
                 self.clock.after(POLL_INTERVAL_S, lambda: answer_long_poll(born))
@@ -646,7 +653,7 @@
             return
         operation = AskAdvice(*[getattr(call.message, f) for f in _ADVICE_FIELDS])
         answer = AdviceAnswer(self._advice(operation))
-        self.clock.after(0.5, lambda: self._reply(entry, request, answer))
+        self.clock.after(self.advice_s, lambda: self._reply(entry, request, answer))
 
 
 _ADVICE_FIELDS = ("job_id", "occurrence", "step", "worker_ids")
