--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -128,6 +128,7 @@
             max_lease_s=self._settings.longest_worker_lease_s,
             early_s=self._settings.early_s,
             began_at=self.now.mono,
+            began_wall=self.now.wall,
             team_use=TeamUse(shares.half_life_s) if shares else None,
             settled_revision=elected.settled_revision,
         )
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -21,8 +21,8 @@
 from .journal import Journal
 from .run_ends import give_up_all_runs
 from .settled_runs import SettledRuns
-from .worker_leases import WorkerLeases, latest_lease_end
-from .worker_state import TrackedRun, WorkerState
+from .worker_leases import WorkerLeases, latest_lease_end, may_have_former_times
+from .worker_state import MS_PER_S, TrackedRun, WorkerState
 
 if TYPE_CHECKING:
     from ..planning.team_use import TeamUse
@@ -47,7 +47,8 @@
     """Jobs, workers and tracked runs under one fencing token.
 
     Flows may outlive their term, so they check ``has_ended`` after every call.
-    ``began_at`` is when the term began, in monotonic seconds.
+    ``began_at`` is when the term began, in monotonic seconds, and ``began_wall`` the
+    same in seconds of the wall clock.
     ``idle_worker_by_id`` holds the workers without a sync in flight. ``known_workers``
     counts the workers that became known during the term. ``team_use`` is ``None`` where
     teams have no shares, ``draining_data_centres`` before the operators' requests are
@@ -59,6 +60,7 @@
     max_lease_s: float
     early_s: float
     began_at: float
+    began_wall: float
     team_use: TeamUse | None = None
     cell: Cell = field(default_factory=Cell)
     permits: PermitTable = field(default_factory=PermitTable)
@@ -232,6 +234,7 @@
         elif worker.is_next_incarnation(info.born):
             begin_incarnation(self, worker, info.born)
         worker.describe(info)
+        self._presume_former_times(worker)
         worker.missing_since = None
         crashed_at = self.crashed_at_by_address.get(worker.info.address)
         self.cell.put_worker(worker.info).crashed_at = crashed_at
@@ -315,11 +318,29 @@
             self.journal.head_revision,
             self.known_workers,
         )
+        self._presume_former_times(worker)
         self.worker_by_id[info.id] = worker
         self.idle_worker_by_id[info.id] = worker
         self.cell.put_worker(info)
         return worker
 
+    def may_have_former_times(self, worker: WorkerState) -> bool:
+        """Return whether a worker may have restarted shortly before this term.
+
+        Its earlier owner counted the leases that commands for the former incarnation
+        may have extended, see :meth:`WorkerState.begin_incarnation`; this one knows no
+        more than when the incarnation started.
+        """
+        started_at = worker.info.born / MS_PER_S
+        return bool(started_at) and may_have_former_times(
+            started_at, self.began_wall, self.max_lease_s
+        )
+
+    def _presume_former_times(self, worker: WorkerState) -> None:
+        """Presume the longest lease on a worker that restarted before this term."""
+        if self.may_have_former_times(worker):
+            worker.leases.presume(latest_lease_end(self.began_at, self.max_lease_s))
+
     def _close_predecessors(self, address: str) -> None:
         """Record that the processes before a new worker at an address have ended."""
         if not address:
@@ -358,6 +379,7 @@
         if worker is not None:
             if born > worker.info.born:
                 worker.info = replace(worker.info, born=born)
+                self._presume_former_times(worker)
             return worker
         info = WorkerInfo(worker_id, "", "", "", ZERO, (), "", born)
         worker = self._add_worker(info)
--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -13,6 +13,7 @@
     "WorkerLeases",
     "latest_lease_end",
     "longest_lease_s",
+    "may_have_former_times",
 ]
 
 # How long after it was sent a command without an answer may still be carried out.
@@ -34,6 +35,8 @@
 # way.
 UNKNOWN_LEASE_RATIO = 1.05
 UNKNOWN_LEASE_MARGIN_S = 0.5
+# By how much the wall clocks of two machines may differ.
+MAX_CLOCK_SKEW_S = 5.0
 
 
 def latest_lease_end(granted_by: float, max_lease_s: float) -> float:
@@ -49,6 +52,19 @@
     return length_s / (1.0 - CLOCK_DRIFT_RATIO) + LEASE_MARGIN_S
 
 
+def may_have_former_times(started_at: float, wall: float, max_lease_s: float) -> bool:
+    """Return whether a worker may hold a lease until a time of its former clock.
+
+    A command that was meant for its former incarnation may reach it once it has
+    started. The time in it is far ahead on the new clock, so the lease is the longest.
+
+    :param started_at: when the worker started, in seconds of its wall clock.
+    :param wall: the present wall time in seconds.
+    """
+    over_at = latest_lease_end(started_at + MAX_COMMAND_DELAY_S, max_lease_s)
+    return wall < over_at + MAX_CLOCK_SKEW_S
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class TimedCommand:
     """A command that extends all leases on the worker that carries it out.
@@ -116,6 +132,10 @@
             latest = max(latest, last_at + command.lease_s)
         return latest
 
+    def presume(self, until: float) -> None:
+        """Record that commands of others may have extended the leases until a time."""
+        self.certain_until = max(self.certain_until, until)
+
     def begin(self, command: TimedCommand, now: float) -> None:
         """Record that a command is sent."""
         self.unanswered = [each for each in self.unanswered if now < each.is_over_at]
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -23,7 +23,7 @@
     from ..upstream.directory import WorkerInfo
     from ..upstream.tasks import TaskRef, WorkerReport
 
-__all__ = ["BEFORE_THIS_TERM", "TrackedRun", "WorkerState"]
+__all__ = ["BEFORE_THIS_TERM", "MS_PER_S", "TrackedRun", "WorkerState"]
 
 MS_PER_S = 1000
 # ``start_resolved_at`` of runs of an earlier owner: before any event of this term.
--- a/src/lagoonpulley/standin/task_worker.py
+++ b/src/lagoonpulley/standin/task_worker.py
@@ -56,10 +56,18 @@
     uses its room, for ``stop_s`` seconds more.
 
     :param max_lease_s: longest lease that the worker grants, in seconds.
+    :param wall_offset_s: the worker's wall clock less the clock of all ``now``.
     """
 
-    def __init__(self, worker_id: str, max_lease_s: float, now: float) -> None:
+    def __init__(
+        self,
+        worker_id: str,
+        max_lease_s: float,
+        now: float,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self.id = worker_id
+        self.wall_offset_s = wall_offset_s
         self.max_lease_s = max_lease_s
         self.max_ends_listed = MAX_ENDS_LISTED
         self.is_stalled = False
@@ -75,7 +83,7 @@
         self._begin_incarnation(now)
 
     def _begin_incarnation(self, now: float) -> None:
-        self.born = int(now * MS_PER_S) + 1
+        self.born = int((self.wall_offset_s + now) * MS_PER_S) + 1
         self._booted_at = now
         self._token = 0
         self._lease_until_ms = 0
--- a/tests/owner/test_worker_leases.py
+++ b/tests/owner/test_worker_leases.py
@@ -98,9 +98,13 @@
     assert leases_with_unanswered(*order).expire_at == 8.0
 
 
+BEGAN_WALL = 1000.0
+
+
 def term_with_session_end(at):
-    term = OwnerTerm(1, Journal(1, 1), max_lease_s=10.0, early_s=0.0, began_at=0.0)
-    term.now = Now(0.0, 0.0)
+    journal = Journal(1, 1)
+    term = OwnerTerm(1, journal, 10.0, 0.0, began_at=0.0, began_wall=BEGAN_WALL)
+    term.now = Now(0.0, BEGAN_WALL)
     term.session_expires_at = at
     return term
 
@@ -111,6 +115,14 @@
     assert silent.leases.expire_at == latest_lease_end(0.0, 6.0)
 
 
+@pytest.mark.parametrize("started_s_before", [-3.0, 0.0, 3.0, 28.0])
+def test_successor_waits_as_long_as_workers_allow_after_a_restart(started_s_before):
+    """The clocks may differ, so the worker may seem to start after the term began."""
+    born = int((BEGAN_WALL - started_s_before) * 1000)
+    silent = term_with_session_end(0.0).worker_of_run("w0", born)
+    assert silent.leases.expire_at == latest_lease_end(0.0, 10.0)
+
+
 def test_grant_that_is_carried_out_when_the_one_before_ends_is_over_by_then():
     term = term_with_session_end(1.0)
     worker = term.worker_of_run("w0", 1)
--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -49,6 +49,7 @@
 from lagoonpulley.workload.spec import JobSpec, StepSpec
 
 from .lateness import LateCommand, Lateness, Permit, shift_times
+from .network import WALL_CLOCK_START_S
 from .step_documents import (
     POLICY_KEY,
     WORKERS_PREFIX,
@@ -183,7 +184,9 @@
         """List a worker, and start it if it does not run yet."""
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
-            worker = TaskWorkerState(worker_id, self.max_lease_s, self.clock.mono)
+            worker = TaskWorkerState(
+                worker_id, self.max_lease_s, self.clock.mono, WALL_CLOCK_START_S
+            )
             worker.stop_s = STOP_S
             self.worker_by_id[worker_id] = worker
             self.address_by_worker_id[worker_id] = address or worker_id
