--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -69,15 +69,16 @@
         if obstacle:
             self._end_unstarted_run(term, worker, ref, obstacle)
             return
-        incarnation, known_clock_ms = worker.incarnation, worker.clock_ms or 0
         tracked.start_sent_at = self._host.now.mono
+        incarnation = worker.incarnation
+        least_clock_ms = worker.min_clock_ms(tracked.start_sent_at)
         result = yield from self._starts.send(term, start, worker, tracked)
         if term.has_ended or worker.tracked_by_ref.get(ref) is not tracked:
             return
         if not term.is_current(worker, incarnation):
             # The list of the worker's next incarnation tells what became of the run.
             return
-        if isinstance(result, CommandAccepted) and result.clock_ms >= known_clock_ms:
+        if isinstance(result, CommandAccepted) and result.clock_ms >= least_clock_ms:
             # A lower clock is that of the next incarnation: this one has crashed.
             tracked.has_run, worker.alive_at = True, self._host.now.mono
             if not tracked.may_start_late(self._host.now.mono):
--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -98,7 +98,10 @@
         """Send a start once."""
         sent_at = self._host.now.mono
         command, timed = _make_command(term, start, worker, tracked.ref, sent_at)
-        known_clock_ms, known_until = worker.clock_ms or 0, tracked.late_lease_until
+        least_clock_ms, known_until = (
+            worker.min_clock_ms(sent_at),
+            tracked.late_lease_until,
+        )
         if timed is not None:
             until = _late_lease_end(worker, timed, command.permit)
             tracked.late_lease_until = max(known_until, until)
@@ -110,18 +113,19 @@
             took_s = max(0.0, took_s - timeout_s)
         self._timeout.record_answer(took_s)
         worker.record_outcome(timed, result)
-        if not is_failure and _is_clock_behind(result, known_clock_ms):
-            _log_reached_next_incarnation(worker, tracked.ref, result, known_clock_ms)
         if not is_failure or result.ran is Ran.NO:
             tracked.late_lease_until = known_until
         if isinstance(result, CommandAccepted) and command.permit:
             # An earlier attempt cannot start the run again on this incarnation, and
             # another one refuses the permit.
             tracked.late_lease_until = float("-inf")
-        elif isinstance(result, CommandAccepted) and result.clock_ms < known_clock_ms:
-            # The next incarnation has, whose clock makes the lease the longest one.
+        if is_failure or not _is_clock_behind(result, least_clock_ms):
+            return result
+        _log_reached_next_incarnation(worker, tracked.ref, result, least_clock_ms)
+        if isinstance(result, CommandAccepted):
+            # The clock of the next incarnation makes the lease the longest one.
             until = latest_lease_end(self._host.now.mono, worker.max_lease_s)
-            tracked.late_lease_until = max(known_until, until)
+            tracked.late_lease_until = max(tracked.late_lease_until, until)
         return result
 
 
@@ -174,17 +178,17 @@
 
 
 def _is_clock_behind(
-    result: CommandAccepted | CommandRefused, known_clock_ms: int
+    result: CommandAccepted | CommandRefused, least_clock_ms: int
 ) -> bool:
-    """Return whether an answer tells a lower clock than its worker has shown before."""
-    return result.clock_ms is not None and result.clock_ms < known_clock_ms
+    """Return whether an answer tells a clock that is behind the worker's own."""
+    return result.clock_ms is not None and result.clock_ms < least_clock_ms
 
 
 def _log_reached_next_incarnation(
     worker: WorkerState,
     ref: TaskRef,
     result: CommandAccepted | CommandRefused,
-    known_clock_ms: int,
+    least_clock_ms: int,
 ) -> None:
     """Log that a start has reached another incarnation than it was meant for."""
     refusal = result.reason.value if isinstance(result, CommandRefused) else ""
@@ -197,7 +201,7 @@
         born=worker.info.born,
         refusal=refusal,
         clock_ms=result.clock_ms,
-        known_clock_ms=known_clock_ms,
+        least_clock_ms=least_clock_ms,
     )
 
 
--- a/tests/owner/test_recut.py
+++ b/tests/owner/test_recut.py
@@ -30,10 +30,13 @@
     play_until_all_jobs_are_done(seed, kills_owner=False)
 
 
-@pytest.mark.parametrize("is_answered", [True, False])
-def test_start_with_a_permit_of_an_unknown_incarnation_runs_beside_its_successor(
-    is_answered,
-):
+def start_on_an_unknown_incarnation(is_answered, is_listed):
+    """Start a task on a worker after an unnoticed restart, cut it off and wait.
+
+    :param is_answered: whether the owner gets the answer to the start.
+    :param is_listed: whether the directory gets to know the next incarnation.
+    :returns: the runs of the task, until the next one has started elsewhere.
+    """
     world = StepWorld(workers=1, max_lease_s=10.0)
     queue = {"max_attempts": 2, "target_s": 1.0, "advice": [0.02, 0.001, 2.0]}
     world.set_policy(2, {"reviews": queue})
@@ -58,7 +61,22 @@
         world.lateness_by_worker["w0"] = Lateness(1.0, (StartTask,), 0.01, 0.02)
     world.submit(JOB, step(), payload="seconds=12")
     world.run_until(lambda: worker.executions, 0.5)
+    if is_listed:
+        world.add_worker("w0")
     world.add_worker("w1")
     world.run_until(lambda: len(world.executions(JOB)) == 2, 30.0)
     worker.advance(world.clock.mono)
-    check_one_run_at_a_time(world.executions(JOB))
+    return world.executions(JOB)
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_start_that_an_unknown_incarnation_accepts_runs_beside_its_successor(is_listed):
+    check_one_run_at_a_time(start_on_an_unknown_incarnation(True, is_listed))
+
+
+def test_unanswered_start_of_a_listed_incarnation_runs_beside_its_successor():
+    check_one_run_at_a_time(start_on_an_unknown_incarnation(False, is_listed=True))
+
+
+def test_unanswered_start_of_an_unlisted_incarnation_runs_beside_its_successor():
+    check_one_run_at_a_time(start_on_an_unknown_incarnation(False, is_listed=False))
