--- a/tests/support/steps.py
+++ b/tests/support/steps.py
@@ -475,17 +475,17 @@
         def answer_long_poll(born: int) -> None:
             """Answer once a run has ended or the wait is over.
 
-            A restart of the worker resets the connection, but not through a cut.
+            A restart of the worker resets the connection.
             """
-            if self._is_cut(entry, worker_id):
-                failed = CallFailed(Ran.MAYBE, "no answer")
-                self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
-                return
             if worker.born != born or worker_id in self.crashed_workers:
                 reason = "the connection was reset"
                 failed = CallFailed(Ran.MAYBE, reason, closed=True)
                 self._reply(entry, request, failed)
                 return
+            if self._is_cut(entry, worker_id):
+                failed = CallFailed(Ran.MAYBE, "no answer")
+                self.clock.at(times_out_at, lambda: self._reply(entry, request, failed))
+                return
             worker.advance(self.clock.mono)
             if self.clock.mono < until and not worker.has_ends():
                 self.clock.after(POLL_INTERVAL_S, lambda: answer_long_poll(born))
