tests: the odd bytes of a server come before a letter, so that libcurl fails with them

Changed: a letter follows the byte; the test asks that there is a failure and that its reason has the replaced byte, which is stricter than before. Not run on x86-64: no such machine here.

--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -209,8 +209,9 @@
 def test_reason_of_a_failure_is_text_when_the_server_sends_other_bytes(loop):
     def answer(connection, listener):
         connection.recv(65536)
-        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: \xff\r\n\r\n")
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: \xffx\r\n\r\n")
 
     with serve_one_connection(answer) as url:
         failure = perform(loop, HttpCall("GET", url, b"", TIMEOUT_S))
-    assert failure.reason.encode()
+    assert isinstance(failure, HttpFailure)
+    assert "?x" in failure.reason
