--- a/src/lagoonpulley/cli/platform.py
+++ b/src/lagoonpulley/cli/platform.py
@@ -56,7 +56,12 @@
     signal.signal(signal.SIGHUP, lambda _number, _frame: reloader.request_reload())
     gc.set_threshold(GC_THRESHOLD)
     entry.start()
-    log_event("started", entry_id=settings.ok.entry_id)
+    log_event(
+        "started",
+        entry_id=settings.ok.entry_id,
+        callers=entry.callers_address,
+        ready=entry.ready_address,
+    )
     signals.wait(reloader.reload_if_changed)
     log_event("stopping")
     entry.drain(settings.ok.stop_deadline_s, signals.stop_at_once)
