--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -21,7 +21,12 @@
 from .journal import Journal
 from .run_ends import give_up_all_runs
 from .settled_runs import SettledRuns
-from .worker_leases import WorkerLeases, latest_lease_end, may_have_former_times
+from .worker_leases import (
+    MAX_COMMAND_DELAY_S,
+    WorkerLeases,
+    latest_lease_end,
+    may_have_former_times,
+)
 from .worker_state import MS_PER_S, TrackedRun, WorkerState
 
 if TYPE_CHECKING:
@@ -338,8 +343,11 @@
 
     def _presume_former_times(self, worker: WorkerState) -> None:
         """Presume the longest lease on a worker that restarted before this term."""
-        if self.may_have_former_times(worker):
-            worker.leases.presume(latest_lease_end(self.began_at, self.max_lease_s))
+        if worker.fenced or not self.may_have_former_times(worker):
+            return
+        worker.leases.presume(latest_lease_end(self.began_at, self.max_lease_s))
+        former_until = self.began_at + MAX_COMMAND_DELAY_S
+        worker.former_until = max(worker.former_until, former_until)
 
     def _close_predecessors(self, address: str) -> None:
         """Record that the processes before a new worker at an address have ended."""
--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -59,10 +59,10 @@
     started. The time in it is far ahead on the new clock, so the lease is the longest.
 
     :param started_at: when the worker started, in seconds of its wall clock.
-    :param wall: the present wall time in seconds.
+    :param wall: when those commands ceased, in seconds of the own wall clock.
     """
     over_at = latest_lease_end(started_at + MAX_COMMAND_DELAY_S, max_lease_s)
-    return wall < over_at + MAX_CLOCK_SKEW_S
+    return started_at - MAX_CLOCK_SKEW_S < wall < over_at + MAX_CLOCK_SKEW_S
 
 
 @dataclass(frozen=True, slots=True, eq=False)
--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -104,10 +104,11 @@
     those of calls to an earlier incarnation yet. ``token_requested`` is set until the
     next commit provides a later token. ``seen_token`` is the latest one under which it
     has answered. ``leases`` are those that it may have, and ``granted_at`` is when a
-    sync last extended them, in monotonic seconds. ``processed`` and ``acknowledged``
-    are numbers of ended runs in the worker's own numbering; an end is acknowledged only
-    after the commit that records it. Ends up to ``forgotten`` were acknowledged in a
-    call that was answered.
+    sync last extended them, in monotonic seconds. ``former_until`` is until when it may
+    carry out commands to an earlier incarnation, minus infinity once it refuses them.
+    ``processed`` and ``acknowledged`` are numbers of ended runs in the worker's own
+    numbering; an end is acknowledged only after the commit that records it. Ends up to
+    ``forgotten`` were acknowledged in a call that was answered.
     ``position`` orders workers by when they first became known. ``alive_at`` is when
     it was last known to live, ``closed_at`` since when it refuses connections or has
     closed them, as after a crash, both in monotonic seconds. ``blamed_runs`` are those
@@ -128,6 +129,7 @@
     token_requested: bool = False
     seen_token: int = 0
     granted_at: float = float("-inf")
+    former_until: float = float("-inf")
     clock_ms: int | None = None
     clock_at: float = 0.0
     processed: int = 0
@@ -284,9 +286,12 @@
     def _presume_leases(self, now: float) -> None:
         """Presume the longest leases that the next incarnation may hold.
 
-        A start without an answer may reach it late, and its time limit is of the
-        previous one's clock.
+        A command without an answer may reach it late, and its time is of the previous
+        one's clock.
         """
+        commands = self.leases.in_flight + self.leases.unanswered
+        latest_at = max((each.latest_at for each in commands), default=now)
+        self.former_until = max(self.former_until, now, latest_at)
         runs = self.tracked_by_ref.values()
         if any(run.sent_to_earlier for run in runs):
             # Otherwise a worker that restarts again and again would keep its runs.
@@ -297,6 +302,18 @@
         self.leases = WorkerLeases(until)
         self.granted_at = float("-inf")
 
+    def _begin_fenced(self, now: float) -> None:
+        """Record the first report under a token above those of earlier commands.
+
+        Those that this incarnation has carried out came before; it refuses the others.
+        """
+        self.fenced = True
+        if self.former_until == float("-inf"):
+            return
+        former_until = min(now, self.former_until)
+        self.leases.certain_until = latest_lease_end(former_until, self.max_lease_s)
+        self.former_until = float("-inf")
+
     def min_clock_ms(self, now: float) -> int:
         """Return the lowest time that the worker's clock can show now."""
         elapsed_s = max(0.0, now - self.clock_at) * (1.0 - CLOCK_DRIFT_RATIO)
@@ -350,7 +367,8 @@
         """Record a report received now: the worker is fenced and responds."""
         self.clock_ms = report.clock_ms
         self.clock_at = now
-        self.fenced = True
+        if not self.fenced:
+            self._begin_fenced(now)
         self.failures = self.overdue_syncs = 0
         self.alive_at = now
         self.closed_at = None
