owner: a start that is on its way at a restart may begin its run later (TWICE)

Seen: in the simulated cell, with permits that are valid for 6 s, two runs of a task at once. Cause: a start with a permit of the next incarnation, sent under the former clock and without an answer, is carried out after the directory has told of the restart. The owner counted the longest lease from when it learned of that; the end of the start's own lease, which it also counted, is one of a clock that the incarnation has not. Change: the longest lease counts from when the last such command may be carried out (former_until), also under a successor that reads the progress before the directory. With permits valid for 2 s the wait grows by 2 s at most, for runs of a restarted worker that has not answered since.

--- a/src/lagoonpulley/owner/worker_state.py
+++ b/src/lagoonpulley/owner/worker_state.py
@@ -296,7 +296,7 @@
         if any(run.sent_to_earlier for run in runs):
             # Otherwise a worker that restarts again and again would keep its runs.
             return
-        until = latest_lease_end(now, self.max_lease_s)
+        until = latest_lease_end(self.former_until, self.max_lease_s)
         for run in runs:
             until = max(until, run.late_lease_until)
         self.leases = WorkerLeases(until)
--- a/tests/owner/test_review_53.py
+++ b/tests/owner/test_review_53.py
@@ -77,6 +77,14 @@
     world.run(LISTED_S)
 
 
+def restart_unnoticed(world, worker):
+    """Restart a worker at once, while the open poll of the owner hides it."""
+    world.dead_workers.add(worker.id)
+    world.run(0.1)
+    world.restart_worker(worker.id)
+    world.dead_workers.clear()
+
+
 def start_and_cut_off(world, worker):
     """Start a task on a worker that is reached again, and cut it off at once."""
     world.dead_workers.discard(worker.id)
@@ -132,3 +140,34 @@
     world.run_until(lambda: world.late_commands, 8.0)
     start_and_cut_off(world, worker)
     check_one_run_at_a_time(runs_until_the_next_one(world, worker))
+
+
+def test_late_start_with_a_permit_begins_after_the_directory_told_of_the_restart():
+    """The owner counts the longest lease from when it learned of the restart."""
+    world, worker = world_with_one_worker(permit_valid_s=6.0)
+    restart_unnoticed(world, worker)
+
+    def list_and_cut_off():
+        world.dead_workers.add(worker.id)
+        world.add_worker(worker.id)
+
+    delay_starts(world, 4.0, list_and_cut_off)
+    world.submit(JOB, step(), payload=TASK)
+    world.run_until(lambda: worker.executions, 6.0)
+    check_one_run_at_a_time(runs_until_the_next_one(world, worker))
+
+
+def test_late_start_with_a_permit_begins_after_the_election_of_the_next_owner():
+    """That owner reads the progress before the directory tells it of the restart."""
+    world, worker = world_with_one_worker(permit_valid_s=6.0)
+    restart_unnoticed(world, worker)
+
+    def list_and_cut_off():
+        world.dead_workers.add(worker.id)
+        world.add_worker(worker.id)
+        world.owner().owner.step_down("test")
+
+    delay_starts(world, 4.0, list_and_cut_off)
+    world.submit(JOB, step(), payload=TASK)
+    world.run_until(lambda: worker.executions, 6.0)
+    check_one_run_at_a_time(runs_until_the_next_one(world, worker))
