--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -122,9 +122,11 @@
         if is_failure or not _is_clock_behind(result, least_clock_ms):
             return result
         _log_reached_next_incarnation(worker, tracked.ref, result, least_clock_ms)
+        # The clock of the next incarnation makes each lease there the longest one, also
+        # of a run whose start got no answer.
+        until = latest_lease_end(self._host.now.mono, worker.max_lease_s)
+        worker.leases.presume(until)
         if isinstance(result, CommandAccepted):
-            # The clock of the next incarnation makes the lease the longest one.
-            until = latest_lease_end(self._host.now.mono, worker.max_lease_s)
             tracked.late_lease_until = max(tracked.late_lease_until, until)
         return result
 
--- a/tests/owner/test_review_53.py
+++ b/tests/owner/test_review_53.py
@@ -171,3 +171,27 @@
     world.submit(JOB, step(), payload=TASK)
     world.run_until(lambda: worker.executions, 6.0)
     check_one_run_at_a_time(runs_until_the_next_one(world, worker))
+
+
+def test_answer_of_an_unknown_life_to_one_start_says_nothing_of_another_start():
+    """The unanswered one runs there as well, and holds the longest lease."""
+    world, worker = world_with_one_worker(permit_valid_s=2.0)
+    restart_unnoticed(world, worker)
+    silent = []
+
+    def delay_of(worker_id, command):
+        if worker_id != worker.id or not isinstance(command, StartTask):
+            return None
+        if not silent:
+            silent.append(command.ref)
+        return 0.01 if command.ref in silent else None
+
+    world._delay_of = delay_of
+    world.submit(JOB, step(count=2), payload=TASK)
+    world.run_until(lambda: len(worker.executions) == 2, 0.5)
+    world.run(0.05)
+    world.dead_workers.add(worker.id)
+    world.add_worker("w1")
+    world.run_until(lambda: len(world.executions(JOB)) == 4, 60.0)
+    worker.advance(world.clock.mono)
+    check_one_run_at_a_time(world.executions(JOB))
