--- a/tests/owner/test_review_53.py
+++ b/tests/owner/test_review_53.py
@@ -195,3 +195,33 @@
     world.run_until(lambda: len(world.executions(JOB)) == 4, 60.0)
     worker.advance(world.clock.mono)
     check_one_run_at_a_time(world.executions(JOB))
+
+
+def test_answer_of_an_unlisted_life_is_unknown_to_the_next_owner():
+    """Only the owner that got it knows that the run holds the longest lease."""
+    world, worker = world_with_one_worker(permit_valid_s=2.0)
+    restart_unnoticed(world, worker)
+    world.submit(JOB, step(), payload=TASK)
+    world.run_until(lambda: worker.executions, 0.5)
+    world.run(0.01)
+    world.dead_workers.add(worker.id)
+    world.owner().owner.step_down("test")
+    check_one_run_at_a_time(runs_until_the_next_one(world, worker))
+
+
+def test_stored_run_without_an_incarnation_hides_the_restart_from_the_next_owner():
+    """Its start got no answer, and the directory does not list the worker any more."""
+    world, worker = world_with_one_worker(permit_valid_s=2.0)
+    delay_next_grant(world, 6.0)
+    restart_behind_a_cut(world, worker)
+    world.run_until(lambda: world.late_commands, 8.0)
+    world.dead_workers.clear()
+    delay_starts(world, 0.01)
+    world.submit(JOB, step(), payload=TASK)
+    world.run_until(lambda: worker.executions, 3.0)
+    world.dead_workers.add(worker.id)
+    world.run(1.4)
+    key, _ = world.record_of(worker.id)
+    world.delete(key)
+    world.owner().owner.step_down("test")
+    check_one_run_at_a_time(runs_until_the_next_one(world, worker))
