gateway: callers take a thread for whole requests only, and all they send is bounded

Cause: the HTTP server had no bound on any part of a request, read what the application left as the head of the next one, and gave each connection a thread from its first moment; so it was not about trailers alone, and as many silent callers as threads (16; 1 at the readiness address) stopped the others. A request is received as a whole, within bounds on its parts, its time, the number of connections and the bytes of all together, before a thread has it; nothing of it is left over.

--- a/src/lagoonpulley/entry/entry.py
+++ b/src/lagoonpulley/entry/entry.py
@@ -10,6 +10,7 @@
 from ..gateway.access import AccessControl
 from ..gateway.admission import Admission
 from ..gateway.app import GatewayApp
+from ..gateway.http_limits import HttpLimits
 from ..gateway.http_server import GatewayServer, HttpListener
 from ..journal.role import JournalRole
 from ..limits.role import LimitsRole
@@ -67,7 +68,11 @@
             self.decisions,
             self._metrics,
         )
-        self._server = GatewayServer(_listener_of(settings), app)
+        limits = HttpLimits(
+            body_bytes=settings.admission.body_bytes,
+            held_bytes=settings.admission.bytes_in_flight,
+        )
+        self._server = GatewayServer(_listener_of(settings), app, limits)
         self._add_ports()
         self._add_roles()
 
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -7,6 +7,7 @@
 import uuid
 from typing import TYPE_CHECKING
 
+from ..gateway.http_limits import HttpLimits
 from ..gateway.http_server import GatewayServer, HttpListener
 from ..intake.readiness import EntryReadiness
 from ..intake.role import IntakeRole
@@ -25,7 +26,7 @@
 from ..runtime.role import PEERS, STORE, UPSTREAM
 from ..store.health import StoreHealthTracker
 from .documents import PlatformDirectory, PlatformDrains, PlatformPolicy
-from .gateway import PlatformGateway, ReadinessApp
+from .gateway import MAX_BODY_BYTES, PlatformGateway, ReadinessApp
 from .ports import HttpPort, StoreHttpPort
 from .store import PlatformStoreCodec
 from .workers import PlatformWorkerCodec
@@ -67,12 +68,18 @@
             settings.ip, settings.peer_port, self._runtime.deliver
         )
         gateway = PlatformGateway(self._runtime, self._entry_readiness, read_clocks)
+        limits = HttpLimits.from_process(
+            settings.memory_mb, settings.max_descriptors, MAX_BODY_BYTES
+        )
         self._callers_server = GatewayServer(
-            HttpListener.from_address(settings.callers_address, CALLER_THREADS), gateway
+            HttpListener.from_address(settings.callers_address, CALLER_THREADS),
+            gateway,
+            limits,
         )
         self._readiness_server = GatewayServer(
             HttpListener.from_address(settings.ready_address, READINESS_THREADS),
             ReadinessApp(self._entry_readiness),
+            limits,
         )
         self._add_ports()
         self._add_roles()
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -64,6 +64,8 @@
     cpu_share: float = Field(0.0, alias="cpuShare", ge=0, allow_inf_nan=False)
     cores: int = Field(1, ge=0)
     link_mbps: float = Field(0.0, alias="linkMbps", ge=0, allow_inf_nan=False)
+    memory_mb: float = Field(0.0, alias="memoryMb", ge=0, allow_inf_nan=False)
+    max_descriptors: int = Field(0, alias="maxFds", ge=0)
 
 
 class _Shares(BaseModel):
@@ -108,7 +110,9 @@
     answered by the one before, ``retention_s`` how long a final state is kept, and
     ``stop_deadline_s`` the longest time of a drain. The rates of store calls are those
     that all entries together may make; ``None`` means unknown. ``processors_milli`` is
-    in thousandths of a processor and ``link_mbps`` in Mbit/s; 0 means unknown.
+    in thousandths of a processor and ``link_mbps`` in Mbit/s; 0 means unknown, as it
+    does for ``memory_mb``, the memory that the process may have in MB, and for
+    ``max_descriptors``, the descriptors that it may have open.
     ``drains_data_centres`` says whether operators may drain whole data centres, and
     ``shares`` how teams share a full cell, ``None`` if they have no shares.
     """
@@ -133,6 +137,8 @@
     store_reads_per_s: float | None
     processors_milli: int
     link_mbps: float
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
     drains_data_centres: bool = False
     shares: ShareSettings | None = None
 
@@ -216,5 +222,7 @@
         store_reads_per_s=file.platform.reads_per_s,
         processors_milli=round(limits.cpu_share * limits.cores * MILLI_PER_PROCESSOR),
         link_mbps=limits.link_mbps,
+        memory_mb=limits.memory_mb,
+        max_descriptors=limits.max_descriptors,
         drains_data_centres=bounds.evacuate_ms is not None,
     )
