--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -56,7 +56,7 @@
     """Return whether a worker may hold a lease until a time of its former clock.
 
     A command that was meant for its former incarnation may reach it once it has
-    started. The time in it is far ahead on the new clock, so the lease is the longest.
+    started. If the time in it is far ahead on the new clock, the lease is the longest.
 
     :param started_at: when the worker started, in seconds of its wall clock.
     :param wall: when those commands ceased, in seconds of the own wall clock.
