--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -18,7 +18,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-__all__ = ["MAX_DESCRIPTORS", "MEMORY_MB", "EntryProcess", "run_entry", "send_at_most"]
+__all__ = [
+    "HOST",
+    "KEY",
+    "MAX_DESCRIPTORS",
+    "MEMORY_MB",
+    "EntryProcess",
+    "run_entry",
+    "run_platform",
+    "send_at_most",
+]
 
 # Limits of the process, low enough for a small crowd to meet them.
 MEMORY_MB = 128
@@ -61,6 +70,23 @@
     :param process: reads no standard input; its standard output has the log lines.
     """
 
+    @classmethod
+    def start(cls, path: Path) -> EntryProcess:
+        """Start a process and wait until it is the owner, or follows one.
+
+        :param path: its settings file.
+        """
+        return cls(
+            subprocess.Popen(
+                [sys.executable, "-m", "lagoonpulley", "platform", str(path)],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.DEVNULL,
+                text=True,
+                preexec_fn=_limit_descriptors,
+            )
+        )
+
     def __init__(self, process: subprocess.Popen) -> None:
         self._process = process
         self.address_by_name: dict[str, tuple[str, int]] = {}
@@ -96,6 +122,19 @@
         """How many files and sockets the process has open."""
         return len(list(Path(f"/proc/{self._process.pid}/fd").iterdir()))
 
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def wait(self) -> int:
+        """Wait for the end of the process, and return its exit code."""
+        return self._process.wait(START_TIMEOUT_S)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._process.kill()
+        self._process.wait()
+
     def connect(self, name: str) -> socket.socket:
         """Open a connection to one of its addresses, ``callers`` or ``ready``."""
         return socket.create_connection(self.address_by_name[name], SEND_TIMEOUT_S)
@@ -123,23 +162,27 @@
 
     :param directory: for its settings file.
     """
+    with run_platform(directory) as path:
+        entry = EntryProcess.start(path)
+        try:
+            yield entry
+        finally:
+            entry.kill()
+
+
+@contextmanager
+def run_platform(directory: Path) -> Iterator[Path]:
+    """Run a simulated platform; yields the settings file of an entry there.
+
+    :param directory: for the settings file.
+    """
     standin = PlatformStandin()
     standin.put("op/config", CONFIG)
     path = directory / "boot.json"
     path.write_text(json.dumps(_settings(standin.address)))
-    process = subprocess.Popen(
-        [sys.executable, "-m", "lagoonpulley", "platform", str(path)],
-        stdin=subprocess.DEVNULL,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.DEVNULL,
-        text=True,
-        preexec_fn=_limit_descriptors,
-    )
     try:
-        yield EntryProcess(process)
+        yield path
     finally:
-        process.kill()
-        process.wait()
         standin.close()
 
 
