--- a/src/lagoonpulley/owner/fencing.py
+++ b/src/lagoonpulley/owner/fencing.py
@@ -4,11 +4,23 @@
 
 from typing import TYPE_CHECKING
 
+from ..upstream.tasks import CommandRefused, Refusal
+
 if TYPE_CHECKING:
     from .term import OwnerTerm
     from .worker_state import WorkerState
 
-__all__ = ["raise_token_if_needed", "request_token"]
+__all__ = ["is_fenced_by_own_token", "raise_token_if_needed", "request_token"]
+
+
+def is_fenced_by_own_token(worker: WorkerState, token: int, result: object) -> bool:
+    """Return whether a later command of this owner has overtaken one.
+
+    :param token: that of the refused command.
+    :param result: what became of it.
+    """
+    is_fenced = isinstance(result, CommandRefused) and result.reason is Refusal.FENCED
+    return is_fenced and token < worker.token
 
 
 def raise_token_if_needed(term: OwnerTerm, worker: WorkerState) -> None:
--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -12,10 +12,9 @@
 from ..upstream.tasks import (
     CommandAccepted,
     CommandRefused,
-    Refusal,
     StartTask,
 )
-from .fencing import raise_token_if_needed
+from .fencing import is_fenced_by_own_token, raise_token_if_needed
 from .worker_leases import MAX_OPEN_ATTEMPTS, START_WINDOW_S, latest_lease_end
 
 if TYPE_CHECKING:
@@ -73,8 +72,7 @@
             if isinstance(result, CommandAccepted):
                 worker.record_token(token, self._host.now.mono)
                 return result
-            if _is_fenced(result) and token < worker.token:
-                # A later command of this owner has overtaken it.
+            if is_fenced_by_own_token(worker, token, result):
                 continue
             if isinstance(result, CommandRefused):
                 return _refused(result, failed)
@@ -207,10 +205,6 @@
     )
 
 
-def _is_fenced(result: object) -> bool:
-    return isinstance(result, CommandRefused) and result.reason is Refusal.FENCED
-
-
 def _late_lease_end(worker: WorkerState, timed: TimedCommand, permit: str) -> float:
     """Return until when a run has a lease that a late start has begun.
 
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -13,7 +13,7 @@
 from ..upstream.tasks import Refusal, SyncWorker, WorkerReport
 from .crashes import record_crash
 from .dispatch import COMMAND_TIMEOUT_S
-from .fencing import raise_token_if_needed
+from .fencing import is_fenced_by_own_token, raise_token_if_needed
 from .reports import apply_report
 from .run_ends import give_up_run, store_starts
 from .worker_leases import MAX_OPEN_LEASE_S
@@ -164,7 +164,7 @@
             worker.record_token(command.token, self._host.now.mono)
             worker.forgotten = max(worker.forgotten, command.acknowledged)
             self._apply_report(term, worker, result, sent_at)
-        elif _is_fenced_by_own_token(worker, command, result):
+        elif is_fenced_by_own_token(worker, command.token, result):
             self.sync(term, worker)
         else:
             lateness_s = self._host.now.mono - sent_at - timeout_s
@@ -307,11 +307,3 @@
         term_age_s=round(term_age_s, 3),
         unanswered=len(worker.leases.unanswered),
     )
-
-
-def _is_fenced_by_own_token(
-    worker: WorkerState, command: SyncWorker, result: Any
-) -> bool:
-    """Return whether a command was overtaken by one of this owner's later tokens."""
-    is_fenced = result.reason is Refusal.FENCED
-    return is_fenced and command.token < worker.token
