--- a/src/lagoonpulley/owner/worker_leases.py
+++ b/src/lagoonpulley/owner/worker_leases.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 
 __all__ = [
+    "LONGEST_SYNC_LEASE_S",
     "MAX_COMMAND_DELAY_S",
     "MAX_OPEN_ATTEMPTS",
-    "MAX_OPEN_LEASE_S",
     "START_WINDOW_S",
     "TimedCommand",
     "WorkerLeases",
@@ -26,7 +26,7 @@
 MAX_OPEN_ATTEMPTS = 3
 # Longest lease that a sync grants. A worker gets no other sync that grants one while
 # such a sync has no answer.
-MAX_OPEN_LEASE_S = 5.0
+LONGEST_SYNC_LEASE_S = 5.0
 # Share by which a worker's clock may run slower than the owner's.
 CLOCK_DRIFT_RATIO = 0.02
 # Added to the computed end of a lease before the lease counts as expired.
--- a/src/lagoonpulley/owner/workers.py
+++ b/src/lagoonpulley/owner/workers.py
@@ -16,7 +16,7 @@
 from .fencing import is_fenced_by_own_token, raise_token_if_needed
 from .reports import apply_report
 from .run_ends import give_up_run, store_starts
-from .worker_leases import MAX_OPEN_LEASE_S
+from .worker_leases import LONGEST_SYNC_LEASE_S
 
 if TYPE_CHECKING:
     from ..store.health import StoreHealth
@@ -196,7 +196,7 @@
         store, or while this process cannot follow the worker's answers.
         """
         is_hindered = worker.overdue_syncs or self._health.is_unreachable()
-        lease_s = MAX_OPEN_LEASE_S if is_hindered else WORKER_LEASE_S
+        lease_s = LONGEST_SYNC_LEASE_S if is_hindered else WORKER_LEASE_S
         return min(term.longest_grant_s(worker), lease_s)
 
     def _apply_report(
