--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -64,10 +64,13 @@
     def __init__(self, process: subprocess.Popen) -> None:
         self._process = process
         self.address_by_name: dict[str, tuple[str, int]] = {}
+        self._started = threading.Event()
         self._elected = threading.Event()
         self._reader = threading.Thread(target=self._read_lines, daemon=True)
         self._reader.start()
-        assert self._elected.wait(START_TIMEOUT_S), "the entry does not start"
+        # In either order: the roles start before the servers.
+        for event in (self._started, self._elected):
+            assert event.wait(START_TIMEOUT_S), "the entry does not start"
 
     def _read_lines(self) -> None:
         for line in self._process.stdout:
@@ -76,6 +79,7 @@
                 for name in ("callers", "ready"):
                     host, _, port = event[name].rpartition(":")
                     self.address_by_name[name] = (host, int(port))
+                self._started.set()
             if event.get("event") == "jobs_loaded":
                 self._elected.set()
 
