gateway: a request leaves the queue for a thread together with its caller

Cause: the bytes and the connection of a caller that resets its connection are not counted any more, but its request stays in the queue until a thread takes it, and each thread may be busy for 10 s.

Change: a queue from which the request of a closed connection is dropped.

Result: the new test fails without the change and passes with it.

--- a/src/lagoonpulley/gateway/http_server.py
+++ b/src/lagoonpulley/gateway/http_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import queue
 import socket
 import threading
 from contextlib import suppress
@@ -14,6 +13,7 @@
 from ..observability.events import log_event
 from .http_connection import SERVICE_UNAVAILABLE, HttpConnection, Phase
 from .http_limits import HttpLimits
+from .request_queue import RequestQueue
 from .wsgi import run_application
 
 if TYPE_CHECKING:
@@ -67,9 +67,11 @@
         self._app = app
         self._socket = _bind(listener.host, listener.port)
         self._bound: tuple[str, int] = self._socket.getsockname()[:2]
-        self._requests: queue.SimpleQueue = queue.SimpleQueue()
+        self._requests = RequestQueue()
         self._loop = asyncio.new_event_loop()
-        self._connections = _Connections(self._loop, limits or HttpLimits(), self._put)
+        self._connections = _Connections(
+            self._loop, limits or HttpLimits(), self._requests
+        )
         self._workers = [
             threading.Thread(target=self._work, name=f"gateway-{number}", daemon=True)
             for number in range(listener.threads)
@@ -97,8 +99,7 @@
             with suppress(RuntimeError):
                 self._loop.call_soon_threadsafe(self._connections.begin_close)
             self._thread.join()
-            for _ in self._workers:
-                self._requests.put(None)
+            self._requests.close()
         self._socket.close()
 
     def _serve(self) -> None:
@@ -107,15 +108,9 @@
         finally:
             self._loop.close()
 
-    def _put(self, connection: HttpConnection, request: HttpRequest) -> None:
-        self._requests.put((connection, request))
-
     def _work(self) -> None:
-        """Answer requests until there is the sign to end, which is ``None``."""
-        while True:
-            item = self._requests.get()
-            if item is None:
-                return
+        """Answer requests until their queue is closed."""
+        while (item := self._requests.take()) is not None:
             connection, request = item
             response = run_application(self._app, request, self._bound)
             try:
@@ -135,10 +130,10 @@
         self,
         loop: asyncio.AbstractEventLoop,
         limits: HttpLimits,
-        answer: Callable[[HttpConnection, HttpRequest], None],
+        requests: RequestQueue,
     ) -> None:
         self.limits = limits
-        self.answer = answer
+        self._requests = requests
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.is_closing = False
         self._loop = loop
@@ -196,6 +191,7 @@
         """See :class:`~.http_connection.ConnectionOwner`."""
         self._since_by_phase[connection.phase].pop(connection, None)
         self._forget_held_bytes(connection)
+        self._requests.drop(connection)
         self._count -= 1
         self._end_if_done()
 
@@ -217,6 +213,10 @@
             largest.refuse(SERVICE_UNAVAILABLE, "too many bytes are held")
             self._forget_held_bytes(largest)
 
+    def answer(self, connection: HttpConnection, request: HttpRequest) -> None:
+        """See :class:`~.http_connection.ConnectionOwner`."""
+        self._requests.put(connection, request)
+
     def record_refusal(self, status: int, reason: str) -> None:
         """See :class:`~.http_connection.ConnectionOwner`."""
         log_event("caller_refused", status=status, reason=reason)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import threading
 from contextlib import suppress
 from dataclasses import replace
@@ -28,11 +29,13 @@
     def __init__(self):
         self.release = threading.Event()
         self.holds = threading.Event()
+        self.paths = []
 
     def __call__(self, environ, start_response):
         return self._answer(Request(environ))(environ, start_response)
 
     def _answer(self, request):
+        self.paths.append(request.path)
         if request.path == "/fail":
             raise ValueError("odd")
         if request.path == "/odd":
@@ -260,6 +263,27 @@
     assert is_closed(connect())
 
 
+def test_request_whose_caller_has_left_is_not_kept_for_a_thread(serve, app):
+    _, connect = serve()
+    hold = GET.replace(b"/a", b"/hold") + b"\r\n"
+    busy = [connect(), connect()]
+    for connection in busy:
+        connection.sendall(hold)
+    assert app.holds.wait(TIMEOUT_S)
+    leaving = connect()
+    leaving.sendall(POST.replace(b"/a", b"/left") + b"Content-Length: 2\r\n\r\nhi")
+    # Closing with this is a reset.
+    option = struct.pack("ii", 1, 0)
+    leaving.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    # So that the server has read the request.
+    assert send_and_read(connect(), POST + b"Content-Length: -1\r\n\r\n")[0] == 400
+    leaving.close()
+    assert send_and_read(connect(), POST + b"Content-Length: -1\r\n\r\n")[0] == 400
+    app.release.set()
+    assert send_and_read(connect(), GET + b"\r\n")[0] == 200
+    assert "/left" not in app.paths
+
+
 def test_request_in_progress_is_answered_before_the_server_ends(serve, app):
     server, connect = serve()
     busy, receiving, idle = connect(), connect(), connect()
