platform: a submission has at most 1,000 steps, and large bodies are decoded one by one

What callers saw: one request with 87,000 empty steps, inside the bound on bodies, brought a process that may have 128 MB from 54 to 155 MB, and 16 at once to 638 MB; half of them were accepted or got no answer.

Cause: each step takes a kilobyte once it is decoded, and their number had no bound. With one, 16 bodies still came to 176 MB: the allocator keeps for each of the 16 threads what the largest body took there.

Change: more than 1,000 steps, or steps to wait for, are refused with 400. Bodies above 16 KB are decoded by one thread.

Of the new tests the one with steps fails without the change (650 MB), the other two bodies pass with and without it.

--- a/src/lagoonpulley/platform/gateway.py
+++ b/src/lagoonpulley/platform/gateway.py
@@ -5,6 +5,7 @@
 import itertools
 import math
 import re
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, Protocol
 
 from werkzeug.exceptions import RequestEntityTooLarge
@@ -37,6 +38,9 @@
 DEFAULT_TIMEOUT_S = 3.0
 MAX_TIMEOUT_S = 10.0
 RETRY_AFTER_S = 1
+# Bodies above this are decoded one at a time, always by the same thread: the allocator
+# keeps for each thread what the largest one took, 50 times its size.
+LARGE_BODY_BYTES = 16_384
 METRICS_PATH = "/metrics"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
 # How long a request waits for a confirmation of the policy.
@@ -72,6 +76,7 @@
         self._entry_readiness = entry_readiness
         self._clocks = clocks
         self._request_numbers = itertools.count()
+        self._large_bodies = ThreadPoolExecutor(1, thread_name_prefix="large-body")
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
@@ -133,7 +138,12 @@
     ) -> Outcome | Response:
         now = self._clocks().wall
         body = request.get_data()
-        decoded = decode_submission_body(body, job_id, queue.name, team, now)
+        arguments = (body, job_id, queue.name, team, now)
+        if len(body) > LARGE_BODY_BYTES:
+            decoding = self._large_bodies.submit(decode_submission_body, *arguments)
+            decoded = decoding.result()
+        else:
+            decoded = decode_submission_body(*arguments)
         if decoded.is_error():
             return Response(decoded.error, status=400)
         return self._call(SubmitJob(decoded.ok, policy.revision), request)
--- a/src/lagoonpulley/platform/submission.py
+++ b/src/lagoonpulley/platform/submission.py
@@ -15,6 +15,8 @@
 MS_PER_S = 1000
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 5000
+# A body has room for 87,000, which take 100 MB.
+MAX_STEPS = 1000
 
 
 class _Step(BaseModel):
@@ -25,7 +27,7 @@
     mem_mb: Amount = Field(0, alias="memMb")
     gpu: Amount = 0
     estimate_ms: Milliseconds = Field(0.0, alias="estimateMs")
-    after: list[int] = Field(default_factory=list, fail_fast=True)
+    after: list[int] = Field(default_factory=list, max_length=MAX_STEPS, fail_fast=True)
     gang: bool = False
     same_rack: bool = Field(False, alias="sameRack")
     requires: str = ""
@@ -65,7 +67,7 @@
     """A job; ``startAtMs`` is when its first occurrence is due, in ms since 1970."""
 
     spec: str = ""
-    steps: list[_Step] = Field(min_length=1, fail_fast=True)
+    steps: list[_Step] = Field(min_length=1, max_length=MAX_STEPS, fail_fast=True)
     start_at_ms: Milliseconds = Field(0.0, alias="startAtMs")
     interval_ms: Milliseconds = Field(0.0, alias="intervalMs")
     repeat_count: int = Field(0, ge=0, le=MAX_TASKS, alias="repeatCount")
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -70,6 +70,12 @@
 # The most that a request may have, and slow to read.
 LARGE_BODY = b'{"steps":[{"count":0}' + b" " * 250_000 + b"]}"
 LARGE = KNOWN + f"Content-Length: {len(LARGE_BODY)}\r\n\r\n".encode() + LARGE_BODY
+# Bodies that take many times their size once they are decoded.
+SWELLING_BODIES = {
+    "steps": b'{"steps":[' + b",".join([b"{}"] * 87_000) + b"]}",
+    "lists": b'{"steps":[' + b",".join([b"[]"] * 87_000) + b"]}",
+    "unknown": b'{"steps":[],"x":[' + b",".join([b"{}"] * 87_000) + b"]}",
+}
 TUNNEL = b"CONNECT /metrics HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 
 
@@ -186,3 +192,20 @@
         with suppress(OSError), entry.connect("callers") as connection:
             connection.sendall(LARGE)
     check(entry)
+
+
+@pytest.mark.parametrize("swelling", SWELLING_BODIES)
+def test_bodies_that_swell_when_they_are_decoded_fill_the_memory(
+    entry, connections, swelling
+):
+    body = SWELLING_BODIES[swelling]
+    length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+    open_crowd(entry, "callers", connections, STALLED // 2)
+    for number, connection in enumerate(connections):
+        head = KNOWN.replace(b"0123456789abcdef", b"%016x" % number)
+        send_to_all([connection], head + length + body)
+    # So that all of them have been decoded.
+    for connection in connections:
+        with suppress(OSError):
+            connection.recv(1)
+    check(entry)
--- a/tests/platform/test_submission.py
+++ b/tests/platform/test_submission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lagoonpulley.platform.submission import decode_submission_body
+from lagoonpulley.platform.submission import MAX_STEPS, decode_submission_body
 
 
 def decode(more="", step=""):
@@ -67,3 +67,10 @@
 def test_refusal_of_a_submission_with_many_faults_is_short(body):
     refused = decode_submission_body(body.encode(), "a" * 16, "reviews", "north", 1.0)
     assert 0 < len(refused.error) < 200
+
+
+@pytest.mark.parametrize(("steps", "is_ok"), [(MAX_STEPS, True), (87_000, False)])
+def test_submission_with_more_steps_than_the_memory_takes_is_refused(steps, is_ok):
+    body = '{"steps": [' + ",".join(["{}"] * steps) + "]}"
+    decoded = decode_submission_body(body.encode(), "a" * 16, "reviews", "north", 1.0)
+    assert decoded.is_ok() == is_ok
