gateway: a refused request is let go at once

What callers saw: nothing yet. In the new test 23 requests that are refused with 503, as all hold too much together, still take 24 MB where 1.5 MB may be held.

Cause: a refused connection is not counted any more, but keeps its request and what h11 has of it for the second before it is closed.

Change: it lets go of both.

Result: the test fails without the change (24 MB) and passes with it (below 8 MB).

--- a/src/lagoonpulley/gateway/http_connection.py
+++ b/src/lagoonpulley/gateway/http_connection.py
@@ -329,6 +329,9 @@
 
         To close with unread bytes resets the connection, which may destroy it.
         """
+        # Nothing that has arrived is needed any more, and nothing of it is counted.
+        self._request = None
+        self._http = None
         self._set_held_bytes(0)
         self._owner.set_phase(self, Phase.LINGERING)
         self._transport.resume_reading()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 import threading
+import tracemalloc
 from contextlib import suppress
 from dataclasses import replace
+from itertools import pairwise
 from unittest.mock import Mock
 
 import pytest
@@ -279,6 +282,25 @@
     assert send_and_read(small, b"x" * 5_000)[0] == 200
 
 
+def test_request_that_is_refused_for_its_size_is_let_go(serve):
+    sizes = {"body_bytes": 1_000_000, "held_bytes": 1_500_000}
+    _, connect = serve(replace(LIMITS, **sizes))
+    connections = [connect() for _ in range(24)]
+    head = POST + b"Content-Length: 950000\r\n\r\n"
+    part = b"x" * 900_000
+    tracemalloc.start()
+    try:
+        connections[0].sendall(head + part)
+        for previous, connection in pairwise(connections):
+            connection.sendall(head + part)
+            # The one that holds most is refused, as two hold too much together.
+            assert select.select([previous, connection], [], [], TIMEOUT_S)[0]
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 8_000_000
+
+
 def test_request_that_does_not_arrive_in_time_is_refused(serve):
     _, connect = serve(replace(LIMITS, request_s=0.1))
     connection = connect()
