gateway: large heads of requests count as held bytes

What callers saw: nothing yet. In the new test eight requests with 200 headers, each of which waits for the rest of its body, were all held where 200 KB may be held.

Cause: only bodies and what is not parsed yet were counted, but a head of 256 headers takes about 70 KB (computed, not measured).

Change: heads count as well beyond 8 KB, with 250 bytes for each header.

Result: the test fails without the change and passes with it.

--- a/src/lagoonpulley/gateway/http_connection.py
+++ b/src/lagoonpulley/gateway/http_connection.py
@@ -26,6 +26,10 @@
 RETRY_AFTER_S = 1
 # How much more a caller may send after a refusal; a reset could reach it before that.
 LINGER_BYTES = 262_144
+# What Python takes for a header besides its text, and the size up to which the head of
+# a request is not counted, as for nearly all of them.
+HEADER_OVERHEAD_BYTES = 250
+UNCOUNTED_HEAD_BYTES = 8_192
 # Parts of requests, such as small chunks, that are handled before others have a turn.
 PARTS_AT_ONCE = 32
 
@@ -240,8 +244,7 @@
             return
         if self.phase is Phase.IDLE:
             self._owner.set_phase(self, Phase.RECEIVING)
-        body = self._request.body if self._request else None
-        self._set_held_bytes(len(unparsed) + len(body or b""))
+        self._set_held_bytes(len(unparsed) + _held_bytes(self._request))
 
     def _begin_request(self, event: h11.Request) -> bool:
         if len(event.headers) > self._limits.headers:
@@ -257,6 +260,10 @@
             event.http_version.decode("ascii"),
             list(event.headers),
         )
+        self._request.head_bytes = len(event.target) + sum(
+            len(name) + len(value) + HEADER_OVERHEAD_BYTES
+            for name, value in event.headers
+        )
         declared = _declared_body_bytes(self._request)
         if declared > self._limits.body_bytes:
             self._hand_over_refused(declared)
@@ -288,7 +295,7 @@
         request = self._request
         self._owner.set_phase(self, Phase.ANSWERING)
         unparsed, _ = self._http.trailing_data
-        self._set_held_bytes(len(unparsed) + len(request.body or b""))
+        self._set_held_bytes(len(unparsed) + _held_bytes(request))
         self._owner.answer(self, request)
 
     def _write(self, response: HttpResponse, closes: bool) -> None:
@@ -348,3 +355,11 @@
         if name == b"content-length":
             return int(value)
     return 0
+
+
+def _held_bytes(request: HttpRequest | None) -> int:
+    """Return about how many bytes a request takes, as far as it has arrived."""
+    if request is None:
+        return 0
+    head_bytes = max(0, request.head_bytes - UNCOUNTED_HEAD_BYTES)
+    return head_bytes + len(request.body or b"")
--- a/src/lagoonpulley/gateway/wsgi.py
+++ b/src/lagoonpulley/gateway/wsgi.py
@@ -25,7 +25,8 @@
 class HttpRequest:
     """One request; names of headers are in lower case.
 
-    ``body`` is ``None`` if the request has none. ``is_refused`` is set if the body is
+    ``body`` is ``None`` if the request has none, and ``head_bytes`` is about how much
+    memory the rest takes. ``is_refused`` is set if the body is
     larger than the server takes: then it was not read, and ``body_bytes`` is its size
     as far as it is known.
     """
@@ -34,6 +35,7 @@
     target: str
     version: str
     headers: list[tuple[bytes, bytes]]
+    head_bytes: int = 0
     body: bytearray | None = None
     body_bytes: int = 0
     is_refused: bool = False
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -301,6 +301,19 @@
     assert peak < 8_000_000
 
 
+def test_heads_of_requests_are_held_as_well(serve):
+    sizes = {"head_bytes": 32_000, "headers": 256, "held_bytes": 200_000}
+    _, connect = serve(replace(LIMITS, **sizes))
+    connections = [connect() for _ in range(8)]
+    head = POST + b"X: y\r\n" * 200 + b"Content-Length: 2\r\n\r\nh"
+    for connection in connections:
+        connection.sendall(head)
+    readable = select.select(connections, [], [], TIMEOUT_S)[0]
+    assert readable
+    assert read_response(readable[0])[0] == 503
+    assert send_and_read(connect(), head + b"i")[0] == 200
+
+
 def test_request_that_does_not_arrive_in_time_is_refused(serve):
     _, connect = serve(replace(LIMITS, request_s=0.1))
     connection = connect()
