runtime: closing a loop for HTTP requests does not fail if its thread ends first

Cause: the thread may take the sign to end before close() wakes it, and closed the socket for that. Change: close() closes both ends, after the thread has ended.

--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -160,6 +160,9 @@
         self._submitted_calls.put(None)
         self._wake()
         self._thread.join()
+        # Only now: the thread may end before it is woken.
+        self._wake_writer.close()
+        self._wake_reader.close()
 
     def _wake(self) -> None:
         try:
@@ -347,8 +350,6 @@
             handle.close()
         self._multi.close()
         self._selector.close()
-        self._wake_reader.close()
-        self._wake_writer.close()
 
 
 def _complete(complete: Completion, outcome: HttpOutcome) -> None:
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -215,3 +215,24 @@
         failure = perform(loop, HttpCall("GET", url, b"", TIMEOUT_S))
     assert isinstance(failure, HttpFailure)
     assert "?x" in failure.reason
+
+
+class _QueueThatWaits:
+    """Puts a request and waits until the thread of a loop has ended by it."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._queue = loop._submitted_calls
+        self.get_nowait = self._queue.get_nowait
+
+    def put(self, submitted):
+        self._queue.put(submitted)
+        self._loop._wake()
+        self._loop._thread.join(TIMEOUT_S)
+
+
+def test_loop_that_ends_before_it_is_woken_fails_to_close():
+    loop = CurlLoop("test")
+    loop._submitted_calls = _QueueThatWaits(loop)
+    loop.close()
+    assert not loop._thread.is_alive()
