tests: a seed of the recut play that can fail where the play begins now

Cause: moved the beginning of the play to 31 s and kept its seeds; seed 9 passes there with the fix of switched off, so of six checks five could fail. Changed: seed 6 beside them, none taken out. Measured, with OwnerTerm.may_have_former_times always false: 14 of seeds 0 to 19 run a task twice at once, 6 among them and 9 not; with the fix all pass.

--- a/tests/owner/test_recut.py
+++ b/tests/owner/test_recut.py
@@ -20,7 +20,7 @@
     check_all(world, specs, {})
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3, 4, 7, 9])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 6, 7, 9])
 def test_lease_by_a_former_clock_outlives_the_wait_of_the_next_owner(seed):
     play_until_all_jobs_are_done(seed, kills_owner=True)
 
