tests: one set-up for the tests of unnoticed restarts

Changed: world_with_one_worker and restart_unnoticed stand in tests/support/recut.py; start_late_once_listed serves both tests. Assertions and names stay.

--- a/tests/owner/test_recut.py
+++ b/tests/owner/test_recut.py
@@ -5,9 +5,13 @@
 import pytest
 from tests.support.late_grants import is_completed
 from tests.support.lateness import Lateness
-from tests.support.recut import QUIET_S, crash_silently_and_cut_off
+from tests.support.recut import (
+    crash_silently_and_cut_off,
+    restart_unnoticed,
+    world_with_one_worker,
+)
 from tests.support.step_invariants import check_all, check_one_run_at_a_time
-from tests.support.steps import StepWorld, step
+from tests.support.steps import step
 
 from lagoonpulley.upstream.tasks import StartTask
 
@@ -37,17 +41,8 @@
     :param is_listed: whether the directory gets to know the next incarnation.
     :returns: the runs of the task, until the next one has started elsewhere.
     """
-    world = StepWorld(workers=1, max_lease_s=10.0)
-    queue = {"max_attempts": 2, "target_s": 1.0, "advice": [0.02, 0.001, 2.0]}
-    world.set_policy(2, {"reviews": queue})
-    world.advice_s = 0.02
-    world.run(QUIET_S)
-    worker = world.worker_by_id["w0"]
-    # The open poll stays without an answer, so the owner does not notice.
-    world.dead_workers.add("w0")
-    world.run(0.1)
-    world.restart_worker("w0")
-    world.dead_workers.clear()
+    world, worker = world_with_one_worker(permit_valid_s=2.0)
+    restart_unnoticed(world, worker)
     apply = world._apply
 
     def apply_and_cut_off(to, command):
--- a/tests/owner/test_review_53.py
+++ b/tests/owner/test_review_53.py
@@ -3,37 +3,19 @@
 from __future__ import annotations
 
 import pytest
+from tests.support.recut import restart_unnoticed, world_with_one_worker
 from tests.support.step_invariants import check_one_run_at_a_time
-from tests.support.steps import StepWorld, step
+from tests.support.steps import step
 
 from lagoonpulley.upstream.tasks import StartTask, SyncWorker
 
 JOB = "a" * 16
 # Longer than any lease in these tests.
 TASK = "seconds=40"
-# By then, the first lives of the workers count no more as just begun.
-QUIET_S = 30.0
 # Until the directory has told every owner of a restart.
 LISTED_S = 0.6
 
 
-def world_with_one_worker(permit_valid_s=None):
-    """Return a world whose first owner is settled, and its worker.
-
-    :param permit_valid_s: how long permits of the advisor are valid, ``None`` for a
-        queue without advice.
-    """
-    world = StepWorld(workers=1, max_lease_s=10.0)
-    if permit_valid_s is not None:
-        advice = [0.02, 0.001, permit_valid_s]
-        queue = {"max_attempts": 2, "target_s": 1.0, "advice": advice}
-        world.set_policy(2, {"reviews": queue})
-        world.advice_s = 0.02
-        world.permit_valid_s = permit_valid_s
-    world.run(QUIET_S)
-    return world, world.worker_by_id["w0"]
-
-
 def delay_next_grant(world, late_s):
     """Let the next sync that extends leases get no answer, and be carried out late."""
     delayed = []
@@ -77,14 +59,6 @@
     world.run(LISTED_S)
 
 
-def restart_unnoticed(world, worker):
-    """Restart a worker at once, while the open poll of the owner hides it."""
-    world.dead_workers.add(worker.id)
-    world.run(0.1)
-    world.restart_worker(worker.id)
-    world.dead_workers.clear()
-
-
 def start_and_cut_off(world, worker):
     """Start a task on a worker that is reached again, and cut it off at once."""
     world.dead_workers.discard(worker.id)
@@ -142,35 +116,38 @@
     check_one_run_at_a_time(runs_until_the_next_one(world, worker))
 
 
-def test_late_start_with_a_permit_begins_after_the_directory_told_of_the_restart():
-    """The owner counts the longest lease from when it learned of the restart."""
+def start_late_once_listed(then=lambda world: None):
+    """Start a task late on the next life, which is cut off as the directory lists it.
+
+    :param then: called with the world as soon as that has happened.
+    :returns: the runs of the task, until the next one has started elsewhere.
+    """
     world, worker = world_with_one_worker(permit_valid_s=6.0)
     restart_unnoticed(world, worker)
 
     def list_and_cut_off():
         world.dead_workers.add(worker.id)
         world.add_worker(worker.id)
+        then(world)
 
     delay_starts(world, 4.0, list_and_cut_off)
     world.submit(JOB, step(), payload=TASK)
     world.run_until(lambda: worker.executions, 6.0)
-    check_one_run_at_a_time(runs_until_the_next_one(world, worker))
+    return runs_until_the_next_one(world, worker)
+
+
+def test_late_start_with_a_permit_begins_after_the_directory_told_of_the_restart():
+    """The owner counts the longest lease from when it learned of the restart."""
+    check_one_run_at_a_time(start_late_once_listed())
 
 
 def test_late_start_with_a_permit_begins_after_the_election_of_the_next_owner():
     """That owner reads the progress before the directory tells it of the restart."""
-    world, worker = world_with_one_worker(permit_valid_s=6.0)
-    restart_unnoticed(world, worker)
 
-    def list_and_cut_off():
-        world.dead_workers.add(worker.id)
-        world.add_worker(worker.id)
+    def step_down(world):
         world.owner().owner.step_down("test")
 
-    delay_starts(world, 4.0, list_and_cut_off)
-    world.submit(JOB, step(), payload=TASK)
-    world.run_until(lambda: worker.executions, 6.0)
-    check_one_run_at_a_time(runs_until_the_next_one(world, worker))
+    check_one_run_at_a_time(start_late_once_listed(step_down))
 
 
 def test_answer_of_an_unknown_life_to_one_start_says_nothing_of_another_start():
--- a/tests/support/recut.py
+++ b/tests/support/recut.py
@@ -9,9 +9,14 @@
 from .steps import CAPACITY, StepWorld, step
 
 if TYPE_CHECKING:
+    from lagoonpulley.standin.task_worker import TaskWorkerState
     from lagoonpulley.workload.spec import JobSpec
 
-__all__ = ["QUIET_S", "crash_silently_and_cut_off"]
+__all__ = [
+    "crash_silently_and_cut_off",
+    "restart_unnoticed",
+    "world_with_one_worker",
+]
 
 ENTRIES = 3
 WORKERS = 8
@@ -19,6 +24,7 @@
 # Longer than what a new owner presumes of leases that an earlier one has granted.
 MAX_LEASE_S = 10.0
 ADVICE_S = 0.02
+PERMIT_VALID_S = 2.0
 JOB_INTERVAL_S = 0.05
 TASK_S = 12.0
 UNTIL_CRASH_S = 0.5
@@ -64,9 +70,7 @@
     world = StepWorld(
         entries=ENTRIES, workers=WORKERS, seed=seed, max_lease_s=MAX_LEASE_S
     )
-    queue = {"max_attempts": 2, "target_s": 1.0, "advice": [0.02, 0.001, 2.0]}
-    world.set_policy(2, {"reviews": queue})
-    world.advice_s = ADVICE_S
+    _set_advice(world, PERMIT_VALID_S)
     world.run(QUIET_S + rng.uniform(0.0, 1.0))
     arrivals = _Arrivals(world)
     arrivals.run(UNTIL_CRASH_S)
@@ -85,3 +89,34 @@
     world.run(CUT_S)
     world.dead_workers.clear()
     return world, arrivals.spec_by_id
+
+
+def world_with_one_worker(
+    permit_valid_s: float | None = None,
+) -> tuple[StepWorld, TaskWorkerState]:
+    """Return a world whose first owner is settled, and its worker.
+
+    :param permit_valid_s: how long permits of the advisor are valid, ``None`` for a
+        queue without advice.
+    """
+    world = StepWorld(workers=1, max_lease_s=MAX_LEASE_S)
+    if permit_valid_s is not None:
+        _set_advice(world, permit_valid_s)
+    world.run(QUIET_S)
+    return world, world.worker_by_id["w0"]
+
+
+def restart_unnoticed(world: StepWorld, worker: TaskWorkerState) -> None:
+    """Restart a worker at once, while the open poll of the owner hides it."""
+    world.dead_workers.add(worker.id)
+    world.run(0.1)
+    world.restart_worker(worker.id)
+    world.dead_workers.clear()
+
+
+def _set_advice(world: StepWorld, permit_valid_s: float) -> None:
+    advice = [ADVICE_S, 0.001, permit_valid_s]
+    queue = {"max_attempts": 2, "target_s": 1.0, "advice": advice}
+    world.set_policy(2, {"reviews": queue})
+    world.advice_s = ADVICE_S
+    world.permit_valid_s = permit_valid_s
