gateway: a connection counts what it holds in one place, and room is made without copies

At the bound on connections each new one copied up to 1,000 entries of four phases to look at the first of each; the four phases were named a second time beside their limits; whether a request was refused was worked out twice. Changed: the first of a phase is looked at by itself, for the phases that have a limit; the request is there whenever a response is sent, so it is asked directly; a paused parser needs no branch. Behaviour as before.

--- a/src/lagoonpulley/gateway/http_connection.py
+++ b/src/lagoonpulley/gateway/http_connection.py
@@ -169,9 +169,9 @@
         """Send the response of the application, if there still is a connection."""
         if self._transport is None:
             return
-        was_refused = self._request is not None and self._request.is_refused
         try:
-            self._write(response, closes=was_refused or self._owner.is_closing)
+            closes = self._request.is_refused or self._owner.is_closing
+            self._write(response, closes)
         except h11.LocalProtocolError as error:
             log_event("response_failed", error=str(error))
             self.abort()
@@ -223,16 +223,14 @@
         if event is h11.NEED_DATA:
             self._wait_for_more()
             return False
-        if event is h11.PAUSED:
-            return False
         if isinstance(event, h11.Request):
             return self._begin_request(event)
         if isinstance(event, h11.Data):
             return self._add_to_body(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._hand_over()
-            return False
-        self._transport.close()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._transport.close()
         return False
 
     def _wait_for_more(self) -> None:
@@ -242,10 +240,8 @@
 
     def _record_received(self) -> None:
         unparsed, _ = self._http.trailing_data
-        if self._request is None and not unparsed:
-            self._set_held_bytes(0)
-            return
-        if self.phase is Phase.IDLE:
+        has_begun = self._request is not None or unparsed
+        if has_begun and self.phase is Phase.IDLE:
             self._owner.set_phase(self, Phase.RECEIVING)
         self._set_held_bytes(len(unparsed) + _held_bytes(self._request))
 
@@ -318,11 +314,10 @@
         self._transport.write(b"".join(parts))
 
     def _finish_response(self) -> None:
-        was_refused = self._request is not None and self._request.is_refused
-        self._request = None
-        if was_refused:
+        if self._request.is_refused:
             self._linger()
             return
+        self._request = None
         if self._http.our_state is h11.MUST_CLOSE or self._owner.is_closing:
             self._transport.close()
             return
--- a/src/lagoonpulley/gateway/http_server.py
+++ b/src/lagoonpulley/gateway/http_server.py
@@ -240,15 +240,15 @@
             if connection.sends_ahead:
                 self._refuse_connection(connection)
                 return
-        waiting = [
-            (since, connection)
-            for phase in (Phase.LINGERING, Phase.IDLE, Phase.RECEIVING, Phase.SENDING)
-            for connection, since in list(self._since_by_phase[phase].items())[:1]
-        ]
-        if not waiting:
-            return
-        _, longest = min(waiting, key=itemgetter(0))
-        self._refuse_connection(longest)
+        firsts = map(self._first_in, self._max_s_by_phase)
+        waiting = [first for first in firsts if first is not None]
+        if waiting:
+            longest, _ = min(waiting, key=itemgetter(1))
+            self._refuse_connection(longest)
+
+    def _first_in(self, phase: Phase) -> tuple[HttpConnection, float] | None:
+        """Return the connection that began a phase first, and when, if there is one."""
+        return next(iter(self._since_by_phase[phase].items()), None)
 
     def _refuse_connection(self, connection: HttpConnection) -> None:
         # It counts until its socket is closed, but must not be chosen again.
