--- a/src/lagoonpulley/owner/dispatch.py
+++ b/src/lagoonpulley/owner/dispatch.py
@@ -21,7 +21,7 @@
 from .fencing import raise_token_if_needed
 from .reports import apply_report
 from .run_ends import end_run
-from .starts import StartSender
+from .starts import StartSender, is_clock_behind
 
 if TYPE_CHECKING:
     from ..planning.planner import Start
@@ -78,8 +78,8 @@
         if not term.is_current(worker, incarnation):
             # The list of the worker's next incarnation tells what became of the run.
             return
-        if isinstance(result, CommandAccepted) and result.clock_ms >= least_clock_ms:
-            # A lower clock is that of the next incarnation: this one has crashed.
+        was_accepted = isinstance(result, CommandAccepted)
+        if was_accepted and not is_clock_behind(result, least_clock_ms):
             tracked.has_run, worker.alive_at = True, self._host.now.mono
             if not tracked.may_start_late(self._host.now.mono):
                 record.mark_started(key, ref.run)
--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -27,7 +27,7 @@
     from .worker_leases import TimedCommand
     from .worker_state import TrackedRun, WorkerState
 
-__all__ = ["StartSender"]
+__all__ = ["StartSender", "is_clock_behind"]
 
 # Short, because a start can be retried safely: a worker starts a run only once.
 MIN_START_TIMEOUT_S = 0.1
@@ -96,10 +96,8 @@
         """Send a start once."""
         sent_at = self._host.now.mono
         command, timed = _make_command(term, start, worker, tracked.ref, sent_at)
-        least_clock_ms, known_until = (
-            worker.min_clock_ms(sent_at),
-            tracked.late_lease_until,
-        )
+        least_clock_ms = worker.min_clock_ms(sent_at)
+        known_until = tracked.late_lease_until
         if timed is not None:
             until = _late_lease_end(worker, timed, command.permit)
             tracked.late_lease_until = max(known_until, until)
@@ -117,7 +115,7 @@
             # An earlier attempt cannot start the run again on this incarnation, and
             # another one refuses the permit.
             tracked.late_lease_until = float("-inf")
-        if is_failure or not _is_clock_behind(result, least_clock_ms):
+        if is_failure or not is_clock_behind(result, least_clock_ms):
             return result
         _log_reached_next_incarnation(worker, tracked.ref, result, least_clock_ms)
         # The clock of the next incarnation makes each lease there the longest one, also
@@ -177,10 +175,13 @@
     return CallFailed(Ran.MAYBE, f"then refused: {refusal.reason.value}")
 
 
-def _is_clock_behind(
+def is_clock_behind(
     result: CommandAccepted | CommandRefused, least_clock_ms: int
 ) -> bool:
-    """Return whether an answer tells a clock that is behind the worker's own."""
+    """Return whether an answer is of the next incarnation: this one has crashed.
+
+    :param least_clock_ms: the lowest time that this one's clock shows by then.
+    """
     return result.clock_ms is not None and result.clock_ms < least_clock_ms
 
 
--- a/src/lagoonpulley/owner/takeover.py
+++ b/src/lagoonpulley/owner/takeover.py
@@ -68,7 +68,7 @@
     for _ in range(MAX_OPEN_ATTEMPTS):
         worker.leases.record_silence(replace(start))
     has_permit = queue is not None and queue.advice is not None
-    if has_permit and not term.may_have_former_times(worker):
+    if has_permit and not term.has_just_restarted(worker):
         tracked.late_lease_until = start.is_over_at
     else:
         # The worker's next incarnation may carry it out, see ``TrackedRun``.
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -329,7 +329,7 @@
         self.cell.put_worker(info)
         return worker
 
-    def may_have_former_times(self, worker: WorkerState) -> bool:
+    def has_just_restarted(self, worker: WorkerState) -> bool:
         """Return whether a worker may have restarted shortly before this term.
 
         Its earlier owner counted the leases that commands for the former incarnation
@@ -343,7 +343,7 @@
 
     def _presume_former_times(self, worker: WorkerState) -> None:
         """Presume the longest lease on a worker that restarted before this term."""
-        if worker.fenced or not self.may_have_former_times(worker):
+        if worker.fenced or not self.has_just_restarted(worker):
             return
         worker.leases.presume(latest_lease_end(self.began_at, self.max_lease_s))
         former_until = self.began_at + MAX_COMMAND_DELAY_S
