gateway: whether a request is refused follows from the size of its body

Changed: refused_bytes, and a property. Behaviour as before. Measured: tests/gateway and tests/platform/test_gateway.py pass.

--- a/src/lagoonpulley/gateway/http_connection.py
+++ b/src/lagoonpulley/gateway/http_connection.py
@@ -286,8 +286,7 @@
     def _hand_over_refused(self, body_bytes: int) -> None:
         """Have the application refuse a request whose body is too large."""
         self._request.body = None
-        self._request.body_bytes = body_bytes
-        self._request.is_refused = True
+        self._request.refused_bytes = body_bytes
         self._hand_over()
 
     def _hand_over(self) -> None:
--- a/src/lagoonpulley/gateway/wsgi.py
+++ b/src/lagoonpulley/gateway/wsgi.py
@@ -26,9 +26,8 @@
     """One request; names of headers are in lower case.
 
     ``body`` is ``None`` if the request has none, and ``head_bytes`` is about how much
-    memory the rest takes. ``is_refused`` is set if the body is
-    larger than the server takes: then it was not read, and ``body_bytes`` is its size
-    as far as it is known.
+    memory the rest takes. ``refused_bytes`` is the size, as far as it is known, of a
+    body that is larger than the server takes, and was not read; 0 of any other.
     """
 
     method: str
@@ -37,8 +36,12 @@
     headers: list[tuple[bytes, bytes]]
     head_bytes: int = 0
     body: bytearray | None = None
-    body_bytes: int = 0
-    is_refused: bool = False
+    refused_bytes: int = 0
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the body is larger than the server takes."""
+        return self.refused_bytes > 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +133,7 @@
         known = environ.get(key)
         environ[key] = value if known is None else f"{known},{value}"
     if request.is_refused:
-        environ["CONTENT_LENGTH"] = str(request.body_bytes)
+        environ["CONTENT_LENGTH"] = str(request.refused_bytes)
         environ["wsgi.input"] = _RefusedBody()
         return environ
     if request.body is not None:
