--- a/src/lagoonpulley/gateway/http_connection.py
+++ b/src/lagoonpulley/gateway/http_connection.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from ..observability.events import log_event
 from .wsgi import HttpRequest, HttpResponse
 
 if TYPE_CHECKING:
@@ -154,7 +155,12 @@
         if self._transport is None:
             return
         was_refused = self._request is not None and self._request.is_refused
-        self._write(response, closes=was_refused or self._owner.is_closing)
+        try:
+            self._write(response, closes=was_refused or self._owner.is_closing)
+        except h11.LocalProtocolError as error:
+            log_event("response_failed", error=str(error))
+            self.abort()
+            return
         if self._takes_no_more:
             self._owner.set_phase(self, Phase.SENDING)
         else:
@@ -218,7 +224,8 @@
         if len(event.headers) > self._limits.headers:
             self.refuse(HEADERS_TOO_LARGE, "too many headers")
             return False
-        if not event.target.startswith(b"/"):
+        is_tunnel = event.method == b"CONNECT"
+        if is_tunnel or not event.target.startswith(b"/"):
             self.refuse(BAD_REQUEST, "not a path")
             return False
         self._request = HttpRequest(
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -35,6 +35,8 @@
     def _answer(self, request):
         if request.path == "/fail":
             raise ValueError("odd")
+        if request.path == "/odd":
+            return Response("", headers={"X-Odd": "a\x00b"})
         if request.path == "/hold":
             self.holds.set()
             self.release.wait(TIMEOUT_S)
@@ -166,6 +168,7 @@
         (GET + b"X: y\r\n" * 30 + b"\r\n", 431),
         (GET + b"X: " + b"y" * 5_000, 431),
         (b"GET a HTTP/1.1\r\n" + HOST + b"\r\n", 400),
+        (b"CONNECT /a HTTP/1.1\r\n" + HOST + b"\r\n", 400),
         (b"GET /a HTTP/1.1\r\n\r\n", 400),
         (b"\x16\x03\x01\r\n\r\n", 400),
         (POST + b"Content-Length: -1\r\n\r\n", 400),
@@ -180,6 +183,7 @@
         "headers",
         "header",
         "target",
+        "tunnel",
         "host",
         "bytes",
         "negative",
@@ -198,6 +202,14 @@
     assert send_and_read(connect(), GET + b"\r\n")[0] == 200
 
 
+def test_connection_whose_response_cannot_be_sent_is_closed(serve):
+    _, connect = serve()
+    connection = connect()
+    connection.sendall(GET.replace(b"/a", b"/odd") + b"\r\n")
+    assert is_closed(connection)
+    assert send_and_read(connect(), GET + b"\r\n")[0] == 200
+
+
 def test_caller_that_waits_for_100_continue_is_told_to_go_on(serve):
     _, connect = serve()
     connection = connect()
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -26,6 +26,7 @@
 DRIP_INTERVAL_S = 0.3
 PIPELINED = 4_000
 SMALL_WINDOW = 2_048
+SHORT_WAIT_S = 0.02
 
 GET = b"GET /work/ HTTP/1.1\r\nHost: desk.example\r\nX-Api-Key: secret\r\n"
 POST = b"POST /work/0123456789abcdef HTTP/1.1\r\nHost: desk.example\r\n"
@@ -65,6 +66,7 @@
     "chunk": KNOWN + CHUNKED + b"10\r\n{",
     "trailers": KNOWN + CHUNKED + b"2\r\n{}\r\n0\r\nX-Filler: x",
 }
+TUNNEL = b"CONNECT /metrics HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 
 
 @pytest.fixture
@@ -158,3 +160,18 @@
             connection.connect(entry.address_by_name[address])
             connection.sendall((GET + b"\r\n") * PIPELINED)
     check(entry)
+
+
+@pytest.mark.parametrize("address", ADDRESSES)
+def test_callers_that_ask_for_a_tunnel_keep_the_others_without_an_answer(
+    entry, connections, address
+):
+    for _ in range(CROWD // 4):
+        open_crowd(entry, address, connections, 1)
+        send_to_all(connections[-1:], TUNNEL)
+    # So that all of them have been handled.
+    for connection in connections:
+        connection.settimeout(SHORT_WAIT_S)
+        with suppress(OSError):
+            connection.recv(1)
+    check(entry)
