--- a/src/lagoonpulley/gateway/wsgi.py
+++ b/src/lagoonpulley/gateway/wsgi.py
@@ -74,8 +74,11 @@
         return written.append
 
     written: list[bytes] = []
+    environ = _environ(request, server)
+    # The environment has it now.
+    request.body = None
     try:
-        parts = app(_environ(request, server), start_response)
+        parts = app(environ, start_response)
         try:
             written.extend(parts)
         finally:
@@ -88,6 +91,10 @@
         trace = traceback.format_exc()[-MAX_TRACE_LENGTH:]
         log_event("application_failed", error=type(error).__name__, trace=trace)
         return HttpResponse(500)
+    finally:
+        # werkzeug's request and this refer to each other, so that the body would stay
+        # until the next full collection of garbage.
+        environ.clear()
 
 
 def _environ(request: HttpRequest, server: tuple[str, int]) -> dict[str, Any]:
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -26,6 +26,7 @@
 DRIP_INTERVAL_S = 0.3
 PIPELINED = 4_000
 SMALL_WINDOW = 2_048
+LEAVING = 3_000
 SHORT_WAIT_S = 0.02
 
 GET = b"GET /work/ HTTP/1.1\r\nHost: desk.example\r\nX-Api-Key: secret\r\n"
@@ -66,6 +67,9 @@
     "chunk": KNOWN + CHUNKED + b"10\r\n{",
     "trailers": KNOWN + CHUNKED + b"2\r\n{}\r\n0\r\nX-Filler: x",
 }
+# The most that a request may have, and slow to read.
+LARGE_BODY = b'{"steps":[{"count":0}' + b" " * 250_000 + b"]}"
+LARGE = KNOWN + f"Content-Length: {len(LARGE_BODY)}\r\n\r\n".encode() + LARGE_BODY
 TUNNEL = b"CONNECT /metrics HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 
 
@@ -175,3 +179,10 @@
         with suppress(OSError):
             connection.recv(1)
     check(entry)
+
+
+def test_callers_that_leave_before_their_answers_fill_the_memory(entry):
+    for _ in range(LEAVING):
+        with suppress(OSError), entry.connect("callers") as connection:
+            connection.sendall(LARGE)
+    check(entry)
