--- a/src/lagoonpulley/gateway/http_connection.py
+++ b/src/lagoonpulley/gateway/http_connection.py
@@ -96,6 +96,8 @@
     def __init__(self, owner: ConnectionOwner) -> None:
         self.phase = Phase.IDLE
         self.held_bytes = 0
+        # Whether more has arrived than the request that is being answered.
+        self.sends_ahead = False
         self._owner = owner
         self._limits = owner.limits
         self._http = h11.Connection(
@@ -131,6 +133,7 @@
             return
         self._http.receive_data(bytes(self._owner.receive_buffer[:count]))
         if self.phase in (Phase.ANSWERING, Phase.SENDING):
+            self.sends_ahead = True
             self._transport.pause_reading()
             return
         self._advance()
@@ -295,6 +298,7 @@
         request = self._request
         self._owner.set_phase(self, Phase.ANSWERING)
         unparsed, _ = self._http.trailing_data
+        self.sends_ahead = bool(unparsed)
         self._set_held_bytes(len(unparsed) + _held_bytes(request))
         self._owner.answer(self, request)
 
--- a/src/lagoonpulley/gateway/http_server.py
+++ b/src/lagoonpulley/gateway/http_server.py
@@ -233,8 +233,13 @@
         """Close the connection that waits longest for its caller, if there is one.
 
         An ordinary caller's request arrives soon after its connection, and its next
-        one may come on another connection.
+        one may come on another connection. One that sends requests ahead never waits
+        for its caller, so the first of these goes before all others.
         """
+        for connection in self._since_by_phase[Phase.ANSWERING]:
+            if connection.sends_ahead:
+                self._refuse_connection(connection)
+                return
         waiting = [
             (since, connection)
             for phase in (Phase.LINGERING, Phase.IDLE, Phase.RECEIVING, Phase.SENDING)
@@ -243,11 +248,14 @@
         if not waiting:
             return
         _, longest = min(waiting, key=itemgetter(0))
+        self._refuse_connection(longest)
+
+    def _refuse_connection(self, connection: HttpConnection) -> None:
         # It counts until its socket is closed, but must not be chosen again.
-        del self._since_by_phase[longest.phase][longest]
-        phase = longest.phase.value
+        del self._since_by_phase[connection.phase][connection]
+        phase = connection.phase.value
         log_event("connection_refused", phase=phase, connections=self._count)
-        longest.abort()
+        connection.abort()
 
     def _sweep(self) -> None:
         """Close the connections that have been in a phase for too long."""
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -270,6 +270,20 @@
     assert send_and_read(second, GET + b"\r\n")[0] == 200
 
 
+def test_connections_that_send_requests_ahead_make_room_for_a_new_one(serve, app):
+    _, connect = serve(replace(LIMITS, connections=3))
+    hold = GET.replace(b"/a", b"/hold") + b"\r\n"
+    ahead = [connect() for _ in range(3)]
+    for connection in ahead:
+        connection.sendall(hold + GET + b"\r\n")
+    assert app.holds.wait(TIMEOUT_S)
+    ordinary = connect()
+    ordinary.sendall(GET + b"\r\n")
+    assert select.select(ahead, [], [], TIMEOUT_S)[0]
+    app.release.set()
+    assert read_response(ordinary)[0] == 200
+
+
 def test_caller_that_holds_most_is_refused_when_all_hold_too_much(serve):
     _, connect = serve(replace(LIMITS, held_bytes=12_000))
     small, large = connect(), connect()
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from contextlib import suppress
 
@@ -27,6 +28,7 @@
 PIPELINED = 4_000
 SMALL_WINDOW = 2_048
 LEAVING = 3_000
+AHEAD_S = 4.0
 SHORT_WAIT_S = 0.02
 
 GET = b"GET /work/ HTTP/1.1\r\nHost: desk.example\r\nX-Api-Key: secret\r\n"
@@ -118,6 +120,17 @@
             connection.sendall(data)
 
 
+def send_ahead(connections, duration_s):
+    """Keep all connections full of requests and read their answers, for a while."""
+    end = time.monotonic() + duration_s
+    while time.monotonic() < end:
+        for connection in connections:
+            with suppress(OSError):
+                connection.send((GET + b"\r\n") * 100)
+            with suppress(OSError):
+                connection.recv(65_536)
+
+
 @pytest.mark.parametrize("address", ADDRESSES)
 @pytest.mark.parametrize("part", PARTS)
 def test_part_of_a_request_without_end_fills_the_memory(entry, part, address):
@@ -209,3 +222,16 @@
         with suppress(OSError):
             connection.recv(1)
     check(entry)
+
+
+def test_callers_that_send_requests_ahead_keep_the_others_without_an_answer(
+    entry, connections
+):
+    open_crowd(entry, "callers", connections, STALLED)
+    for connection in connections:
+        connection.setblocking(False)
+    ahead = threading.Thread(target=send_ahead, args=(connections, AHEAD_S))
+    ahead.start()
+    time.sleep(AHEAD_S / 4)
+    check(entry)
+    ahead.join()
