--- a/src/lagoonpulley/gateway/http_connection.py
+++ b/src/lagoonpulley/gateway/http_connection.py
@@ -10,9 +10,12 @@
 
 import h11
 
+from ..observability.events import log_event
 from .wsgi import HttpRequest, HttpResponse
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .http_limits import HttpLimits
 
 __all__ = ["ConnectionOwner", "HttpConnection", "Phase"]
@@ -23,6 +26,12 @@
 RETRY_AFTER_S = 1
 # How much more a caller may send after a refusal; a reset could reach it before that.
 LINGER_BYTES = 262_144
+# What Python takes for a header besides its text, and the size up to which the head of
+# a request is not counted, as for nearly all of them.
+HEADER_OVERHEAD_BYTES = 250
+UNCOUNTED_HEAD_BYTES = 8_192
+# Parts of requests, such as small chunks, that are handled before others have a turn.
+PARTS_AT_ONCE = 32
 
 
 class Phase(Enum):
@@ -68,6 +77,10 @@
         """Have a request answered by :meth:`HttpConnection.send`."""
         ...
 
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Call back once the other connections have had a turn."""
+        ...
+
     def record_refusal(self, status: int, reason: str) -> None:
         """Record that a request is refused before it has arrived as a whole."""
         ...
@@ -83,6 +96,8 @@
     def __init__(self, owner: ConnectionOwner) -> None:
         self.phase = Phase.IDLE
         self.held_bytes = 0
+        # Whether more has arrived than the request that is being answered.
+        self.sends_ahead = False
         self._owner = owner
         self._limits = owner.limits
         self._http = h11.Connection(
@@ -118,6 +133,7 @@
             return
         self._http.receive_data(bytes(self._owner.receive_buffer[:count]))
         if self.phase in (Phase.ANSWERING, Phase.SENDING):
+            self.sends_ahead = True
             self._transport.pause_reading()
             return
         self._advance()
@@ -154,7 +170,12 @@
         if self._transport is None:
             return
         was_refused = self._request is not None and self._request.is_refused
-        self._write(response, closes=was_refused or self._owner.is_closing)
+        try:
+            self._write(response, closes=was_refused or self._owner.is_closing)
+        except h11.LocalProtocolError as error:
+            log_event("response_failed", error=str(error))
+            self.abort()
+            return
         if self._takes_no_more:
             self._owner.set_phase(self, Phase.SENDING)
         else:
@@ -180,10 +201,22 @@
     def _advance(self) -> None:
         """Handle what has arrived, up to the next whole request."""
         try:
-            while self._handle_event(self._http.next_event()):
-                continue
+            for _ in range(PARTS_AT_ONCE):
+                if not self._handle_event(self._http.next_event()):
+                    return
         except h11.RemoteProtocolError as error:
             self.refuse(error.error_status_hint, "not understood")
+            return
+        self._record_received()
+        # Otherwise it has just been refused, as it holds most.
+        if self.phase is Phase.RECEIVING:
+            self._transport.pause_reading()
+            self._owner.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        """Handle more of what has arrived, unless the connection is ending."""
+        if self._transport is not None and self.phase is Phase.RECEIVING:
+            self._advance()
 
     def _handle_event(self, event: object) -> bool:
         """Handle a part of a request; return whether to look for the next one."""
@@ -205,20 +238,23 @@
     def _wait_for_more(self) -> None:
         # Not before: what is left may hold many more requests.
         self._transport.resume_reading()
+        self._record_received()
+
+    def _record_received(self) -> None:
         unparsed, _ = self._http.trailing_data
         if self._request is None and not unparsed:
             self._set_held_bytes(0)
             return
         if self.phase is Phase.IDLE:
             self._owner.set_phase(self, Phase.RECEIVING)
-        body = self._request.body if self._request else None
-        self._set_held_bytes(len(unparsed) + len(body or b""))
+        self._set_held_bytes(len(unparsed) + _held_bytes(self._request))
 
     def _begin_request(self, event: h11.Request) -> bool:
         if len(event.headers) > self._limits.headers:
             self.refuse(HEADERS_TOO_LARGE, "too many headers")
             return False
-        if not event.target.startswith(b"/"):
+        is_tunnel = event.method == b"CONNECT"
+        if is_tunnel or not event.target.startswith(b"/"):
             self.refuse(BAD_REQUEST, "not a path")
             return False
         self._request = HttpRequest(
@@ -227,6 +263,10 @@
             event.http_version.decode("ascii"),
             list(event.headers),
         )
+        self._request.head_bytes = len(event.target) + sum(
+            len(name) + len(value) + HEADER_OVERHEAD_BYTES
+            for name, value in event.headers
+        )
         declared = _declared_body_bytes(self._request)
         if declared > self._limits.body_bytes:
             self._hand_over_refused(declared)
@@ -258,7 +298,8 @@
         request = self._request
         self._owner.set_phase(self, Phase.ANSWERING)
         unparsed, _ = self._http.trailing_data
-        self._set_held_bytes(len(unparsed) + len(request.body or b""))
+        self.sends_ahead = bool(unparsed)
+        self._set_held_bytes(len(unparsed) + _held_bytes(request))
         self._owner.answer(self, request)
 
     def _write(self, response: HttpResponse, closes: bool) -> None:
@@ -299,6 +340,9 @@
 
         To close with unread bytes resets the connection, which may destroy it.
         """
+        # Nothing that has arrived is needed any more, and nothing of it is counted.
+        self._request = None
+        self._http = None
         self._set_held_bytes(0)
         self._owner.set_phase(self, Phase.LINGERING)
         self._transport.resume_reading()
@@ -315,3 +359,11 @@
         if name == b"content-length":
             return int(value)
     return 0
+
+
+def _held_bytes(request: HttpRequest | None) -> int:
+    """Return about how many bytes a request takes, as far as it has arrived."""
+    if request is None:
+        return 0
+    head_bytes = max(0, request.head_bytes - UNCOUNTED_HEAD_BYTES)
+    return head_bytes + len(request.body or b"")
--- a/src/lagoonpulley/gateway/wsgi.py
+++ b/src/lagoonpulley/gateway/wsgi.py
@@ -25,7 +25,8 @@
 class HttpRequest:
     """One request; names of headers are in lower case.
 
-    ``body`` is ``None`` if the request has none. ``is_refused`` is set if the body is
+    ``body`` is ``None`` if the request has none, and ``head_bytes`` is about how much
+    memory the rest takes. ``is_refused`` is set if the body is
     larger than the server takes: then it was not read, and ``body_bytes`` is its size
     as far as it is known.
     """
@@ -34,6 +35,7 @@
     target: str
     version: str
     headers: list[tuple[bytes, bytes]]
+    head_bytes: int = 0
     body: bytearray | None = None
     body_bytes: int = 0
     is_refused: bool = False
@@ -74,8 +76,11 @@
         return written.append
 
     written: list[bytes] = []
+    environ = _environ(request, server)
+    # The environment has it now.
+    request.body = None
     try:
-        parts = app(_environ(request, server), start_response)
+        parts = app(environ, start_response)
         try:
             written.extend(parts)
         finally:
@@ -88,6 +93,10 @@
         trace = traceback.format_exc()[-MAX_TRACE_LENGTH:]
         log_event("application_failed", error=type(error).__name__, trace=trace)
         return HttpResponse(500)
+    finally:
+        # werkzeug's request and this refer to each other, so that the body would stay
+        # until the next full collection of garbage.
+        environ.clear()
 
 
 def _environ(request: HttpRequest, server: tuple[str, int]) -> dict[str, Any]:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import select
 import socket
+import struct
 import threading
+import tracemalloc
 from contextlib import suppress
 from dataclasses import replace
+from itertools import pairwise
+from unittest.mock import Mock
 
 import pytest
 from werkzeug.exceptions import RequestEntityTooLarge
 from werkzeug.wrappers import Request, Response
 
+from lagoonpulley.gateway.http_connection import PARTS_AT_ONCE, HttpConnection
 from lagoonpulley.gateway.http_limits import HttpLimits
 from lagoonpulley.gateway.http_server import GatewayServer, HttpListener
 
@@ -28,13 +34,17 @@
     def __init__(self):
         self.release = threading.Event()
         self.holds = threading.Event()
+        self.paths = []
 
     def __call__(self, environ, start_response):
         return self._answer(Request(environ))(environ, start_response)
 
     def _answer(self, request):
+        self.paths.append(request.path)
         if request.path == "/fail":
             raise ValueError("odd")
+        if request.path == "/odd":
+            return Response("", headers={"X-Odd": "a\x00b"})
         if request.path == "/hold":
             self.holds.set()
             self.release.wait(TIMEOUT_S)
@@ -166,6 +176,7 @@
         (GET + b"X: y\r\n" * 30 + b"\r\n", 431),
         (GET + b"X: " + b"y" * 5_000, 431),
         (b"GET a HTTP/1.1\r\n" + HOST + b"\r\n", 400),
+        (b"CONNECT /a HTTP/1.1\r\n" + HOST + b"\r\n", 400),
         (b"GET /a HTTP/1.1\r\n\r\n", 400),
         (b"\x16\x03\x01\r\n\r\n", 400),
         (POST + b"Content-Length: -1\r\n\r\n", 400),
@@ -180,6 +191,7 @@
         "headers",
         "header",
         "target",
+        "tunnel",
         "host",
         "bytes",
         "negative",
@@ -198,6 +210,14 @@
     assert send_and_read(connect(), GET + b"\r\n")[0] == 200
 
 
+def test_connection_whose_response_cannot_be_sent_is_closed(serve):
+    _, connect = serve()
+    connection = connect()
+    connection.sendall(GET.replace(b"/a", b"/odd") + b"\r\n")
+    assert is_closed(connection)
+    assert send_and_read(connect(), GET + b"\r\n")[0] == 200
+
+
 def test_caller_that_waits_for_100_continue_is_told_to_go_on(serve):
     _, connect = serve()
     connection = connect()
@@ -207,6 +227,32 @@
     assert send_and_read(connection, b"hi")[2] == "/a|hi|"
 
 
+def test_body_of_many_small_chunks_arrives_whole(serve):
+    _, connect = serve()
+    connection = connect()
+    chunks = b"1\r\nx\r\n" * 5_000
+    connection.sendall(POST + CHUNKED + chunks + b"0\r\n\r\n" + GET + b"\r\n")
+    assert read_response(connection)[2] == f"/a|{'x' * 5_000}|"
+    assert read_response(connection)[2] == "/a||"
+
+
+def test_many_small_chunks_give_other_connections_a_turn():
+    buffer = bytearray(POST + CHUNKED + b"1\r\nx\r\n" * 1_000 + b"0\r\n\r\n")
+    owner = Mock(limits=LIMITS, receive_buffer=memoryview(buffer), is_closing=False)
+    owner.set_phase = lambda connection, phase: setattr(connection, "phase", phase)
+    connection = HttpConnection(owner)
+    connection.connection_made(Mock())
+    connection.buffer_updated(len(buffer))
+    turns = 0
+    while not owner.answer.called:
+        turns += 1
+        assert owner.call_soon.call_count == turns
+        owner.call_soon.call_args.args[0]()
+    assert turns >= 1_000 // PARTS_AT_ONCE
+    request = owner.answer.call_args.args[1]
+    assert request.body == b"x" * 1_000
+
+
 def test_header_with_an_underscore_does_not_stand_for_another_one(serve):
     _, connect = serve()
     headers = b"X-Key: mine\r\nX_Key: other\r\n\r\n"
@@ -224,6 +270,20 @@
     assert send_and_read(second, GET + b"\r\n")[0] == 200
 
 
+def test_connections_that_send_requests_ahead_make_room_for_a_new_one(serve, app):
+    _, connect = serve(replace(LIMITS, connections=3))
+    hold = GET.replace(b"/a", b"/hold") + b"\r\n"
+    ahead = [connect() for _ in range(3)]
+    for connection in ahead:
+        connection.sendall(hold + GET + b"\r\n")
+    assert app.holds.wait(TIMEOUT_S)
+    ordinary = connect()
+    ordinary.sendall(GET + b"\r\n")
+    assert select.select(ahead, [], [], TIMEOUT_S)[0]
+    app.release.set()
+    assert read_response(ordinary)[0] == 200
+
+
 def test_caller_that_holds_most_is_refused_when_all_hold_too_much(serve):
     _, connect = serve(replace(LIMITS, held_bytes=12_000))
     small, large = connect(), connect()
@@ -236,6 +296,38 @@
     assert send_and_read(small, b"x" * 5_000)[0] == 200
 
 
+def test_request_that_is_refused_for_its_size_is_let_go(serve):
+    sizes = {"body_bytes": 1_000_000, "held_bytes": 1_500_000}
+    _, connect = serve(replace(LIMITS, **sizes))
+    connections = [connect() for _ in range(24)]
+    head = POST + b"Content-Length: 950000\r\n\r\n"
+    part = b"x" * 900_000
+    tracemalloc.start()
+    try:
+        connections[0].sendall(head + part)
+        for previous, connection in pairwise(connections):
+            connection.sendall(head + part)
+            # The one that holds most is refused, as two hold too much together.
+            assert select.select([previous, connection], [], [], TIMEOUT_S)[0]
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 8_000_000
+
+
+def test_heads_of_requests_are_held_as_well(serve):
+    sizes = {"head_bytes": 32_000, "headers": 256, "held_bytes": 200_000}
+    _, connect = serve(replace(LIMITS, **sizes))
+    connections = [connect() for _ in range(8)]
+    head = POST + b"X: y\r\n" * 200 + b"Content-Length: 2\r\n\r\nh"
+    for connection in connections:
+        connection.sendall(head)
+    readable = select.select(connections, [], [], TIMEOUT_S)[0]
+    assert readable
+    assert read_response(readable[0])[0] == 503
+    assert send_and_read(connect(), head + b"i")[0] == 200
+
+
 def test_request_that_does_not_arrive_in_time_is_refused(serve):
     _, connect = serve(replace(LIMITS, request_s=0.1))
     connection = connect()
@@ -248,6 +340,27 @@
     assert is_closed(connect())
 
 
+def test_request_whose_caller_has_left_is_not_kept_for_a_thread(serve, app):
+    _, connect = serve()
+    hold = GET.replace(b"/a", b"/hold") + b"\r\n"
+    busy = [connect(), connect()]
+    for connection in busy:
+        connection.sendall(hold)
+    assert app.holds.wait(TIMEOUT_S)
+    leaving = connect()
+    leaving.sendall(POST.replace(b"/a", b"/left") + b"Content-Length: 2\r\n\r\nhi")
+    # Closing with this is a reset.
+    option = struct.pack("ii", 1, 0)
+    leaving.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    # So that the server has read the request.
+    assert send_and_read(connect(), POST + b"Content-Length: -1\r\n\r\n")[0] == 400
+    leaving.close()
+    assert send_and_read(connect(), POST + b"Content-Length: -1\r\n\r\n")[0] == 400
+    app.release.set()
+    assert send_and_read(connect(), GET + b"\r\n")[0] == 200
+    assert "/left" not in app.paths
+
+
 def test_request_in_progress_is_answered_before_the_server_ends(serve, app):
     server, connect = serve()
     busy, receiving, idle = connect(), connect(), connect()
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from contextlib import suppress
 
@@ -26,6 +27,9 @@
 DRIP_INTERVAL_S = 0.3
 PIPELINED = 4_000
 SMALL_WINDOW = 2_048
+LEAVING = 3_000
+AHEAD_S = 4.0
+SHORT_WAIT_S = 0.02
 
 GET = b"GET /work/ HTTP/1.1\r\nHost: desk.example\r\nX-Api-Key: secret\r\n"
 POST = b"POST /work/0123456789abcdef HTTP/1.1\r\nHost: desk.example\r\n"
@@ -65,6 +69,16 @@
     "chunk": KNOWN + CHUNKED + b"10\r\n{",
     "trailers": KNOWN + CHUNKED + b"2\r\n{}\r\n0\r\nX-Filler: x",
 }
+# The most that a request may have, and slow to read.
+LARGE_BODY = b'{"steps":[{"count":0}' + b" " * 250_000 + b"]}"
+LARGE = KNOWN + f"Content-Length: {len(LARGE_BODY)}\r\n\r\n".encode() + LARGE_BODY
+# Bodies that take many times their size once they are decoded.
+SWELLING_BODIES = {
+    "steps": b'{"steps":[' + b",".join([b"{}"] * 87_000) + b"]}",
+    "lists": b'{"steps":[' + b",".join([b"[]"] * 87_000) + b"]}",
+    "unknown": b'{"steps":[],"x":[' + b",".join([b"{}"] * 87_000) + b"]}",
+}
+TUNNEL = b"CONNECT /metrics HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 
 
 @pytest.fixture
@@ -106,6 +120,17 @@
             connection.sendall(data)
 
 
+def send_ahead(connections, duration_s):
+    """Keep all connections full of requests and read their answers, for a while."""
+    end = time.monotonic() + duration_s
+    while time.monotonic() < end:
+        for connection in connections:
+            with suppress(OSError):
+                connection.send((GET + b"\r\n") * 100)
+            with suppress(OSError):
+                connection.recv(65_536)
+
+
 @pytest.mark.parametrize("address", ADDRESSES)
 @pytest.mark.parametrize("part", PARTS)
 def test_part_of_a_request_without_end_fills_the_memory(entry, part, address):
@@ -158,3 +183,55 @@
             connection.connect(entry.address_by_name[address])
             connection.sendall((GET + b"\r\n") * PIPELINED)
     check(entry)
+
+
+@pytest.mark.parametrize("address", ADDRESSES)
+def test_callers_that_ask_for_a_tunnel_keep_the_others_without_an_answer(
+    entry, connections, address
+):
+    for _ in range(CROWD // 4):
+        open_crowd(entry, address, connections, 1)
+        send_to_all(connections[-1:], TUNNEL)
+    # So that all of them have been handled.
+    for connection in connections:
+        connection.settimeout(SHORT_WAIT_S)
+        with suppress(OSError):
+            connection.recv(1)
+    check(entry)
+
+
+def test_callers_that_leave_before_their_answers_fill_the_memory(entry):
+    for _ in range(LEAVING):
+        with suppress(OSError), entry.connect("callers") as connection:
+            connection.sendall(LARGE)
+    check(entry)
+
+
+@pytest.mark.parametrize("swelling", SWELLING_BODIES)
+def test_bodies_that_swell_when_they_are_decoded_fill_the_memory(
+    entry, connections, swelling
+):
+    body = SWELLING_BODIES[swelling]
+    length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+    open_crowd(entry, "callers", connections, STALLED // 2)
+    for number, connection in enumerate(connections):
+        head = KNOWN.replace(b"0123456789abcdef", b"%016x" % number)
+        send_to_all([connection], head + length + body)
+    # So that all of them have been decoded.
+    for connection in connections:
+        with suppress(OSError):
+            connection.recv(1)
+    check(entry)
+
+
+def test_callers_that_send_requests_ahead_keep_the_others_without_an_answer(
+    entry, connections
+):
+    open_crowd(entry, "callers", connections, STALLED)
+    for connection in connections:
+        connection.setblocking(False)
+    ahead = threading.Thread(target=send_ahead, args=(connections, AHEAD_S))
+    ahead.start()
+    time.sleep(AHEAD_S / 4)
+    check(entry)
+    ahead.join()
