--- a/src/lagoonpulley/owner/adoption.py
+++ b/src/lagoonpulley/owner/adoption.py
@@ -54,7 +54,7 @@
     step = job.step_of(ref.key) if job else None
     tracked.has_claim = step is not None
     if step is not None:
-        claim = Claim(ref, job.team, step.request, step.capacity_request)
+        claim = Claim.from_step(ref, job.team, step, term.now.mono)
         term.cell.claim(worker.info.id, claim)
     elif job is not None:
         # A run needs no more than its worker has, which gets no tasks meanwhile.
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -245,6 +245,7 @@
                 blocked=demand.block_reason,
                 asking=permits.request_pending,
                 allowed=len(permits.allowed_ids),
+                fits_drained=demand.fits_drained_workers,
                 waited_s=round(self.now.wall - spec.submitted_at, 3),
                 waiting_steps=len(demands),
             )
@@ -307,6 +308,8 @@
             term.needs_planning = True
         if term.backlog.set_reserved_gangs(planner.reserved_gangs):
             term.needs_planning = True
+            gangs = [[job_id, list(key)] for job_id, key in planner.reserved_gangs]
+            log_event("gang_reservations", gangs=gangs)
         for start in plan.starts:
             self._dispatch(term, start)
         for request in plan.advice_requests:
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -418,7 +418,7 @@
     ) -> TrackedRun:
         """Track a run and claim its room and its part of the team's limit."""
         step = record.step_of(ref.key)
-        claim = Claim(ref, record.spec.team, step.request, step.capacity_request)
+        claim = Claim.from_step(ref, record.spec.team, step, self.now.mono)
         self.cell.claim(worker.info.id, claim)
         tracked = worker.tracked_by_ref[ref] = TrackedRun(ref, self.now.mono)
         return tracked
--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -48,9 +48,13 @@
         """
         if gangs == self._reserved_gangs:
             return False
+        has_ended = not set(self._reserved_gangs) <= set(gangs)
         self._reserved_gangs = gangs
         for demand in self.in_order():
-            if demand.block_reason is BlockReason.RESERVED:
+            reason = demand.block_reason
+            # The reason of a gang does not tell that others' reservations block it.
+            gang_waits = demand.step.gang and reason is BlockReason.CAPACITY
+            if reason is BlockReason.RESERVED or (has_ended and gang_waits):
                 demand.block_reason = BlockReason.NONE
         return True
 
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -11,10 +11,13 @@
 if TYPE_CHECKING:
     from ..upstream.directory import WorkerInfo
     from ..upstream.tasks import TaskRef
-    from ..workload.spec import StepKey
+    from ..workload.spec import StepKey, StepSpec
     from .permits import StepPermits
 
-__all__ = ["Cell", "CellWorker", "Changes", "Claim"]
+__all__ = ["SLOW_RUN_RATIO", "Cell", "CellWorker", "Changes", "Claim"]
+
+# How much longer than declared a task may take on a slow worker.
+SLOW_RUN_RATIO = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,20 +25,37 @@
     """Resources that one run uses, or may use, on a worker.
 
     ``capacity_request`` counts against the worker's capacity, ``request`` against
-    the team's limit.
+    the team's limit. A ``long_running`` run ends only with its job; any other should
+    have ended at ``expected_end``, in monotonic seconds, also on a slow worker.
     """
 
     ref: TaskRef
     team: str
     request: Resources
     capacity_request: Resources
+    long_running: bool = False
+    expected_end: float = float("-inf")
+
+    @classmethod
+    def from_step(cls, ref: TaskRef, team: str, step: StepSpec, now: float) -> Claim:
+        """Return the claim of a run that begins now, at a monotonic time in seconds."""
+        expected_end = now + step.estimate_s * SLOW_RUN_RATIO
+        return cls(
+            ref,
+            team,
+            step.request,
+            step.capacity_request,
+            step.long_running,
+            expected_end,
+        )
 
 
 @dataclass(slots=True, eq=False)
 class CellWorker:
     """One worker, its capacity and the claims on it.
 
-    ``free`` is the capacity that no run has claimed. ``placed_at`` is when a task was
+    ``free`` is the capacity that no run has claimed, ``used_long`` what long-running
+    tasks have claimed. ``placed_at`` is when a task was
     last placed here, ``crashed_at`` when the worker at this address last crashed. Times
     are in monotonic seconds.
     """
@@ -48,6 +68,7 @@
     crashed_at: float | None = None
     speed_tier: SpeedTier = SpeedTier.USUAL
     used: Resources = ZERO
+    used_long: Resources = ZERO
     free: Resources = field(init=False)
     claim_by_ref: dict[TaskRef, Claim] = field(default_factory=dict)
 
@@ -59,9 +80,20 @@
         self.info = info
         self._refresh_free()
 
-    def set_used(self, used: Resources) -> None:
-        """Set the resources that runs have claimed."""
-        self.used = used
+    def add_claim(self, claim: Claim) -> None:
+        """Add the claim of a run."""
+        self.claim_by_ref[claim.ref] = claim
+        self.used = self.used.plus(claim.capacity_request)
+        if claim.long_running:
+            self.used_long = self.used_long.plus(claim.capacity_request)
+        self._refresh_free()
+
+    def remove_claim(self, claim: Claim) -> None:
+        """Remove the claim of a run."""
+        del self.claim_by_ref[claim.ref]
+        self.used = self.used.minus(claim.capacity_request)
+        if claim.long_running:
+            self.used_long = self.used_long.minus(claim.capacity_request)
         self._refresh_free()
 
     def _refresh_free(self) -> None:
@@ -72,6 +104,16 @@
         reserved = reserved_by_worker_id.get(self.info.id)
         return self.free.minus(reserved) if reserved else self.free
 
+    def count_when_drained(self, step: StepSpec) -> int:
+        """Return how many tasks of a step fit once all runs that end have ended."""
+        room = self.info.capacity.minus(self.used_long)
+        counts = [
+            have // want for want, have in zip(step.capacity_request, room) if want
+        ]
+        if step.most_per_worker:
+            counts.append(step.most_per_worker)
+        return max(0, min(counts, default=step.count))
+
     def count_of(self, job_id: str, step_key: StepKey) -> int:
         """Return how many tasks of a step have a claim here."""
         count = 0
@@ -91,6 +133,18 @@
     freed: tuple[CellWorker, ...]
     teams_with_releases: set[str]
     _misfits: set[Resources] = field(default_factory=set)
+    _fits_unreserved: dict[Resources, bool] = field(default_factory=dict)
+
+    def may_fit_unreserved(self, request: Resources) -> bool:
+        """Return whether a task of this size fits but for the reservations."""
+        fits = self._fits_unreserved.get(request)
+        if fits is None:
+            fits = any(
+                worker.accepting and request.fits_in(worker.free)
+                for worker in self.freed
+            )
+            self._fits_unreserved[request] = fits
+        return fits
 
     def may_fit(
         self,
@@ -223,17 +277,16 @@
         worker = self.worker_by_id[worker_id]
         if claim.ref in worker.claim_by_ref:
             return
-        worker.claim_by_ref[claim.ref] = claim
-        worker.set_used(worker.used.plus(claim.capacity_request))
+        worker.add_claim(claim)
         self._add_to_team_usage(claim.team, claim.request)
 
     def release(self, worker_id: str, ref: TaskRef) -> None:
         """Release the resources of a run."""
         worker = self.worker_by_id.get(worker_id)
-        claim = worker.claim_by_ref.pop(ref, None) if worker else None
+        claim = worker.claim_by_ref.get(ref) if worker else None
         if worker is None or claim is None:
             return
-        worker.set_used(worker.used.minus(claim.capacity_request))
+        worker.remove_claim(claim)
         self._freed_by_id[worker_id] = worker
         self._release_from_team(claim)
 
--- a/src/lagoonpulley/planning/demand.py
+++ b/src/lagoonpulley/planning/demand.py
@@ -18,6 +18,9 @@
 
 # How long a step that lacks capacity keeps avoiding the workers it failed on.
 AVOID_FAILED_WORKERS_S = 1.0
+# How long others may use what a gang's reservation kept, once that has ended without
+# a start of the gang.
+RESERVATION_PAUSE_S = 0.5
 
 
 class BlockReason(Enum):
@@ -39,7 +42,10 @@
     """A step with pending tasks whose dependencies are done.
 
     ``due_at`` is when the job should be complete, in seconds of the wall clock.
-    ``lacks_capacity_since`` is in monotonic seconds. ``held_workers`` are kept free,
+    ``lacks_capacity_since`` is in monotonic seconds. ``fits_drained_workers`` tells
+    whether a gang that asked for a reservation can start once all runs that end have
+    ended; its reservation ends at ``reserved_until``, and it gets another one from
+    ``may_reserve_at`` on, both in monotonic seconds. ``held_workers`` are kept free,
     one entry for each task, until the advisor answers. ``order`` is the sort key among
     all demands; the lowest is served first. ``request`` is what one task counts
     against a worker's capacity. ``scheduled_at`` is when the job was submitted or due
@@ -53,6 +59,9 @@
     due_at: float
     block_reason: BlockReason = BlockReason.NONE
     lacks_capacity_since: float | None = None
+    fits_drained_workers: bool = True
+    reserved_until: float | None = None
+    may_reserve_at: float = float("-inf")
     held_workers: tuple[CellWorker, ...] = ()
     order: tuple[int, float, str, StepKey] = field(init=False)
     step: StepSpec = field(init=False)
@@ -82,6 +91,29 @@
         since = self.lacks_capacity_since
         return since is not None and now - since >= duration_s
 
+    def may_reserve(self, now: float) -> bool:
+        """Return whether a gang may have a reservation in a round.
+
+        :param now: monotonic time of the round in seconds.
+        """
+        if self.reserved_until is not None and now >= self.reserved_until:
+            self.reserved_until = None
+            self.may_reserve_at = now + RESERVATION_PAUSE_S
+        return now >= self.may_reserve_at
+
+    def recognize_reservation(
+        self, changes: Changes, reserved_by_worker_id: dict[str, Resources]
+    ) -> None:
+        """Set the reason of a blocked demand if only reservations block it by now.
+
+        Otherwise the end of the reservations would not unblock it. A gang keeps its
+        reason, as it may have a reservation of its own.
+        """
+        if self.block_reason is not BlockReason.CAPACITY or self.step.gang:
+            return
+        if reserved_by_worker_id and changes.may_fit_unreserved(self.request):
+            self.block_reason = BlockReason.RESERVED
+
     def may_be_unblocked(
         self,
         changes: Changes,
--- a/src/lagoonpulley/planning/gang_reservations.py
+++ b/src/lagoonpulley/planning/gang_reservations.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from ..model.resources import Resources
@@ -18,12 +19,21 @@
     from .cell import CellWorker
     from .packing import StepTaskCounts
 
-__all__ = ["GangReservations"]
+__all__ = [
+    "RESERVE_AFTER_S",
+    "GangReservations",
+    "fits_drained_workers",
+    "longest_reservation_s",
+]
 
 # Reservations for more gangs at a time would leave too much capacity idle.
 MAX_RESERVED_GANGS = 2
 # How long a gang must lack capacity before it gets a reservation.
 RESERVE_AFTER_S = 0.4
+# A reservation lasts until all runs on its workers should have ended, within these
+# bounds: what keeps a gang from starting then is something else.
+SHORTEST_RESERVATION_S = 1.0
+LONGEST_RESERVATION_S = 20.0
 
 
 class GangReservations:
@@ -47,20 +57,22 @@
     ) -> None:
         """Reserve free capacity for a gang that does not fit yet.
 
-        A gang that exceeds the whole capacity of the workers gets no reservation.
-
         :param gang: job id and step of the gang.
         :param workers: the workers that may run the step.
         """
-        if not _fits_idle_workers(step, workers):
-            return
         self.gangs.append(gang)
         chosen = pack_tasks(
             step, workers, step.count, task_counts, self.reserved_by_worker_id
         )
         for worker in chosen:
             self._add_reservation(worker, step.capacity_request)
-        self._reserve_partially(step, workers, step.count - len(chosen))
+        count_by_worker_id = Counter(worker.info.id for worker in chosen)
+        others = [
+            worker
+            for worker in workers
+            if worker.count_when_drained(step) > count_by_worker_id[worker.info.id]
+        ]
+        self._reserve_partially(step, others, step.count - len(chosen))
 
     def hold(self, workers: Iterable[CellWorker], amount: Resources) -> None:
         """Withhold capacity on workers from the demands that follow in this round."""
@@ -90,19 +102,26 @@
         self.reserved_by_worker_id[worker.info.id] = reserved.plus(amount)
 
 
-def _fits_idle_workers(step: StepSpec, workers: list[CellWorker]) -> bool:
-    """Return whether the gang would fit if nothing else ran on its workers.
-
-    Considers capacity only, not ``most_per_worker``.
-    """
+def fits_drained_workers(step: StepSpec, workers: Iterable[CellWorker]) -> bool:
+    """Return whether a gang fits on its workers once all runs that end have ended."""
     found = 0
     for worker in workers:
-        copies = [
-            have // want
-            for want, have in zip(step.capacity_request, worker.info.capacity)
-            if want
-        ]
-        found += min(copies, default=step.count)
+        found += worker.count_when_drained(step)
         if found >= step.count:
             return True
     return False
+
+
+def longest_reservation_s(workers: Iterable[CellWorker], now: float) -> float:
+    """Return how long a gang's reservation on its workers may last, in seconds.
+
+    :param now: monotonic time in seconds.
+    """
+    ends = [
+        claim.expected_end
+        for worker in workers
+        for claim in worker.claim_by_ref.values()
+        if not claim.long_running
+    ]
+    left_s = max(ends, default=now) - now
+    return min(LONGEST_RESERVATION_S, max(SHORTEST_RESERVATION_S, left_s))
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -8,9 +8,14 @@
 from ..upstream.tasks import TaskRef
 from ..workload.spec import TaskKey
 from .advice_requests import MAX_HELD_S, AdviceRequests
-from .cell import Claim
+from .cell import SLOW_RUN_RATIO, Claim
 from .demand import AVOID_FAILED_WORKERS_S, BlockReason
-from .gang_reservations import RESERVE_AFTER_S, GangReservations
+from .gang_reservations import (
+    RESERVE_AFTER_S,
+    GangReservations,
+    fits_drained_workers,
+    longest_reservation_s,
+)
 from .packing import (
     SpeedPreference,
     StepTaskCounts,
@@ -38,8 +43,6 @@
 MIN_WORKERS_FOR_PROBATION = 4
 # Share of the workers that may have such a task at a time; a wide gang may exceed it.
 MAX_PROBATION_SHARE = 0.5
-# How much longer than declared a task may take on a slow worker.
-SLOW_RUN_RATIO = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +109,7 @@
         for demand in demands:
             permits = self._permits_of(demand)
             if not demand.may_be_unblocked(changes, reserved, permits, self._now):
+                demand.recognize_reservation(changes, reserved)
                 self._hold_for(demand)
                 if demand.step.gang:
                     self._reserve_for_gang(demand)
@@ -156,9 +160,15 @@
             return
         if not demand.has_lacked_capacity_for(RESERVE_AFTER_S, self._now):
             return
-        if self._reservations.is_full:
+        if self._reservations.is_full or not demand.may_reserve(self._now):
             return
         workers = self._candidate_workers(demand)
+        demand.fits_drained_workers = fits_drained_workers(step, workers)
+        if not demand.fits_drained_workers:
+            return
+        if demand.reserved_until is None:
+            duration_s = longest_reservation_s(workers, self._now)
+            demand.reserved_until = self._now + duration_s
         spec = demand.record.spec
         task_counts = StepTaskCounts.from_workers(workers, step, spec.id, demand.key)
         self._reservations.reserve((spec.id, demand.key), step, workers, task_counts)
@@ -402,6 +412,6 @@
         record.begin_run(key, run, worker.info.id, worker.info.born)
         step = record.step_of(key)
         ref = TaskRef(record.spec.id, key, run)
-        claim = Claim(ref, record.spec.team, step.request, step.capacity_request)
+        claim = Claim.from_step(ref, record.spec.team, step, self._now)
         self._cell.claim(worker.info.id, claim)
         worker.placed_at = self._now
