--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -51,6 +51,8 @@
         if ended.number > worker.processed:
             _apply_end(term, worker, ended)
             worker.processed = ended.number
+    if _is_full(report):
+        _pass_over_unread_ends(worker, report)
     if not worker.pending_commits:
         worker.acknowledged = worker.processed
     adopted = _compare_running(term, worker, report, sent_at)
@@ -58,6 +60,23 @@
     return adopted
 
 
+def _is_full(report: WorkerReport) -> bool:
+    """Return whether a worker may have more ends than it lists."""
+    return len(report.ended) + len(report.unread_ends) >= MAX_ENDS_PER_REPORT
+
+
+def _pass_over_unread_ends(worker: WorkerState, report: WorkerReport) -> None:
+    """Acknowledge the ends that cannot be read, as later ones are not listed before.
+
+    Elsewhere an end that can be read acknowledges those before it. A number far above
+    the others counts as unread too.
+    """
+    unread = [number for number in report.unread_ends if number > worker.processed]
+    if unread:
+        limit = min(unread) + MAX_ENDS_PER_REPORT
+        worker.processed = max(number for number in unread if number < limit)
+
+
 def _apply_end(term: OwnerTerm, worker: WorkerState, ended: Ended) -> None:
     """Apply a listed end; it is acknowledged once all that it changes is durable."""
     record = end_run(term, worker, ended.ref, ended.kind, ended.checkpoint)
@@ -124,10 +143,12 @@
             record.mark_started(running.ref.key, running.ref.run)
         _set_checkpoint(record, running)
         forgive_crashes(record, tracked, term.now.mono)
-        if _is_stalled(record, tracked, running.percent, term.now.mono):
+        if running.percent is not None and _is_stalled(
+            record, tracked, running.percent, term.now.mono
+        ):
             _stop_stalled(term, worker, tracked)
-    if len(report.ended) >= MAX_ENDS_PER_REPORT:
-        # The report is full: the end of an unlisted run may be on a later page.
+    if _is_full(report) or not report.all_read:
+        # The end of an unlisted run may be on a later page, or in what was not read.
         return adopted
     for ref, tracked in list(worker.tracked_by_ref.items()):
         if ref not in listed:
--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import json
-import math
-import re
 from typing import Any
 
 from pydantic import BaseModel, Field, ValidationError
 
 from ..model.verdict import Ran
-from ..observability.events import log_event
 from ..runtime.curl import HttpAnswer, HttpCall, HttpFailure
 from ..runtime.role import CallFailed
 from ..upstream.tasks import (
@@ -18,9 +15,7 @@
     AskAdvice,
     CommandAccepted,
     CommandRefused,
-    Ended,
     Refusal,
-    Running,
     StartTask,
     StopTask,
     SyncWorker,
@@ -28,10 +23,8 @@
     ThrottleTask,
     WorkerReport,
 )
-from ..workload.documents import MAX_CHECKPOINT_LENGTH, Checkpoint
-from ..workload.record import EndKind
-from ..workload.spec import TaskKey
-from .ranges import MAX_WHOLE, Milliseconds, Whole
+from .ranges import Milliseconds, Whole
+from .worker_rows import read_ended, read_permits, read_running
 
 __all__ = ["PlatformWorkerCodec", "WorkerOperation"]
 
@@ -57,26 +50,20 @@
     "ticket": Refusal.PERMIT,
 }
 
-# The numbers in a task's name.
-TASK_NUMBER = re.compile(r"[0-9]{1,15}")
-
 
 class _Body(BaseModel):
     """Union of the fields of the workers' and the advisor's answers.
 
-    ``running`` holds rows of task, run, checkpoint, percent and load, ``finished``
-    rows of number, task, run, kind and checkpoint, and ``good`` pairs of worker and
-    permit.
+    The rows of ``running``, ``finished`` and ``good`` are read one by one, see
+    :mod:`.worker_rows`.
     """
 
     clock_ms: Whole | None = Field(None, alias="clockMs")
     born: Whole = 0
     reason: str = ""
-    running: list[list[Any]] = Field(default_factory=list, fail_fast=True)
-    finished: list[tuple[Whole, str, Whole, str, Checkpoint]] = Field(
-        default_factory=list, fail_fast=True
-    )
-    good: list[tuple[str, str]] = Field(default_factory=list, fail_fast=True)
+    running: list[Any] = Field(default_factory=list)
+    finished: list[Any] = Field(default_factory=list)
+    good: list[Any] = Field(default_factory=list)
     valid_ms: Milliseconds = Field(0, alias="validMs")
 
 
@@ -120,15 +107,11 @@
         if outcome.status != OK:
             return _to_refusal(operation, outcome.status, body)
         if isinstance(operation, AskAdvice):
-            return Advice(dict(body.good), body.valid_ms / MS_PER_S)
+            return Advice(read_permits(body.good), body.valid_ms / MS_PER_S)
         if body.clock_ms is None:
             return CallFailed(Ran.MAYBE, "worker answer has no clock")
         if isinstance(operation, SyncWorker):
-            try:
-                return _to_report(body)
-            except (ValueError, TypeError, ArithmeticError) as error:
-                kind = type(error).__name__
-                return CallFailed(Ran.MAYBE, f"worker lists an odd run: {kind}")
+            return _to_report(body)
         return CommandAccepted(body.clock_ms)
 
 
@@ -183,67 +166,18 @@
     return {"task": name, "run": ref.run}
 
 
-def _parse_ref(name: str, run: int) -> TaskRef | None:
-    """Return the run of a named task, or ``None`` if the name has another format."""
-    job_id, *parts = name.split(".")
-    if len(parts) != 3 or not all(map(TASK_NUMBER.fullmatch, parts)):
-        return None
-    return TaskRef(job_id, TaskKey(*map(int, parts)), run)
-
-
-def _parse_end_kind(kind: str) -> EndKind:
-    """Return the kind of end; an unknown one counts as a failure of the task."""
-    try:
-        return EndKind(kind)
-    except ValueError:
-        log_event("end_kind_unknown", kind=kind)
-        return EndKind.FAILED
-
-
-def _to_report(body: _Body) -> WorkerReport | CallFailed:
-    running = []
-    for row in body.running:
-        if len(row) < 4:
-            return CallFailed(Ran.MAYBE, "worker lists a run with too few fields")
-        ref = _parse_ref(str(row[0]), _to_whole(row[1]))
-        if ref is None:
-            continue
-        load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-        if not math.isfinite(load):
-            raise ValueError("the load is not finite")
-        checkpoint = _check_checkpoint(str(row[2] or ""))
-        running.append(Running(ref, checkpoint, _to_whole(row[3]), load))
-    ended = []
-    for number, name, run, kind, checkpoint in body.finished:
-        ref = _parse_ref(name, run)
-        if ref is None:
-            continue
-        ended.append(Ended(number, ref, _parse_end_kind(kind), checkpoint))
+def _to_report(body: _Body) -> WorkerReport:
+    running = read_running(body.running)
+    ended = read_ended(body.finished)
     return WorkerReport(
-        int(body.clock_ms or 0), body.born, tuple(running), tuple(ended)
+        int(body.clock_ms or 0),
+        body.born,
+        tuple(running.runs),
+        tuple(ended.ends),
+        tuple(ended.unread_numbers),
+        running.all_read and ended.all_read,
     )
 
 
-def _to_whole(value: Any) -> int:
-    """Return a value as a whole number.
-
-    :raises ValueError: when it is none, or out of range.
-    """
-    number = int(value)
-    if not 0 <= number <= MAX_WHOLE:
-        raise ValueError("a number is out of range")
-    return number
-
-
-def _check_checkpoint(text: str) -> str:
-    """Return a checkpoint that can be stored.
-
-    :raises ValueError: when it is too long.
-    """
-    if len(text) > MAX_CHECKPOINT_LENGTH:
-        raise ValueError("a checkpoint is too long")
-    return text
-
-
 def _dump(body: dict[str, Any]) -> bytes:
     return json.dumps(body, separators=(",", ":")).encode()
--- a/src/lagoonpulley/upstream/tasks.py
+++ b/src/lagoonpulley/upstream/tasks.py
@@ -155,13 +155,14 @@
 class Running:
     """A run in progress.
 
-    ``load`` is the tail latency in milliseconds for a serving task, and the number
-    of processors in use, in thousandths, for any other task.
+    ``percent`` is ``None`` if the worker tells none that can be read. ``load`` is the
+    tail latency in milliseconds for a serving task, and the number of processors in
+    use, in thousandths, for any other task.
     """
 
     ref: TaskRef
     checkpoint: str
-    percent: int
+    percent: int | None
     load: float = 0.0
 
 
@@ -177,9 +178,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """All runs that a worker lists; ``born`` identifies its incarnation."""
+    """All runs that a worker lists; ``born`` identifies its incarnation.
+
+    ``unread_ends`` are the numbers of listed ends that cannot be read. Unless
+    ``all_read``, the worker lists something that may be of any run.
+    """
 
     clock_ms: int
     born: int
     running: tuple[Running, ...]
     ended: tuple[Ended, ...]
+    unread_ends: tuple[int, ...] = ()
+    all_read: bool = True
--- a/tests/owner/test_worker_ends.py
+++ b/tests/owner/test_worker_ends.py
@@ -292,3 +292,39 @@
     document = ProgressDocument.from_record(record)
     assert document.given_up_runs == []
     assert document.uncounted_gang_runs == []
+
+
+def report_of(world, **fields):
+    """Apply a report of the only worker and return the worker's state."""
+    term = world.owner().owner._term
+    worker = term.worker_by_id["w0"]
+    report = WorkerReport(worker.clock_ms, worker.info.born, **fields)
+    apply_report(term, worker, report, world.clock.mono)
+    return worker
+
+
+def test_run_in_a_row_that_cannot_be_read_is_started_beside_it(world):
+    """The row may be of any run, so a run that is not listed may be on."""
+    world.submit(JOB, step(), payload="seconds=4")
+    world.run(0.5)
+    worker = report_of(world, running=(), ended=(), all_read=False)
+    assert len(worker.tracked_by_ref) == 1
+    worker = report_of(world, running=(), ended=())
+    assert not worker.tracked_by_ref
+
+
+@pytest.mark.parametrize("far", [(), (2**53,)])
+def test_list_full_of_ends_that_cannot_be_read_hides_all_later_ends(world, far):
+    world.submit(JOB, step(), payload="seconds=4")
+    world.run(0.5)
+    unread = tuple(range(1, 501)) + far
+    worker = report_of(world, running=(), ended=(), unread_ends=unread)
+    assert worker.acknowledged == 500
+
+
+def test_end_that_cannot_be_read_is_acknowledged_without_need(world):
+    """Nothing is known of it, and it hides no other end."""
+    world.submit(JOB, step(), payload="seconds=4")
+    world.run(0.5)
+    worker = report_of(world, running=(), ended=(), unread_ends=(7,))
+    assert worker.acknowledged == 0
