--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -12,6 +12,7 @@
 from ..store.range_reader import read_range
 from ..workload.documents import (
     CANCEL,
+    CHECKPOINTS_PREFIX,
     FINAL,
     JOB_ID_CHARACTERS,
     JOBS_PREFIX,
@@ -94,6 +95,12 @@
         """
         return self._read(term, PROGRESS_PREFIX)
 
+    def load_long_checkpoints(self, term: OwnerTerm) -> Flow:
+        """Restore the checkpoints that are values of their own, and delete the rest."""
+        read = yield from self._read(term, CHECKPOINTS_PREFIX)
+        if not term.has_ended:
+            term.long_checkpoints.restore(term, read.items)
+
     def _read(self, term: OwnerTerm, prefix: str) -> Flow:
         def has_ended() -> bool:
             return term.has_ended
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -141,7 +141,7 @@
             continue
         if not tracked.may_start_late(term.now.mono):
             record.mark_started(running.ref.key, running.ref.run)
-        _set_checkpoint(record, running)
+        _set_checkpoint(term, record, running)
         forgive_crashes(record, tracked, term.now.mono)
         if running.percent is not None and _is_stalled(
             record, tracked, running.percent, term.now.mono
@@ -199,7 +199,10 @@
     give_up_run(term, worker, tracked.ref, "worker does not list it")
 
 
-def _set_checkpoint(record: JobRecord, running: Running) -> None:
-    task = record.task_by_key.get(running.ref.key)
-    if task is not None and running.checkpoint:
-        task.checkpoint = running.checkpoint
+def _set_checkpoint(term: OwnerTerm, record: JobRecord, running: Running) -> None:
+    ref, checkpoint = running.ref, running.checkpoint
+    task = record.task_by_key.get(ref.key)
+    if task is None or not checkpoint or checkpoint == task.checkpoint:
+        return
+    if term.long_checkpoints.admit(ref.job_id, ref.key, checkpoint):
+        task.checkpoint = checkpoint
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -24,6 +24,7 @@
 from .jobs import JobWatcher
 from .journal import Journal
 from .load import OwnerLoadLog
+from .long_checkpoints import write_long_checkpoints
 from .messages import Deposed, Elected, SessionExtended, StoodDown
 from .pending import PendingCounts
 from .session import SessionRole
@@ -187,6 +188,10 @@
             term.apply_policy(self._policy)
         self._jobs.load_jobs(term, jobs.items)
         self._jobs.load_progress(term, progress.items)
+        if term.long_checkpoints.may_be_stored:
+            yield from self._jobs.load_long_checkpoints(term)
+        if term.has_ended:
+            return
         self._jobs.load_states(term, jobs.items)
         term.loaded = True
         log_event(
@@ -195,6 +200,9 @@
             jobs=len(term.record_by_id),
             took_s=round(self.now.mono - began, 3),
         )
+        if not term.long_checkpoints.may_be_stored:
+            # Those that are left of jobs that are gone.
+            self.start(self._jobs.load_long_checkpoints(term))
         self.start(self._jobs.watch(term, jobs))
         self.start(self._drains.follow(term))
         self.start(self._workers.monitor(term))
@@ -258,6 +266,8 @@
         if term.needs_planning and term.may_plan():
             self._plan_when_due(term)
         self._commit(term)
+        if term.long_checkpoints.has_changes and not term.long_checkpoints.is_writing:
+            self.start(write_long_checkpoints(term))
 
     def _max_starts(self, term: OwnerTerm) -> int:
         """Return how many placements made now would soon be durable.
--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -43,6 +43,8 @@
     record = current_record(term, worker, ref)
     if record is None:
         return None
+    if checkpoint and not term.long_checkpoints.admit(ref.job_id, ref.key, checkpoint):
+        checkpoint = ""
     record.end_run(ref.key, kind, checkpoint)
     _log_end("task_ended", worker, ref, kind, reason)
     _record_worker_outcome(term, worker, ref, kind)
@@ -141,6 +143,7 @@
     term: OwnerTerm, record: JobRecord, ref: TaskRef, kind: EndKind
 ) -> None:
     """Draw the conclusions from the end of a run, and enqueue the record."""
+    term.long_checkpoints.record_end(record, ref.key)
     if record.step_of(ref.key).gang and kind is not EndKind.DONE:
         _stop_gang(term, record, ref)
     _finish_if_decided(term, record, ref, kind)
--- a/src/lagoonpulley/owner/settings.py
+++ b/src/lagoonpulley/owner/settings.py
@@ -8,7 +8,10 @@
 if TYPE_CHECKING:
     from .entries import EntryCapacity
 
-__all__ = ["OwnerSettings", "ShareSettings"]
+__all__ = ["DEFAULT_VALUE_BYTES", "OwnerSettings", "ShareSettings"]
+
+# What the platform's store accepts unless its settings say otherwise.
+DEFAULT_VALUE_BYTES = 1_048_576
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/owner/takeover.py
+++ b/src/lagoonpulley/owner/takeover.py
@@ -33,6 +33,8 @@
     :param revision: that of the document in the store.
     """
     document.apply_to(record)
+    if document.has_long_checkpoints:
+        term.long_checkpoints.may_be_stored = True
     term.journal.mark_progress_stored(record.spec.id)
     for key, _, run in record.runs():
         worker = term.worker_of_run(run.worker_id, run.born)
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -19,6 +19,7 @@
 from .ended_jobs import EndedJobs
 from .incarnations import begin_incarnation
 from .journal import Journal
+from .long_checkpoints import LongCheckpoints
 from .run_ends import give_up_all_runs
 from .settled_runs import SettledRuns
 from .worker_leases import (
@@ -81,6 +82,7 @@
     crashed_at_by_address: dict[str, float] = field(default_factory=dict)
     ended_at_by_job_id: dict[str, float] = field(default_factory=dict)
     ended_jobs: EndedJobs = field(init=False)
+    long_checkpoints: LongCheckpoints = field(default_factory=LongCheckpoints)
     settled_revision: int = 0
     settled_runs: SettledRuns = field(init=False)
     policy: Policy | None = None
@@ -161,6 +163,7 @@
             self.record_by_id.pop(record.spec.id, None)
             self.repeating_by_id.pop(record.spec.id, None)
             self.permits.forget(record.spec.id)
+            self.long_checkpoints.forget_job(record.spec.id)
             self.ended_at_by_job_id[record.spec.id] = record.ended_at
             spec = record.spec
             self.ended_jobs.remember(spec.id, spec.team, spec.steps, self.now.mono)
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -55,7 +55,9 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
         self._store_codec = PlatformStoreCodec(settings.store_address)
-        self._worker_codec = PlatformWorkerCodec(settings.advisor_address)
+        self._worker_codec = PlatformWorkerCodec(
+            settings.advisor_address, settings.store_value_bytes
+        )
         self._load = LoadMeter()
         self._runtime = Runtime(load=self._load)
         self._store_health = StoreHealthTracker(read_clocks)
--- a/src/lagoonpulley/platform/settings.py
+++ b/src/lagoonpulley/platform/settings.py
@@ -11,7 +11,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, Field, ValidationError
 
-from ..owner.settings import ShareSettings
+from ..owner.settings import DEFAULT_VALUE_BYTES, ShareSettings
 from .validation_errors import format_validation_error
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
@@ -52,6 +52,7 @@
     ttl_min_ms: int = Field(1000, alias="ttlMinMs")
     writes_per_s: float | None = Field(None, alias="writesPerS")
     reads_per_s: float | None = Field(None, alias="readsPerS")
+    value_bytes: int = Field(DEFAULT_VALUE_BYTES, alias="valueBytes", gt=0)
 
 
 class _Cloud(BaseModel):
@@ -107,7 +108,8 @@
     longest time that a worker keeps its tasks running without a lease extension,
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
     start, ``policy_delay_s`` how long after a policy was stored requests may still be
-    answered by the one before, ``retention_s`` how long a final state is kept, and
+    answered by the one before, ``store_value_bytes`` how long a value in the store may
+    be, ``retention_s`` how long a final state is kept, and
     ``stop_deadline_s`` the longest time of a drain. The rates of store calls are those
     that all entries together may make; ``None`` means unknown. ``processors_milli`` is
     in thousandths of a processor and ``link_mbps`` in Mbit/s; 0 means unknown, as it
@@ -135,6 +137,7 @@
     shortest_session_s: float
     store_writes_per_s: float | None
     store_reads_per_s: float | None
+    store_value_bytes: int
     processors_milli: int
     link_mbps: float
     memory_mb: float = 0.0
@@ -220,6 +223,7 @@
         shortest_session_s=file.platform.ttl_min_ms / MS_PER_S,
         store_writes_per_s=file.platform.writes_per_s,
         store_reads_per_s=file.platform.reads_per_s,
+        store_value_bytes=file.platform.value_bytes,
         processors_milli=round(limits.cpu_share * limits.cores * MILLI_PER_PROCESSOR),
         link_mbps=limits.link_mbps,
         memory_mb=limits.memory_mb,
--- a/src/lagoonpulley/platform/worker_rows.py
+++ b/src/lagoonpulley/platform/worker_rows.py
@@ -9,7 +9,6 @@
 
 from ..observability.events import log_event
 from ..upstream.tasks import Ended, Running, TaskRef
-from ..workload.documents import MAX_CHECKPOINT_LENGTH
 from ..workload.record import EndKind
 from ..workload.spec import TaskKey
 from .ranges import MAX_WHOLE
@@ -39,8 +38,11 @@
     all_read: bool = True
 
 
-def read_running(rows: list[Any]) -> RunningRows:
-    """Read rows of task, run, checkpoint, percent and, if there is one, load."""
+def read_running(rows: list[Any], max_checkpoint_bytes: int) -> RunningRows:
+    """Read rows of task, run, checkpoint, percent and, if there is one, load.
+
+    :param max_checkpoint_bytes: a longer checkpoint cannot be stored.
+    """
     result = RunningRows()
     odd_rows = []
     for row in rows:
@@ -52,7 +54,7 @@
             continue
         run = Running(
             ref,
-            _read_checkpoint(ref, checkpoint),
+            _read_checkpoint(ref, checkpoint, max_checkpoint_bytes),
             _read_percent(ref, percent),
             _read_load(ref, load),
         )
@@ -61,8 +63,8 @@
     return result
 
 
-def read_ended(rows: list[Any]) -> EndedRows:
-    """Read rows of number, task, run, kind and checkpoint."""
+def read_ended(rows: list[Any], max_checkpoint_bytes: int) -> EndedRows:
+    """Read rows of number, task, run, kind and checkpoint; see :func:`read_running`."""
     result = EndedRows()
     odd_rows = []
     for row in rows:
@@ -75,7 +77,7 @@
             if end_number is not None:
                 result.unread_numbers.append(end_number)
             continue
-        saved = _read_checkpoint(ref, checkpoint)
+        saved = _read_checkpoint(ref, checkpoint, max_checkpoint_bytes)
         result.ends.append(Ended(end_number, ref, _read_end_kind(kind), saved))
     _log_odd_rows("finished", odd_rows)
     return result
@@ -149,15 +151,20 @@
     return number if 0 <= number <= MAX_WHOLE else None
 
 
-def _read_checkpoint(ref: TaskRef, value: Any) -> str:
+def _read_checkpoint(ref: TaskRef, value: Any, max_bytes: int) -> str:
     """Return a checkpoint, empty if there is none that can be stored."""
     if value is None:
         return ""
     if not isinstance(value, str):
         _refuse_value(ref, "checkpoint", "not a text")
         return ""
-    if len(value) > MAX_CHECKPOINT_LENGTH:
-        _refuse_value(ref, "checkpoint", f"{len(value)} characters")
+    try:
+        size = len(value) if value.isascii() else len(value.encode())
+    except UnicodeEncodeError:
+        _refuse_value(ref, "checkpoint", "not Unicode")
+        return ""
+    if size > max_bytes:
+        _refuse_value(ref, "checkpoint", f"{size} bytes")
         return ""
     return value
 
--- a/src/lagoonpulley/platform/workers.py
+++ b/src/lagoonpulley/platform/workers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from pydantic import BaseModel, Field, ValidationError
 
 from ..model.verdict import Ran
+from ..owner.settings import DEFAULT_VALUE_BYTES
 from ..runtime.curl import HttpAnswer, HttpCall, HttpFailure
 from ..runtime.role import CallFailed
 from ..upstream.tasks import (
@@ -32,6 +34,9 @@
 
 WorkerOperation = StartTask | StopTask | ThrottleTask | SyncWorker | AskAdvice
 
+# A number with more is out of every range.
+MAX_DIGITS = 40
+
 OK = 200
 MISDIRECTED_REQUEST = 421
 NOT_EXECUTED_STATUSES = frozenset((429, 503))
@@ -68,9 +73,15 @@
 
 
 class PlatformWorkerCodec:
-    """Codec for commands to workers and requests to the advisor."""
+    """Codec for commands to workers and requests to the advisor.
+
+    :param max_checkpoint_bytes: a longer checkpoint cannot be stored.
+    """
 
-    def __init__(self, advisor_address: str) -> None:
+    def __init__(
+        self, advisor_address: str, max_checkpoint_bytes: int = DEFAULT_VALUE_BYTES
+    ) -> None:
+        self._max_checkpoint_bytes = max_checkpoint_bytes
         self.set_advisor_address(advisor_address)
 
     def set_advisor_address(self, address: str) -> None:
@@ -98,11 +109,11 @@
         if isinstance(outcome, HttpFailure):
             return CallFailed(outcome.ran, outcome.reason, closed=outcome.closed)
         try:
-            body = _Body.model_validate_json(outcome.body or b"{}")
-        except ValidationError as error:
+            body = _parse_body(outcome.body or b"{}")
+        except (ValueError, RecursionError) as error:
             if outcome.status == OK:
-                count = error.error_count()
-                return CallFailed(Ran.MAYBE, f"worker answer has {count} faults")
+                reason = f"worker answer cannot be read: {type(error).__name__}"
+                return CallFailed(Ran.MAYBE, reason)
             body = _Body()
         if outcome.status != OK:
             return _to_refusal(operation, outcome.status, body)
@@ -111,10 +122,28 @@
         if body.clock_ms is None:
             return CallFailed(Ran.MAYBE, "worker answer has no clock")
         if isinstance(operation, SyncWorker):
-            return _to_report(body)
+            return _to_report(body, self._max_checkpoint_bytes)
         return CommandAccepted(body.clock_ms)
 
 
+def _parse_body(data: bytes) -> _Body:
+    """Return the fields of an answer.
+
+    :raises ValueError: when it is no JSON, or a field beside the rows is odd.
+    :raises RecursionError: when it is nested too deeply.
+    """
+    try:
+        return _Body.model_validate_json(data)
+    except ValidationError:
+        # A text that is not Unicode, or a very long number, may be in one row only.
+        text = data.decode(errors="surrogateescape")
+        return _Body.model_validate(json.loads(text, parse_int=_parse_whole))
+
+
+def _parse_whole(digits: str) -> float:
+    return int(digits) if len(digits) <= MAX_DIGITS else math.inf
+
+
 def _to_refusal(
     operation: WorkerOperation, status: int, body: _Body
 ) -> CommandRefused | CallFailed:
@@ -166,9 +195,9 @@
     return {"task": name, "run": ref.run}
 
 
-def _to_report(body: _Body) -> WorkerReport:
-    running = read_running(body.running)
-    ended = read_ended(body.finished)
+def _to_report(body: _Body, max_checkpoint_bytes: int) -> WorkerReport:
+    running = read_running(body.running, max_checkpoint_bytes)
+    ended = read_ended(body.finished, max_checkpoint_bytes)
     return WorkerReport(
         int(body.clock_ms or 0),
         body.born,
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Annotated, Literal
+from typing import Annotated, Literal, NamedTuple
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
@@ -12,27 +12,31 @@
 from .spec import JobSpec, StepKey, TaskKey
 
 __all__ = [
+    "CHECKPOINTS_PREFIX",
     "CancelDocument",
-    "Checkpoint",
+    "CheckpointKey",
     "FinalDocument",
     "JobKeys",
-    "MAX_CHECKPOINT_LENGTH",
     "ProgressDocument",
     "decode_final",
     "decode_progress",
     "decode_submission",
     "encode_submission",
+    "is_long_checkpoint",
 ]
 
 FORMAT = 1
 JOBS_PREFIX = "lagoonpulley/jobs/"
 PROGRESS_PREFIX = "lagoonpulley/progress/"
+CHECKPOINTS_PREFIX = "lagoonpulley/checkpoints/"
 # Characters of the job ids that callers may choose.
 JOB_ID_CHARACTERS = "0123456789abcdefABCDEF"
 SUBMISSION = "submission"
 FINAL = "final"
 CANCEL = "cancel"
-MAX_CHECKPOINT_LENGTH = 4096
+# A longer checkpoint is a value of its own; earlier builds refuse a progress document
+# with a longer one.
+MAX_INLINE_CHECKPOINT_LENGTH = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +84,31 @@
         return job_id, kind
 
 
+class CheckpointKey(NamedTuple):
+    """Task whose checkpoint is a value of its own; its text is the store key."""
+
+    job_id: str
+    task: TaskKey
+
+    def __str__(self) -> str:
+        return f"{CHECKPOINTS_PREFIX}{self.job_id}/" + ".".join(map(str, self.task))
+
+    @classmethod
+    def parse(cls, key: str) -> CheckpointKey | None:
+        """Return the task of a store key, ``None`` for other keys."""
+        job_id, _, task = key.removeprefix(CHECKPOINTS_PREFIX).partition("/")
+        try:
+            occurrence, step, index = map(int, task.split("."))
+        except ValueError:
+            return None
+        return cls(job_id, TaskKey(occurrence, step, index))
+
+
+def is_long_checkpoint(checkpoint: str) -> bool:
+    """Return whether a checkpoint is too long for a progress document."""
+    return len(checkpoint) > MAX_INLINE_CHECKPOINT_LENGTH
+
+
 class _Document(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -101,11 +130,11 @@
     reason: str = ""
 
 
-Checkpoint = Annotated[str, Field(max_length=MAX_CHECKPOINT_LENGTH)]
+_InlineCheckpoint = Annotated[str, Field(max_length=MAX_INLINE_CHECKPOINT_LENGTH)]
 # Task in a progress document: occurrence, step, index, last run, worker of the
 # current run (empty if none), incarnation of that worker (0 if unknown), done,
-# failures, checkpoint.
-TaskRow = tuple[int, int, int, int, str, int, bool, int, Checkpoint]
+# failures, checkpoint (empty if it is a value of its own).
+TaskRow = tuple[int, int, int, int, str, int, bool, int, _InlineCheckpoint]
 
 
 class ProgressDocument(_Document):
@@ -118,7 +147,8 @@
     that is older than its last failed run. Earlier builds do not write these, and keep
     given-up runs whose failure has been counted. A row of ``started_tasks``:
     occurrence, step and index of a task whose current run has started for certain.
-    Earlier builds do not write these either.
+    Earlier builds do not write these either. ``has_long_checkpoints`` is set if any
+    checkpoint may be a value of its own.
     """
 
     state: JobState
@@ -128,17 +158,23 @@
     given_up_runs: list[tuple[int, int, int, int]] = []
     uncounted_gang_runs: list[tuple[int, int, int]] = []
     started_tasks: list[tuple[int, int, int]] = []
+    has_long_checkpoints: bool = False
 
     @classmethod
     def from_record(cls, record: JobRecord) -> ProgressDocument:
         """Create the progress document of a record."""
         rows: list[TaskRow] = []
+        has_long_checkpoints = False
         for key, task in record.task_by_key.items():
             if not task.last_run and not task.done:
                 continue
             worker_id = task.run.worker_id if task.run else ""
             born = task.run.born if task.run else 0
-            tail = (task.done, task.failures, task.checkpoint)
+            checkpoint = task.checkpoint
+            if is_long_checkpoint(checkpoint):
+                has_long_checkpoints = True
+                checkpoint = ""
+            tail = (task.done, task.failures, checkpoint)
             rows.append((*key, task.last_run, worker_id, born, *tail))
         failures = [
             (*key, failures.count, failures.last_run)
@@ -162,6 +198,7 @@
             given_up_runs=given_up_runs,
             uncounted_gang_runs=_uncounted_gang_runs(record),
             started_tasks=started,
+            has_long_checkpoints=has_long_checkpoints,
         )
 
     def apply_to(self, record: JobRecord) -> None:
--- a/tests/support/step_store.py
+++ b/tests/support/step_store.py
@@ -47,6 +47,8 @@
         self.silent_watches_advance = False
         # Prefixes whose pages do not arrive before a read times out.
         self.unreadable_prefixes: set[str] = set()
+        # Prefixes of keys whose values the store refuses, as values that are too long.
+        self.unwritable_prefixes: set[str] = set()
 
     def _call_store(self, entry: StepEntry, request: Request) -> None:
         if not entry.route.should_call_directly(request):
@@ -62,6 +64,10 @@
         lost = lost or _reads_any(request.operation, entry.unreadable_prefixes)
 
         def perform() -> None:
+            if self._refuses(request.operation):
+                refused = CallFailed(Ran.NO, "the store refuses a value")
+                self._reply_store(entry, request, refused)
+                return
             result = self.store.apply(request.operation, self.clock.mono)
             waits = isinstance(request.operation, WatchPrefix)
             if waits and not self.delivers_watch_events:
@@ -83,6 +89,12 @@
             )
         self.clock.after(0.003, perform)
 
+    def _refuses(self, operation: Any) -> bool:
+        if not isinstance(operation, Transaction):
+            return False
+        prefixes = tuple(self.unwritable_prefixes)
+        return any(write.key.startswith(prefixes) for write in operation.puts)
+
     def _reply_store(self, entry: StepEntry, request: Request, result: Any) -> None:
         entry.mailbox.append(entry.route.route_result(request, result))
 
