--- a/src/lagoonpulley/intake/admission.py
+++ b/src/lagoonpulley/intake/admission.py
@@ -28,6 +28,11 @@
 MAX_START_DELAY_S = 3.0
 # A working owner's heartbeat does not mention a submission sooner than this.
 STATUS_AGE_S = 1.5
+# Tasks that an owner holds at most; each takes some 0.3 KB, and more once it runs.
+MAX_HELD_TASKS = 100_000
+# Tasks that one entry admits before the owner's status must tell of them.
+MAX_RECENT_TASKS = 20_000
+RECENT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +71,27 @@
         self._proved_delay_s = 0.0
         # Revision and time of submissions that the owner is not known to know.
         self._unknown_to_owner: deque[tuple[int, float]] = deque()
+        self._held_tasks = 0
+        # Tasks and time of submissions that the owner's status may not count yet.
+        self._recent_tasks: deque[tuple[int, float]] = deque()
 
-    def record_stored(self, revision: int, now: float) -> None:
-        """Record that this entry has stored a submission."""
+    def record_stored(self, revision: int, now: float, tasks: int = 0) -> None:
+        """Record that this entry has stored a submission of so many tasks."""
         self._unknown_to_owner.append((revision, now))
+        self._recent_tasks.append((tasks, now))
+
+    def refusal_of_tasks(self, tasks: int, now: float) -> Restriction | None:
+        """Return why a job of so many tasks must be refused, or ``None`` to admit it.
+
+        Otherwise the owner, and each one after it, would hold more than it can.
+        """
+        while self._recent_tasks and self._recent_tasks[0][1] < now - RECENT_S:
+            self._recent_tasks.popleft()
+        recent = sum(tasks for tasks, _ in self._recent_tasks)
+        is_recent_full = recent + tasks > MAX_RECENT_TASKS
+        if self._held_tasks + recent + tasks <= MAX_HELD_TASKS and not is_recent_full:
+            return None
+        return Restriction("the owner holds too many tasks", 1.0, ceil(RECENT_S))
 
     def record_read(
         self, status: OwnerStatus | None, now: float, is_stale: bool
@@ -89,6 +111,8 @@
         if is_new or was_interrupted:
             self._absent_since = now
         self._read_at = now
+        if status is not None:
+            self._held_tasks = status.held_tasks
         if status is None or self.absence_s(now) >= LATE_HEARTBEAT_S:
             # Until the next heartbeat, the owner is presumed to be as far behind.
             return
--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -131,10 +131,12 @@
         return Outcome(OutcomeKind.REFUSED, "no such operation")
 
     def _submit(self, request: Request, operation: SubmitJob) -> Flow:
+        spec = operation.spec
+        tasks = spec.tasks_per_occurrence
         refusal = self._admission.refusal(self.now.mono)
+        refusal = refusal or self._admission.refusal_of_tasks(tasks, self.now.mono)
         if refusal is not None:
             return (yield from self._refuse_unless_stored(operation, refusal))
-        spec = operation.spec
         keys = JobKeys(spec.id)
         change = Transaction(
             expected=((keys.submission, ABSENT), (keys.final, ABSENT)),
@@ -145,7 +147,7 @@
         if outcome.kind is not OutcomeKind.DONE:
             return outcome
         if result.ok:
-            self._admission.record_stored(result.revision, self.now.mono)
+            self._admission.record_stored(result.revision, self.now.mono, tasks)
         log_event(
             "job_submitted",
             job=spec.id,
--- a/src/lagoonpulley/owner/adoption.py
+++ b/src/lagoonpulley/owner/adoption.py
@@ -28,6 +28,9 @@
         tracked = term.track_run(worker, record, ref)
         record.hold_back(ref.key, worker.info.id, ref.run)
         term.refresh_demands(record)
+    elif record is not None and record.is_task(ref.key):
+        # Of an occurrence that is done, and held no longer.
+        tracked = term.track_run(worker, record, ref)
     else:
         tracked = _track_run_of_ended_job(term, worker, ref)
     tracked.start_resolved_at = BEFORE_THIS_TERM
--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -77,7 +77,7 @@
     for ref, share in blame.items():
         worker.tracked_by_ref[ref].is_blamed = True
         record = term.record_by_id.get(ref.job_id)
-        if record is None or record.is_final:
+        if record is None or record.is_final or ref.key not in record.task_by_key:
             continue
         worker.blamed_runs[ref] = share
         history = record.change_crashes(ref.key, 1, share)
@@ -96,7 +96,7 @@
     term.crashed_at_by_address.pop(worker.info.address, None)
     for ref, share in worker.blamed_runs.items():
         record = term.record_by_id.get(ref.job_id)
-        if record is None or record.is_final:
+        if record is None or record.is_final or ref.key not in record.task_by_key:
             continue
         record.change_crashes(ref.key, -1, -share)
         term.refresh_demands(record)
--- a/src/lagoonpulley/owner/status.py
+++ b/src/lagoonpulley/owner/status.py
@@ -26,13 +26,15 @@
 
     ``number`` rises with each write under one ``token``. The owner knows every job
     stored up to ``known_revision``. ``start_delay_s`` is for how long a new job waits
-    because the owner is slow, in seconds.
+    because the owner is slow, in seconds. ``held_tasks`` counts the tasks of all jobs
+    in its memory.
     """
 
     token: int
     number: int
     known_revision: int
     start_delay_s: float = 0.0
+    held_tasks: int = 0
 
 
 class OwnerStatusWriter:
@@ -58,5 +60,6 @@
             number=self._number,
             known_revision=known_revision,
             start_delay_s=round(backlog.measure_delay_s(term, now.mono), 3),
+            held_tasks=term.held_tasks(),
         )
         term.journal.enqueue_value(STATUS_KEY, status.model_dump_json())
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -177,13 +177,21 @@
         if record.is_final or queue is None or self.now is None:
             self.backlog.replace(record.spec.id, [])
             return
+        if record.spec.repeats:
+            self._update_occurrences(record)
         demands = []
-        for key in record.open_steps(self.now.wall, self.early_s):
+        for key in record.open_steps():
             if record.waiting_by_step.get(key):
                 due_at = self._due_at(record, queue, key.occurrence)
                 demands.append(Demand(record, key, queue, due_at))
         self.backlog.replace(record.spec.id, demands)
 
+    def _update_occurrences(self, record: JobRecord) -> None:
+        """Drop occurrences that are done, and open those that are due."""
+        for key in record.close_done_occurrences():
+            self.permits.forget_step(record.spec.id, key)
+        record.open_due_occurrences(self.now.wall, self.early_s)
+
     def queue_of(self, record: JobRecord) -> Queue | None:
         """Return the latest known definition of a job's queue."""
         return self.queue_by_name.get(record.spec.queue)
@@ -195,6 +203,10 @@
         for record in self.record_by_id.values():
             self.refresh_demands(record)
 
+    def held_tasks(self) -> int:
+        """Return how many tasks of all jobs are in memory."""
+        return sum(len(record.task_by_key) for record in self.record_by_id.values())
+
     def pending_by_queue(self) -> dict[str, int]:
         """Return the number of jobs that have not started, by queue."""
         count_by_queue: dict[str, int] = {}
--- a/src/lagoonpulley/planning/demand.py
+++ b/src/lagoonpulley/planning/demand.py
@@ -73,7 +73,7 @@
         spec = self.record.spec
         job_id = spec.id
         self.scheduled_at = spec.scheduled_at(self.key.occurrence)
-        self.remaining_s = spec.remaining_path_s(self.key.step)
+        self.remaining_s = self.record.remaining_path_s(self.key.step)
         self.order = (self.queue.priority, self.due_at, job_id, self.key)
         self.step = self.record.step_of(self.key)
         self.request = self.step.capacity_request
--- a/src/lagoonpulley/planning/permits.py
+++ b/src/lagoonpulley/planning/permits.py
@@ -99,6 +99,10 @@
             by_step[key] = StepPermits()
         return by_step[key]
 
+    def forget_step(self, job_id: str, key: StepKey) -> None:
+        """Remove the permits of one step of a job."""
+        self._by_step_by_job_id.get(job_id, {}).pop(key, None)
+
     def forget(self, job_id: str) -> None:
         """Remove the permits of all steps of a job."""
         self._by_step_by_job_id.pop(job_id, None)
--- a/src/lagoonpulley/platform/submission.py
+++ b/src/lagoonpulley/platform/submission.py
@@ -6,6 +6,7 @@
 from pydantic import BaseModel, Field, ValidationError, model_validator
 
 from ..model.resources import Resources
+from ..workload.record import MAX_LIVE_TASKS
 from ..workload.spec import JobSpec, StepSpec
 from .ranges import Amount, Milliseconds, Whole
 from .validation_errors import format_validation_error
@@ -81,6 +82,9 @@
                 raise ValueError(
                     f"step {number} comes after a step that is not earlier"
                 )
+        tasks = sum(step.count for step in self.steps)
+        if tasks > MAX_LIVE_TASKS:
+            raise ValueError(f"{tasks} tasks at a time; at most {MAX_LIVE_TASKS}")
         return self
 
 
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
+from .occurrences import OccurrenceSet
 from .record import CrashHistory, GangFailures, JobRecord, JobState, Run
 from .spec import JobSpec, StepKey, TaskKey
 
@@ -148,7 +149,9 @@
     given-up runs whose failure has been counted. A row of ``started_tasks``:
     occurrence, step and index of a task whose current run has started for certain.
     Earlier builds do not write these either. ``has_long_checkpoints`` is set if any
-    checkpoint may be a value of its own.
+    checkpoint may be a value of its own. ``done_occurrences`` holds the first and the
+    last of those that are done and have no rows. Earlier builds would run them again,
+    but could not hold a job that has any.
     """
 
     state: JobState
@@ -159,6 +162,7 @@
     uncounted_gang_runs: list[tuple[int, int, int]] = []
     started_tasks: list[tuple[int, int, int]] = []
     has_long_checkpoints: bool = False
+    done_occurrences: list[tuple[int, int]] = []
 
     @classmethod
     def from_record(cls, record: JobRecord) -> ProgressDocument:
@@ -199,6 +203,7 @@
             uncounted_gang_runs=_uncounted_gang_runs(record),
             started_tasks=started,
             has_long_checkpoints=has_long_checkpoints,
+            done_occurrences=record.done_occurrences.ranges(),
         )
 
     def apply_to(self, record: JobRecord) -> None:
@@ -210,6 +215,10 @@
         if not self.state.is_final:
             record.state = self.state
         started = set(self.started_tasks)
+        record.done_occurrences = OccurrenceSet(self.done_occurrences)
+        for occurrence in {row[0] for row in self.tasks}:
+            if occurrence < record.spec.occurrences:
+                record.open_occurrence(occurrence)
         for *key_parts, last_run, worker_id, born, done, failures, saved in self.tasks:
             key = TaskKey(*key_parts)
             task = record.task_by_key.get(key)
@@ -230,7 +239,7 @@
         for *key_parts, count, blame in self.crashes:
             record.crashes_by_task[TaskKey(*key_parts)] = CrashHistory(count, blame)
         self._restore_given_up_runs(record)
-        record.rebuild_waiting()
+        record.rebuild_indexes()
 
     def _restore_given_up_runs(self, record: JobRecord) -> None:
         """Restore the given-up runs, without those whose failure may be counted."""
@@ -242,7 +251,7 @@
                 continue
             failures = record.gang_failures_by_step.get(key.step_key, GangFailures())
             if run > failures.last_run or (*key.step_key, run) in uncounted:
-                task.given_up_runs.add(run)
+                task.given_up_runs |= {run}
 
 
 def _uncounted_gang_runs(record: JobRecord) -> list[tuple[int, int, int]]:
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
+from .occurrences import OccurrenceSet
 from .spec import JobSpec, StepKey, StepSpec, TaskKey
 
 __all__ = [
@@ -13,10 +14,18 @@
     "GangFailures",
     "JobRecord",
     "JobState",
+    "MAX_LIVE_TASKS",
     "Run",
     "TaskRecord",
 ]
 
+# Tasks of one job at a time; their progress is one value of the store, and takes some
+# 150 bytes a task at most.
+MAX_LIVE_TASKS = 6000
+# Of occurrences that are done, tasks that are still held and stored one by one, as
+# earlier builds expect it. The older ones are known by their number alone.
+MAX_DONE_TASKS_HELD = 300
+
 # A task under which this many workers have crashed is given up, whatever the cause.
 MAX_CRASHES = 5
 # So is one whose blame is above this: more than one crash, and one without doubt.
@@ -86,8 +95,8 @@
     done: bool = False
     failures: int = 0
     checkpoint: str = ""
-    given_up_runs: set[int] = field(default_factory=set)
-    other_runs: set[tuple[str, int]] = field(default_factory=set)
+    given_up_runs: frozenset[int] = frozenset()
+    other_runs: frozenset[tuple[str, int]] = frozenset()
 
     @property
     def is_waiting(self) -> bool:
@@ -133,6 +142,8 @@
 class JobRecord:
     """A job and its tasks; ``ended_at`` is in seconds of the wall clock.
 
+    ``task_by_key`` holds the tasks of the occurrences that are open: those that have
+    been due, until they are done. ``done_occurrences`` are done and held no longer.
     ``avoided_workers_by_step`` holds the ids of workers on which a run of the step
     failed, stalled or got no answer to its start. ``has_unstored_starts`` is set while
     the stored progress may lack a run that has started.
@@ -148,26 +159,106 @@
     waiting_by_step: dict[StepKey, dict[TaskKey, None]] = field(default_factory=dict)
     avoided_workers_by_step: dict[StepKey, set[str]] = field(default_factory=dict)
     crashes_by_task: dict[TaskKey, CrashHistory] = field(default_factory=dict)
+    done_occurrences: OccurrenceSet = field(default_factory=OccurrenceSet)
     has_unstored_starts: bool = False
+    _open_occurrences: dict[int, None] = field(default_factory=dict)
+    # Open ones of which all tasks are done, in the order in which they were.
+    _closable: dict[int, None] = field(default_factory=dict)
+    _next_occurrence: int = 0
+    _remaining_path_s: list[float] | None = None
 
     @classmethod
     def from_spec(cls, spec: JobSpec) -> JobRecord:
         """Create the record of a job with no started tasks."""
         record = cls(spec)
-        for occurrence in range(spec.occurrences):
-            for number, step in enumerate(spec.steps):
-                for index in range(step.count):
-                    key = TaskKey(occurrence, number, index)
-                    record.task_by_key[key] = TaskRecord()
-        record.rebuild_waiting()
+        if not spec.repeats:
+            record.open_occurrence(0)
+            record._next_occurrence = 1
         return record
 
-    def rebuild_waiting(self) -> None:
-        """Rebuild the index of tasks that have to be started."""
+    def open_due_occurrences(self, wall: float, early_s: float) -> bool:
+        """Open the occurrences that are due by now; return whether there were any.
+
+        One that would make too many tasks waits for earlier ones to be done.
+
+        :param wall: current wall time in seconds.
+        :param early_s: how long before its scheduled time an occurrence may start.
+        """
+        spec = self.spec
+        was_opened = False
+        while self._next_occurrence < spec.occurrences:
+            if wall < spec.scheduled_at(self._next_occurrence) - early_s:
+                break
+            live = len(self.task_by_key) + spec.tasks_per_occurrence
+            if self._open_occurrences and live > MAX_LIVE_TASKS:
+                break
+            self.open_occurrence(self._next_occurrence)
+            self._next_occurrence += 1
+            was_opened = True
+        return was_opened
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Create the tasks of an occurrence unless it is open or done."""
+        if occurrence in self._open_occurrences or occurrence in self.done_occurrences:
+            return
+        self._open_occurrences[occurrence] = None
+        for number, step in enumerate(self.spec.steps):
+            waiting = self.waiting_by_step.setdefault(StepKey(occurrence, number), {})
+            for index in range(step.count):
+                key = TaskKey(occurrence, number, index)
+                self.task_by_key[key] = TaskRecord()
+                waiting[key] = None
+
+    def close_done_occurrences(self) -> list[StepKey]:
+        """Drop the tasks of occurrences that are done, the oldest first, but for a few.
+
+        :returns: the steps that were dropped.
+        """
+        closed: list[StepKey] = []
+        held = len(self._closable) * self.spec.tasks_per_occurrence
+        for occurrence in list(self._closable):
+            if held <= MAX_DONE_TASKS_HELD:
+                break
+            keys = self._step_keys(occurrence)
+            tasks = [task for key in keys for _, task in self.tasks_of(key)]
+            if any(task.run is not None or task.other_runs for task in tasks):
+                continue
+            self._close(occurrence)
+            held -= self.spec.tasks_per_occurrence
+            closed += keys
+        return closed
+
+    def _close(self, occurrence: int) -> None:
+        del self._open_occurrences[occurrence]
+        del self._closable[occurrence]
+        self.done_occurrences.add(occurrence)
+        for key in self._step_keys(occurrence):
+            for task_key, _ in self.tasks_of(key):
+                del self.task_by_key[task_key]
+                self.crashes_by_task.pop(task_key, None)
+            self.done_count_by_step.pop(key, None)
+            self.gang_failures_by_step.pop(key, None)
+            self.waiting_by_step.pop(key, None)
+            self.avoided_workers_by_step.pop(key, None)
+
+    def _step_keys(self, occurrence: int) -> list[StepKey]:
+        return [StepKey(occurrence, number) for number in range(len(self.spec.steps))]
+
+    def rebuild_indexes(self) -> None:
+        """Rebuild what follows from the tasks and from which of them are done."""
         self.waiting_by_step = {}
         for key, task in self.task_by_key.items():
             if task.is_waiting:
                 self.waiting_by_step.setdefault(key.step_key, {})[key] = None
+        self._closable = {}
+        for occurrence in self._open_occurrences:
+            self._note_if_closable(occurrence)
+
+    def _note_if_closable(self, occurrence: int) -> None:
+        if self.spec.repeats and all(
+            map(self.is_step_done, self._step_keys(occurrence))
+        ):
+            self._closable[occurrence] = None
 
     def waiting_of(self, key: StepKey) -> list[TaskKey]:
         """Return the tasks of a step that have to be started."""
@@ -189,6 +280,8 @@
 
     def is_step_done(self, key: StepKey) -> bool:
         """Return whether all tasks of a step are done."""
+        if key.occurrence in self.done_occurrences:
+            return True
         return self.done_count_by_step.get(key, 0) >= self.step_of(key).count
 
     def is_step_open(self, key: StepKey) -> bool:
@@ -196,25 +289,29 @@
         before = self.step_of(key).after
         return all(self.is_step_done(StepKey(key.occurrence, i)) for i in before)
 
-    def open_steps(self, wall: float, early_s: float) -> list[StepKey]:
-        """Return the unfinished steps whose tasks may start now.
-
-        :param wall: current wall time in seconds.
-        :param early_s: how long before its scheduled time an occurrence may start.
-        """
+    def open_steps(self) -> list[StepKey]:
+        """Return the unfinished steps of open occurrences whose tasks may start now."""
         found = []
-        for occurrence in range(self.spec.occurrences):
-            if (
-                self.spec.repeats
-                and wall < self.spec.scheduled_at(occurrence) - early_s
-            ):
-                break
-            for number in range(len(self.spec.steps)):
-                key = StepKey(occurrence, number)
+        for occurrence in self._open_occurrences:
+            if occurrence in self._closable:
+                continue
+            for key in self._step_keys(occurrence):
                 if not self.is_step_done(key) and self.is_step_open(key):
                     found.append(key)
         return found
 
+    def remaining_path_s(self, step: int) -> float:
+        """Return the declared run time from the begin of a step to the job's end."""
+        if self._remaining_path_s is None:
+            self._remaining_path_s = self.spec.remaining_paths_s()
+        return self._remaining_path_s[step]
+
+    def is_task(self, key: TaskKey) -> bool:
+        """Return whether the job has such a task, also if it is not held."""
+        if key.occurrence >= self.spec.occurrences or key.step >= len(self.spec.steps):
+            return False
+        return key.index < self.spec.steps[key.step].count
+
     def runs(self) -> list[tuple[TaskKey, TaskRecord, Run]]:
         """Return the tasks with a current run, each with its key and run."""
         return [
@@ -225,11 +322,10 @@
 
     def is_done(self) -> bool:
         """Return whether every task is done."""
-        for occurrence in range(self.spec.occurrences):
-            for number in range(len(self.spec.steps)):
-                if not self.is_step_done(StepKey(occurrence, number)):
-                    return False
-        return True
+        if self._next_occurrence < self.spec.occurrences:
+            return False
+        open_keys = map(self._step_keys, self._open_occurrences)
+        return all(self.is_step_done(key) for keys in open_keys for key in keys)
 
     def begin_run(self, key: TaskKey, number: int, worker_id: str, born: int) -> Run:
         """Set the current run of a task before its start is sent to the worker."""
@@ -243,7 +339,7 @@
 
     def hold_back(self, key: TaskKey, worker_id: str, run: int) -> None:
         """Do not start a task while a worker lists a run beside the current one."""
-        self.task_by_key[key].other_runs.add((worker_id, run))
+        self.task_by_key[key].other_runs |= {(worker_id, run)}
         self.waiting_by_step.get(key.step_key, {}).pop(key, None)
 
     def release(self, key: TaskKey, worker_id: str, run: int) -> bool:
@@ -251,7 +347,7 @@
         task = self.task_by_key.get(key)
         if task is None or (worker_id, run) not in task.other_runs:
             return False
-        task.other_runs.discard((worker_id, run))
+        task.other_runs -= {(worker_id, run)}
         if task.is_waiting:
             self.waiting_by_step.setdefault(key.step_key, {})[key] = None
         return True
@@ -291,7 +387,7 @@
         # Nothing follows from the end of a task that has to run on anyway, nor from
         # that of another member of a gang's run that has failed.
         if not self.step_of(key).long_running and task.run.number > last_failed:
-            task.given_up_runs.add(task.run.number)
+            task.given_up_runs |= {task.run.number}
         self.end_run(key, EndKind.LAPSED, "")
 
     def apply_late_end(self, key: TaskKey, run: int, kind: EndKind) -> bool:
@@ -308,7 +404,7 @@
         if not was_given_up and not is_news:
             return False
         self._apply_outcome(key, run, kind)
-        task.given_up_runs.discard(run)
+        task.given_up_runs -= {run}
         return True
 
     def _apply_outcome(self, key: TaskKey, run: int, kind: EndKind) -> None:
@@ -333,7 +429,7 @@
         if run <= failures.last_run and not was_given_up:
             return
         for task in members:
-            task.given_up_runs.discard(run)
+            task.given_up_runs -= {run}
         last_run = max(run, failures.last_run)
         self.gang_failures_by_step[key] = GangFailures(failures.count + 1, last_run)
 
@@ -352,6 +448,8 @@
             self.waiting_by_step.get(key.step_key, {}).pop(each, None)
             count = self.done_count_by_step.get(key.step_key, 0)
             self.done_count_by_step[key.step_key] = count + 1
+        if self.is_step_done(key.step_key):
+            self._note_if_closable(key.occurrence)
 
     def failures_of(self, key: TaskKey) -> int:
         """Return how often a task, or the gang it belongs to, has failed."""
--- a/src/lagoonpulley/workload/spec.py
+++ b/src/lagoonpulley/workload/spec.py
@@ -99,20 +99,20 @@
             return self.submitted_at
         return self.first_at + occurrence * self.interval_s
 
-    def remaining_path_s(self, step: int) -> float:
-        """Return the declared run time from the begin of a step to the job's end."""
-        chain_by_step = [0.0] * len(self.steps)
-        for number in range(len(self.steps) - 1, step - 1, -1):
-            after_s = max(
-                (
-                    chain_by_step[later]
-                    for later in range(number + 1, len(self.steps))
-                    if number in self.steps[later].after
-                ),
-                default=0.0,
-            )
-            chain_by_step[number] = self.steps[number].estimate_s + after_s
-        return chain_by_step[step]
+    @property
+    def tasks_per_occurrence(self) -> int:
+        """How many tasks run each time."""
+        return sum(step.count for step in self.steps)
+
+    def remaining_paths_s(self) -> list[float]:
+        """Return, by step, the declared run time from its begin to the job's end."""
+        paths_s = [0.0] * len(self.steps)
+        for number in range(len(self.steps) - 1, -1, -1):
+            # By now, this is the longest path of the steps that come after it.
+            paths_s[number] += self.steps[number].estimate_s
+            for earlier in self.steps[number].after:
+                paths_s[earlier] = max(paths_s[earlier], paths_s[number])
+        return paths_s
 
     def critical_path_s(self) -> float:
         """Return the declared run time of the longest chain of dependent steps."""
--- a/tests/intake/test_admission.py
+++ b/tests/intake/test_admission.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from lagoonpulley.intake.admission import MAX_OWNER_ABSENCE_S, Admission
+from lagoonpulley.intake.admission import (
+    MAX_HELD_TASKS,
+    MAX_OWNER_ABSENCE_S,
+    MAX_RECENT_TASKS,
+    RECENT_S,
+    Admission,
+)
 from lagoonpulley.owner.status import OwnerStatus
 
 READ_INTERVAL_S = 0.5
@@ -207,3 +213,28 @@
     now = read_delays(admission, 5.0, 3)
     now = read_delays(admission, 5.0, 1, began=now + 10.0)
     assert admission.restriction(now) is None
+
+
+def test_job_is_admitted_whose_tasks_the_owner_cannot_hold_as_well():
+    """Owner after owner would exceed its memory."""
+    admission = new_admission()
+    held = OwnerStatus(
+        token=5, number=1, known_revision=0, held_tasks=MAX_HELD_TASKS - 100
+    )
+    admission.record_read(held, 0.0, is_stale=True)
+    assert admission.refusal_of_tasks(100, 0.1) is None
+    refusal = admission.refusal_of_tasks(101, 0.1)
+    assert (refusal.share, refusal.retry_after_s) == (1.0, 3)
+    admission.record_stored(7, 0.1, tasks=50)
+    assert admission.refusal_of_tasks(51, 0.2) is not None
+    admission.record_read(status(2), 1.0, is_stale=True)
+    assert admission.refusal_of_tasks(5000, 1.0) is None
+
+
+def test_many_large_jobs_are_admitted_before_the_owner_tells_of_them():
+    admission = new_admission()
+    admission.record_read(status(1), 0.0, is_stale=True)
+    admission.record_stored(7, 0.1, tasks=MAX_RECENT_TASKS - 10)
+    assert admission.refusal_of_tasks(11, 0.2) is not None
+    assert admission.refusal_of_tasks(10, 0.2) is None
+    assert admission.refusal_of_tasks(11, 0.2 + RECENT_S) is None
--- a/tests/owner/test_histories_can_fail.py
+++ b/tests/owner/test_histories_can_fail.py
@@ -57,7 +57,7 @@
         original(self, record)
         for _, task, _ in record.runs():
             task.run = None
-        record.rebuild_waiting()
+        record.rebuild_indexes()
 
     patch.setattr(ProgressDocument, "apply_to", apply_to)
 
--- a/tests/owner/test_worker_ends.py
+++ b/tests/owner/test_worker_ends.py
@@ -167,7 +167,7 @@
     key = TaskKey(0, 0, 0)
     task = term.record_by_id[JOB].task_by_key[key]
     # As after a run that was given up, and one that failed; two may fail.
-    task.given_up_runs.add(0)
+    task.given_up_runs |= {0}
     task.failures = 1
     world.run_until(lambda: task.done, 2.0)
     worker = term.worker_by_id["w0"]
--- a/tests/platform/test_submission.py
+++ b/tests/platform/test_submission.py
@@ -74,3 +74,22 @@
     body = '{"steps": [' + ",".join(["{}"] * steps) + "]}"
     decoded = decode_submission_body(body.encode(), "a" * 16, "reviews", "north", 1.0)
     assert decoded.is_ok() == is_ok
+
+
+@pytest.mark.parametrize(("tasks", "is_ok"), [(1000, True), (1001, False)])
+def test_submission_with_more_tasks_at_a_time_than_can_be_stored_is_accepted(
+    tasks, is_ok
+):
+    """Its progress would not fit into one value, so no task of it could start."""
+    steps = f'[{{"count": 5000}}, {{"count": {tasks}}}]'
+    body = f'{{"spec": "", "steps": {steps}}}'.encode()
+    result = decode_submission_body(body, "a" * 16, "reviews", "north", 1.0)
+    assert result.is_ok() == is_ok
+    if not is_ok:
+        assert "6001 tasks at a time; at most 6000" in result.error
+
+
+def test_submission_that_repeats_often_is_refused_for_its_tasks_in_total():
+    text = ', "repeatCount": 5000, "startAtMs": 5.0, "intervalMs": 60000'
+    body = f'{{"spec": "x"{text}, "steps": [{{"count": 5000}}]}}'.encode()
+    assert decode_submission_body(body, "a" * 16, "reviews", "north", 1.0).is_ok()
