--- a/src/lagoonpulley/owner/long_checkpoints.py
+++ b/src/lagoonpulley/owner/long_checkpoints.py
@@ -53,15 +53,16 @@
         """Whether anything is to be stored or deleted."""
         return bool(self._wanted)
 
-    def admit(self, job_id: str, task: TaskKey, checkpoint: str) -> bool:
+    def admit(self, record: JobRecord, task: TaskKey, checkpoint: str) -> bool:
         """Return whether a task's new checkpoint can be held, and count it if so."""
-        key = CheckpointKey(job_id, task)
-        length = len(checkpoint) if is_long_checkpoint(checkpoint) else 0
+        key = CheckpointKey(record.spec.id, task)
+        is_long = is_long_checkpoint(record.spec, checkpoint)
+        length = len(checkpoint) if is_long else 0
         total = self.held_characters - self._length_by_key.get(key, 0) + length
         if length and total > MAX_HELD_CHARACTERS:
             log_event(
                 "checkpoint_refused",
-                job=job_id,
+                job=key.job_id,
                 task=list(task),
                 characters=length,
                 held=self.held_characters,
@@ -78,7 +79,7 @@
         """Store or delete the checkpoint of a task whose run has ended."""
         key = CheckpointKey(record.spec.id, task)
         state = record.task_by_key[task]
-        if not state.done and is_long_checkpoint(state.checkpoint):
+        if not state.done and is_long_checkpoint(record.spec, state.checkpoint):
             self._wanted[key] = state.checkpoint
             self._stored_by_job_id.setdefault(key.job_id, set()).add(key)
         else:
@@ -111,7 +112,7 @@
             self._stored_by_job_id.setdefault(key.job_id, set()).add(key)
             if state is None or state.done or record.is_final or state.checkpoint:
                 self._drop(key)
-            elif self.admit(key.job_id, key.task, item.value):
+            elif self.admit(record, key.task, item.value):
                 state.checkpoint = item.value
 
     def next_change(self) -> Transaction:
--- a/src/lagoonpulley/owner/reports.py
+++ b/src/lagoonpulley/owner/reports.py
@@ -200,9 +200,9 @@
 
 
 def _set_checkpoint(term: OwnerTerm, record: JobRecord, running: Running) -> None:
-    ref, checkpoint = running.ref, running.checkpoint
-    task = record.task_by_key.get(ref.key)
-    if task is None or not checkpoint or checkpoint == task.checkpoint:
+    key, checkpoint = running.ref.key, running.checkpoint
+    task = record.task_by_key.get(key)
+    if task is None or task.done or not checkpoint or checkpoint == task.checkpoint:
         return
-    if term.long_checkpoints.admit(ref.job_id, ref.key, checkpoint):
+    if term.long_checkpoints.admit(record, key, checkpoint):
         task.checkpoint = checkpoint
--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -43,7 +43,7 @@
     record = current_record(term, worker, ref)
     if record is None:
         return None
-    if checkpoint and not term.long_checkpoints.admit(ref.job_id, ref.key, checkpoint):
+    if checkpoint and not term.long_checkpoints.admit(record, ref.key, checkpoint):
         checkpoint = ""
     record.end_run(ref.key, kind, checkpoint)
     _log_end("task_ended", worker, ref, kind, reason)
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -9,7 +9,14 @@
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
 from .occurrences import OccurrenceSet
-from .record import CrashHistory, GangFailures, JobRecord, JobState, Run
+from .record import (
+    MAX_LIVE_TASKS,
+    CrashHistory,
+    GangFailures,
+    JobRecord,
+    JobState,
+    Run,
+)
 from .spec import JobSpec, StepKey, TaskKey
 
 __all__ = [
@@ -38,6 +45,8 @@
 # A longer checkpoint is a value of its own; earlier builds refuse a progress document
 # with a longer one.
 MAX_INLINE_CHECKPOINT_LENGTH = 4096
+# Of all tasks of a job together; the document is one value of the store.
+MAX_INLINE_CHARACTERS = 131_072
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,9 +114,18 @@
         return cls(job_id, TaskKey(occurrence, step, index))
 
 
-def is_long_checkpoint(checkpoint: str) -> bool:
-    """Return whether a checkpoint is too long for a progress document."""
-    return len(checkpoint) > MAX_INLINE_CHECKPOINT_LENGTH
+def is_long_checkpoint(spec: JobSpec, checkpoint: str) -> bool:
+    """Return whether a checkpoint is too long for the job's progress document.
+
+    The document takes one of each task that the job may have at a time.
+    """
+    length = len(checkpoint)
+    if not length:
+        return False
+    if length > MAX_INLINE_CHECKPOINT_LENGTH:
+        return True
+    tasks = min(spec.occurrences * spec.tasks_per_occurrence, MAX_LIVE_TASKS)
+    return length * tasks > MAX_INLINE_CHARACTERS
 
 
 class _Document(BaseModel):
@@ -166,16 +184,18 @@
 
     @classmethod
     def from_record(cls, record: JobRecord) -> ProgressDocument:
-        """Create the progress document of a record."""
+        """Create the progress document of a record; of a final one, its runs alone."""
         rows: list[TaskRow] = []
         has_long_checkpoints = False
         for key, task in record.task_by_key.items():
             if not task.last_run and not task.done:
                 continue
+            if record.is_final and task.run is None:
+                continue
             worker_id = task.run.worker_id if task.run else ""
             born = task.run.born if task.run else 0
             checkpoint = task.checkpoint
-            if is_long_checkpoint(checkpoint):
+            if is_long_checkpoint(record.spec, checkpoint):
                 has_long_checkpoints = True
                 checkpoint = ""
             tail = (task.done, task.failures, checkpoint)
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -376,7 +376,7 @@
         task.run = None
         if task.is_waiting:
             self.waiting_by_step.setdefault(key.step_key, {})[key] = None
-        if checkpoint:
+        if checkpoint and not task.done:
             task.checkpoint = checkpoint
         self._apply_outcome(key, run, kind)
 
@@ -445,6 +445,7 @@
             if task.done:
                 continue
             task.done = True
+            task.checkpoint = ""
             self.waiting_by_step.get(key.step_key, {}).pop(each, None)
             count = self.done_count_by_step.get(key.step_key, 0)
             self.done_count_by_step[key.step_key] = count + 1
