--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -10,6 +10,7 @@
 from ..store.messages import KeyValue, StoreResult, StoreStatus, Transaction, Write
 from ..workload.documents import FinalDocument, JobKeys, ProgressDocument
 from ..workload.record import JobRecord
+from .settings import DEFAULT_VALUE_BYTES
 
 __all__ = ["HEAD_KEY", "MAX_COMMIT_ROWS", "Commit", "Journal"]
 
@@ -48,15 +49,37 @@
 
 @dataclass(slots=True, eq=False)
 class Commit:
-    """One transaction in flight, and the callbacks to run once it is durable.
-
-    ``job_ids`` are the jobs whose records it stores.
-    """
+    """A transaction in flight: what it stores, and the calls that follow."""
 
     number: int
-    transaction: Transaction
-    job_ids: frozenset[str]
-    callbacks: list[Callback] = field(default_factory=list)
+    transaction: Transaction = field(default_factory=Transaction)
+    value_by_key: dict[str, str] = field(default_factory=dict)
+    record_by_id: dict[str, JobRecord] = field(default_factory=dict)
+    callbacks_by_id: dict[str, list[Callback]] = field(default_factory=dict)
+    head_callbacks: list[Callback] = field(default_factory=list)
+
+    @property
+    def size(self) -> int:
+        """Number of records and values."""
+        return len(self.value_by_key) + len(self.record_by_id)
+
+    def callbacks(self) -> list[Callback]:
+        """Return all callbacks, in order."""
+        of_records = [each for calls in self.callbacks_by_id.values() for each in calls]
+        return self.head_callbacks + of_records
+
+
+@dataclass(slots=True)
+class _Rows:
+    """Rows of a transaction that is being made."""
+
+    puts: list[Write]
+    deletes: list[str] = field(default_factory=list)
+    document_bytes: int = 0
+
+    @property
+    def count(self) -> int:
+        return len(self.puts) + len(self.deletes)
 
 
 class Journal:
@@ -66,12 +89,26 @@
     transaction whose response was lost is retried unchanged; if the first attempt
     arrives late, the head has moved on and it has no effect. Transactions of an
     earlier owner never match the head.
+
+    :param max_value_bytes: longest value that the store accepts.
     """
 
-    def __init__(self, token: int, head_revision: int) -> None:
+    def __init__(
+        self,
+        token: int,
+        head_revision: int,
+        max_value_bytes: int = DEFAULT_VALUE_BYTES,
+    ) -> None:
         # Returns the mark for the next commit, given the head's revision.
         self.read_mark: Callable[[int], int] = _no_mark
         self._token = token
+        self._max_value_bytes = max_value_bytes
+        # Records that could not be stored as they are; their callbacks wait.
+        self.unstorable: list[JobRecord] = []
+        # Final jobs whose progress the store does not take.
+        self._without_progress: set[str] = set()
+        # Jobs and keys of a refused transaction, which are committed one by one.
+        self._suspects: dict[str, None] = {}
         self._head_revision = head_revision
         self._number = 0
         self._record_by_id: dict[str, JobRecord] = {}
@@ -120,19 +157,19 @@
             self._callbacks_by_id.setdefault(job_id, []).append(callback)
             return True
         if self._is_in_flight(job_id):
-            self.in_flight.callbacks.append(callback)
+            self.in_flight.callbacks_by_id[job_id].append(callback)
             return True
         return False
 
     def call_after_next_commit(self, callback: Callback) -> None:
         """Call back once the head's revision has risen, also if nothing has changed."""
         if self.in_flight is not None:
-            self.in_flight.callbacks.append(callback)
+            self.in_flight.head_callbacks.append(callback)
         else:
             self._head_callbacks.append(callback)
 
     def _is_in_flight(self, job_id: str) -> bool:
-        return self.in_flight is not None and job_id in self.in_flight.job_ids
+        return self.in_flight is not None and job_id in self.in_flight.record_by_id
 
     def enqueue_value(self, key: str, value: str) -> None:
         """Enqueue a single value for the next commit."""
@@ -143,7 +180,10 @@
         self._progress_stored_ids.add(job_id)
 
     def next_commit(self) -> Commit | None:
-        """Return the next transaction to send, or ``None`` if nothing is due."""
+        """Return the next transaction to send, or ``None`` if nothing is due.
+
+        Records that no transaction can store are left out, see :attr:`unstorable`.
+        """
         if self.in_flight is not None:
             return None
         if not (self._record_by_id or self._value_by_key or self._head_callbacks):
@@ -153,31 +193,41 @@
         head = HeadDocument(
             token=self._token, number=self._number, settled_revision=mark
         )
-        puts = [Write(HEAD_KEY, head.model_dump_json())]
-        puts += [Write(key, value) for key, value in self._value_by_key.items()]
-        self._value_by_key = {}
-        deletes: list[str] = []
-        callbacks = self._head_callbacks
+        commit = Commit(self._number, head_callbacks=self._head_callbacks)
         self._head_callbacks = []
-        job_ids = set()
-        size = 0
+        rows = _Rows([Write(HEAD_KEY, head.model_dump_json())])
+        self._add_values(commit, rows)
+        self._add_records(commit, rows)
+        commit.transaction = Transaction(
+            ((HEAD_KEY, self._head_revision),), tuple(rows.puts), tuple(rows.deletes)
+        )
+        self.in_flight = commit
+        return commit
+
+    def _add_values(self, commit: Commit, rows: _Rows) -> None:
+        for key in list(self._value_by_key):
+            if self._suspects and (commit.size or key not in self._suspects):
+                continue
+            self._suspects.pop(key, None)
+            value = commit.value_by_key[key] = self._value_by_key.pop(key)
+            rows.puts.append(Write(key, value))
+
+    def _add_records(self, commit: Commit, rows: _Rows) -> None:
         for job_id in list(self._record_by_id):
-            if (
-                len(puts) + len(deletes) + ROWS_OF_FINAL_RECORD > MAX_COMMIT_ROWS
-                or size >= MAX_COMMIT_BYTES
-            ):
+            if self._suspects and (commit.size or job_id not in self._suspects):
+                continue
+            if rows.count + ROWS_OF_FINAL_RECORD > MAX_COMMIT_ROWS:
                 break
+            if rows.document_bytes >= MAX_COMMIT_BYTES:
+                break
+            self._suspects.pop(job_id, None)
             record = self._record_by_id.pop(job_id)
-            job_ids.add(job_id)
-            callbacks += self._callbacks_by_id.pop(job_id, [])
-            size += self._add_rows(record, puts, deletes)
-        transaction = Transaction(
-            ((HEAD_KEY, self._head_revision),), tuple(puts), tuple(deletes)
-        )
-        self.in_flight = Commit(
-            self._number, transaction, frozenset(job_ids), callbacks
-        )
-        return self.in_flight
+            if not self._add_rows(record, rows):
+                self.unstorable.append(record)
+                continue
+            commit.record_by_id[job_id] = record
+            callbacks = self._callbacks_by_id.pop(job_id, [])
+            commit.callbacks_by_id[job_id] = callbacks
 
     def apply_result(self, result: StoreResult) -> bool:
         """Apply the store's response to the transaction in flight.
@@ -194,10 +244,53 @@
                 return False
         self._head_revision = revision
         self.in_flight = None
-        for on_durable in commit.callbacks:
+        for on_durable in commit.callbacks():
             on_durable()
         return True
 
+    def apply_refusal(self) -> None:
+        """Take back the transaction in flight, which the store will never accept.
+
+        What was in it is sent again one by one, so that what the store refuses is
+        found. A single record is unstorable; a single value is dropped.
+        """
+        commit = self.in_flight
+        self.in_flight = None
+        self._head_callbacks = commit.head_callbacks + self._head_callbacks
+        for job_id, record in commit.record_by_id.items():
+            later = self._callbacks_by_id.get(job_id, [])
+            self._callbacks_by_id[job_id] = commit.callbacks_by_id[job_id] + later
+            if commit.size == 1:
+                self._record_by_id.pop(job_id, None)
+                self.unstorable.append(record)
+            else:
+                self._record_by_id.setdefault(job_id, record)
+        if commit.size == 1:
+            return
+        for key, value in commit.value_by_key.items():
+            self._value_by_key.setdefault(key, value)
+        self._suspects |= dict.fromkeys((*commit.value_by_key, *commit.record_by_id))
+
+    def pop_unstorable(self) -> list[JobRecord]:
+        """Return and clear the records that could not be stored as they are."""
+        records, self.unstorable = self.unstorable, []
+        return records
+
+    def give_up_progress(self, record: JobRecord) -> None:
+        """Store no progress of a job that is final, or nothing if that fails as well.
+
+        Then go on as if its changes were durable: ends of other jobs' runs would wait
+        for their acknowledgement otherwise.
+        """
+        job_id = record.spec.id
+        if job_id not in self._without_progress:
+            self._without_progress.add(job_id)
+            self._record_by_id.setdefault(job_id, record)
+            return
+        self._record_by_id.pop(job_id, None)
+        for on_durable in self._callbacks_by_id.pop(job_id, []):
+            on_durable()
+
     def _own_head_revision(self, commit: Commit, result: StoreResult) -> int:
         """Return the head's revision if this commit wrote it, else 0."""
         for item in result.entries:
@@ -208,34 +301,34 @@
                 return item.revision
         return 0
 
-    def _add_rows(
-        self, record: JobRecord, puts: list[Write], deletes: list[str]
-    ) -> int:
-        """Append the rows of one record; return the size of its progress document."""
+    def _add_rows(self, record: JobRecord, rows: _Rows) -> bool:
+        """Add the rows of one record; return ``False`` if a value is too long."""
         job_id = record.spec.id
         keys = JobKeys(job_id)
-        record.has_unstored_starts = False
-        if not record.is_final:
+        document = ""
+        has_progress = not record.is_final or bool(record.runs())
+        if has_progress and job_id not in self._without_progress:
             document = ProgressDocument.from_record(record).model_dump_json()
-            puts.append(Write(keys.progress, document))
-            self._progress_stored_ids.add(job_id)
-            return len(document)
-        final = FinalDocument(
-            state=record.state, team=record.spec.team, ended_at=record.ended_at
-        )
-        puts.append(Write(keys.final, final.model_dump_json()))
-        if record.runs():
-            document = ProgressDocument.from_record(record).model_dump_json()
-            puts.append(Write(keys.progress, document))
+            if len(document.encode()) > self._max_value_bytes:
+                return False
+        record.has_unstored_starts = False
+        if record.is_final:
+            final = FinalDocument(
+                state=record.state, team=record.spec.team, ended_at=record.ended_at
+            )
+            rows.puts.append(Write(keys.final, final.model_dump_json()))
+        if document:
+            rows.puts.append(Write(keys.progress, document))
+            rows.document_bytes += len(document)
             self._progress_stored_ids.add(job_id)
-            return len(document)
-        deletes.append(keys.submission)
+            return True
+        rows.deletes.append(keys.submission)
         if record.cancel_requested:
-            deletes.append(keys.cancel)
+            rows.deletes.append(keys.cancel)
         if job_id in self._progress_stored_ids:
-            deletes.append(keys.progress)
+            rows.deletes.append(keys.progress)
             self._progress_stored_ids.discard(job_id)
-        return 0
+        return True
 
 
 def _no_mark(_head_revision: int) -> int:
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -22,7 +22,7 @@
 from .drains import DrainFollower, NoDrains
 from .handover import HandoverMonitor
 from .jobs import JobWatcher
-from .journal import Journal
+from .journal import MAX_COMMIT_BYTES, Journal
 from .load import OwnerLoadLog
 from .long_checkpoints import write_long_checkpoints
 from .messages import Deposed, Elected, SessionExtended, StoodDown
@@ -49,6 +49,11 @@
 __all__ = ["OwnerRole"]
 
 RETRY_DELAY_S = 0.05
+# How often in a row the store refuses a commit until that counts as its last word.
+MAX_REFUSALS = 3
+# In base64, and of the link that other traffic uses as well.
+WIRE_BYTES_PER_CHARACTER = 4 / 3
+COMMIT_LINK_SHARE = 0.25
 ADVICE_RETRY_DELAY_S = 0.1
 MAX_STARTS_PER_ROUND = 64
 # Permits are valid for about two seconds.
@@ -58,6 +63,7 @@
 # A round considers every demand, so rounds are rarer while many wait.
 PLANNING_INTERVAL_PER_DEMAND_S = 0.00005
 CHECK_INTERVAL_S = 0.2
+CLEAN_AFTER_S = 30.0
 WAIT_LOG_INTERVAL_S = 3.0
 MAX_LOGGED_WAITS = 4
 
@@ -125,7 +131,9 @@
         shares = self._settings.shares
         term = OwnerTerm(
             token=elected.token,
-            journal=Journal(elected.token, elected.head_revision),
+            journal=Journal(
+                elected.token, elected.head_revision, self._settings.max_value_bytes
+            ),
             max_lease_s=self._settings.longest_worker_lease_s,
             early_s=self._settings.early_s,
             began_at=self.now.mono,
@@ -201,12 +209,17 @@
             took_s=round(self.now.mono - began, 3),
         )
         if not term.long_checkpoints.may_be_stored:
-            # Those that are left of jobs that are gone.
-            self.start(self._jobs.load_long_checkpoints(term))
+            self.start(self._clean_long_checkpoints(term))
         self.start(self._jobs.watch(term, jobs))
         self.start(self._drains.follow(term))
         self.start(self._workers.monitor(term))
 
+    def _clean_long_checkpoints(self, term: OwnerTerm) -> Flow:
+        """Delete what earlier owners left of jobs that are gone, some time later."""
+        yield Sleep(CLEAN_AFTER_S)
+        if not term.has_ended:
+            yield from self._jobs.load_long_checkpoints(term)
+
     def _check_periodically(self, term: OwnerTerm) -> Flow:
         """Check at an interval what no message announces, while the term lasts."""
         while not term.has_ended:
@@ -384,23 +397,53 @@
 
     def _commit(self, term: OwnerTerm) -> None:
         commit = term.journal.next_commit()
+        for record in term.journal.pop_unstorable():
+            term.end_unstorable(record)
         if commit is not None:
             self._commit_delay.record_sent(self.now.mono)
             self.start(self._send_commit(term, commit.transaction))
 
+    def _transfer_s(self, transaction: Transaction) -> float:
+        """Return how much longer than others a large transaction may take."""
+        size = sum(len(write.value) for write in transaction.puts)
+        bandwidth = self._settings.link_bytes_per_s
+        if bandwidth is None or size <= MAX_COMMIT_BYTES:
+            return 0.0
+        return size * WIRE_BYTES_PER_CHARACTER / (bandwidth * COMMIT_LINK_SHARE)
+
+    def _take_back_commit(self, term: OwnerTerm, reason: str) -> None:
+        """Go on without a transaction that the store refuses, once it is sure to."""
+        commit = term.journal.in_flight
+        term.journal.apply_refusal()
+        log_event(
+            "commit_refused",
+            reason=reason,
+            jobs=list(commit.record_by_id),
+            keys=list(commit.value_by_key),
+            is_final=commit.size == 1,
+        )
+        self.plan_and_commit()
+
     def _send_commit(self, term: OwnerTerm, transaction: Transaction) -> Flow:
         """Send a transaction until the store answers, then apply the result."""
         began = self.now.mono
+        transfer_s = self._transfer_s(transaction)
+        refusals = 0
         while not term.has_ended:
             sent_at = self.now.mono
-            timeout_s = self._commit_timeout.timeout_s
+            timeout_s = self._commit_timeout.timeout_s + transfer_s
             result = yield Call(STORE, transaction, timeout_s)
             if term.has_ended:
                 return
             took_s = self.now.mono - sent_at
             if isinstance(result, CallFailed):
-                self._commit_timeout.record_failure()
                 log_event("commit_failed", reason=result.reason, ran=result.ran)
+                refusals = refusals + 1 if result.refused else 0
+                if refusals >= MAX_REFUSALS:
+                    self._take_back_commit(term, result.reason)
+                    return
+                if not result.refused:
+                    self._commit_timeout.record_failure()
                 if took_s < timeout_s:
                     yield Sleep(RETRY_DELAY_S)
                 continue
--- a/src/lagoonpulley/owner/settings.py
+++ b/src/lagoonpulley/owner/settings.py
@@ -32,11 +32,12 @@
 
     ``longest_worker_lease_s`` is the longest lease that a worker may be granted,
     ``early_s`` how long before its scheduled time an occurrence of a repeated job may
-    start, and ``retention_s`` how long a final state is kept. The rates of store calls
-    are those that all entries together may make, and ``link_bytes_per_s`` is the
-    bandwidth of this entry's link; both are only reported. ``capacity`` is that of this
-    entry. ``None`` means unknown. ``shares`` is how teams share a full cell; ``None``
-    serves jobs by priority and due time alone.
+    start, ``retention_s`` how long a final state is kept, and ``max_value_bytes`` how
+    long a value in the store may be. The rates of store calls are those that all
+    entries together may make, and are only reported; ``link_bytes_per_s`` is the
+    bandwidth of this entry's link. ``capacity`` is that of this entry. ``None`` means
+    unknown. ``shares`` is how teams share a full cell; ``None`` serves jobs by priority
+    and due time alone.
     """
 
     entry_id: str
@@ -48,3 +49,4 @@
     link_bytes_per_s: float | None = None
     capacity: EntryCapacity | None = None
     shares: ShareSettings | None = None
+    max_value_bytes: int = DEFAULT_VALUE_BYTES
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -170,6 +170,15 @@
 
         self.journal.enqueue(record, forget)
 
+    def end_unstorable(self, record: JobRecord) -> None:
+        """End a job whose progress the store does not take; others go on."""
+        job_id = record.spec.id
+        log_event("progress_unstorable", job=job_id, tasks=len(record.task_by_key))
+        if record.is_final:
+            self.journal.give_up_progress(record)
+            return
+        self.finish(record, JobState.FAILED, "its progress cannot be stored")
+
     def refresh_demands(self, record: JobRecord) -> None:
         """Recompute which steps of a job wait for workers."""
         self.needs_planning = True
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -183,6 +183,7 @@
                 link_bytes_per_s=settings.link_bytes_per_s,
                 capacity=capacity,
                 shares=settings.shares,
+                max_value_bytes=settings.store_value_bytes,
             ),
             PlatformDirectory(),
             self._store_health,
--- a/src/lagoonpulley/platform/store.py
+++ b/src/lagoonpulley/platform/store.py
@@ -38,6 +38,8 @@
 HISTORY_GONE = 410
 PRECONDITION_FAILED = 412
 NOT_EXECUTED_STATUSES = frozenset((429, 503))
+# Of a request that the store will not take; those with another meaning aside.
+CLIENT_ERRORS = range(400, 500)
 
 
 class _Item(BaseModel):
@@ -115,7 +117,10 @@
             return CallFailed(Ran.NO, f"store answered {outcome.status}")
         status = _to_store_status(outcome.status)
         if status is None:
-            return CallFailed(Ran.MAYBE, f"store answered {outcome.status}")
+            reason = f"store answered {outcome.status}"
+            if outcome.status in CLIENT_ERRORS:
+                return CallFailed(Ran.NO, reason, refused=True)
+            return CallFailed(Ran.MAYBE, reason)
         try:
             body = _Body.model_validate_json(outcome.body or b"{}")
         except ValidationError as error:
--- a/src/lagoonpulley/runtime/curl.py
+++ b/src/lagoonpulley/runtime/curl.py
@@ -238,7 +238,9 @@
         buffer = io.BytesIO()
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.CUSTOMREQUEST, call.method)
-        handle.setopt(pycurl.HTTPHEADER, list(call.headers))
+        # Without the last, libcurl waits a second for "100 Continue" before it sends a
+        # large body; a call may have less time.
+        handle.setopt(pycurl.HTTPHEADER, [*call.headers, "Expect:"])
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.TCP_NODELAY, 1)
         handle.setopt(pycurl.PROXY, "")
--- a/src/lagoonpulley/runtime/role.py
+++ b/src/lagoonpulley/runtime/role.py
@@ -79,13 +79,15 @@
 
     ``ran`` says whether the call may have taken effect. ``partial`` means that part of
     an answer arrived, so the other side was reachable. ``closed`` means that the other
-    side refused the connection or closed it.
+    side refused the connection or closed it. ``refused`` means that the other side has
+    answered, and that the same call will be refused again.
     """
 
     ran: Any
     reason: str
     partial: bool = False
     closed: bool = False
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/store/route.py
+++ b/src/lagoonpulley/store/route.py
@@ -61,7 +61,7 @@
         :returns: the receiving role and its message: the reply to the requester, or a
             :class:`RelayCall` if the call failed and is safe to retry.
         """
-        answered = not isinstance(result, CallFailed)
+        answered = not isinstance(result, CallFailed) or result.refused
         if not answered and result.partial:
             # The store is reachable, and the answer would cross the same slow link if
             # another entry relayed it.
--- a/tests/runtime/test_curl.py
+++ b/tests/runtime/test_curl.py
@@ -236,3 +236,25 @@
     loop._submitted_calls = _QueueThatWaits(loop)
     loop.close()
     assert not loop._thread.is_alive()
+
+
+def test_large_body_waits_for_a_server_that_does_not_ask_for_it(loop):
+    """A commit of over 1 MB had no time left after the wait for "100 Continue"."""
+    body = b"y" * 1_500_000
+    heads = []
+
+    def answer(connection, listener):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += connection.recv(65536)
+        head, _, rest = received.partition(b"\r\n\r\n")
+        heads.append(head)
+        left = len(body) - len(rest)
+        while left > 0:
+            left -= len(connection.recv(65536))
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    with serve_one_connection(answer) as url:
+        result = perform(loop, HttpCall("POST", url, body, TIMEOUT_S))
+    assert isinstance(result, HttpAnswer)
+    assert b"expect:" not in heads[0].lower()
