owner: the next owner is told which workers have restarted lately

Seen by the users: two runs of a task at once; the second one under a new owner 7.2 s after the start of the first, which lapsed only after 9.4 s. Cause that was left: the next owner knows of a restart by the worker's wall clock alone, and trusts it to differ by 5 s at most; else, or if the directory and the stored run don't name the life, it waits 6.8 s for leases of 10 s. An answer under a clock that is behind is committed at once. Why it works: what the owner that saw the restart counted, its successor counts as well, by no clock but its own.

--- a/src/lagoonpulley/owner/incarnations.py
+++ b/src/lagoonpulley/owner/incarnations.py
@@ -37,6 +37,7 @@
         acknowledged=worker.acknowledged,
         syncing=worker.syncing,
     )
+    term.recent_restarts.record(worker.info.id, term.now.mono)
     record_crash(term, worker)
     term.worker_speeds.forget(worker.info.id)
     term.cell.set_speed_tier(worker.info.id, SpeedTier.USUAL)
--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -31,12 +31,14 @@
     """The journal's head: token of the writing owner and number of the commit.
 
     A candidate writes 0 for both. ``settled_revision`` is the mark of
-    :class:`~.settled_runs.SettledRuns`; earlier builds do not write it.
+    :class:`~.settled_runs.SettledRuns`, ``restarted_workers`` are the names of
+    :class:`~.recent_restarts.RecentRestarts`; earlier builds do not write them.
     """
 
     token: int
     number: int
     settled_revision: int = 0
+    restarted_workers: tuple[str, ...] = ()
 
     @classmethod
     def from_item(cls, item: KeyValue | None) -> HeadDocument:
@@ -101,6 +103,8 @@
     ) -> None:
         # Returns the mark for the next commit, given the head's revision.
         self.read_mark: Callable[[int], int] = _no_mark
+        # Returns the workers that have restarted recently.
+        self.read_restarted: Callable[[], tuple[str, ...]] = tuple
         self._token = token
         self._max_value_bytes = max_value_bytes
         # Records that could not be stored as they are; their callbacks wait.
@@ -191,7 +195,10 @@
         self._number += 1
         mark = self.read_mark(self._head_revision)
         head = HeadDocument(
-            token=self._token, number=self._number, settled_revision=mark
+            token=self._token,
+            number=self._number,
+            settled_revision=mark,
+            restarted_workers=self.read_restarted(),
         )
         commit = Commit(self._number, head_callbacks=self._head_callbacks)
         self._head_callbacks = []
--- a/src/lagoonpulley/owner/messages.py
+++ b/src/lagoonpulley/owner/messages.py
@@ -14,13 +14,15 @@
     ``token`` is its fencing token, higher than that of every earlier owner;
     ``head_revision`` is the store revision of the journal's head. ``passed_over_lives``
     are the lives of registered stronger entries that had a head start and did not win.
-    ``settled_revision`` is the mark that the earlier owner has stored in the head.
+    ``settled_revision`` is the mark that the earlier owner has stored in the head, and
+    ``restarted_workers`` are the workers that had restarted shortly before.
     """
 
     token: int
     head_revision: int
     passed_over_lives: frozenset[str] = frozenset()
     settled_revision: int = 0
+    restarted_workers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -140,6 +140,7 @@
             began_wall=self.now.wall,
             team_use=TeamUse(shares.half_life_s) if shares else None,
             settled_revision=elected.settled_revision,
+            restarted_workers=elected.restarted_workers,
         )
         term.now = self.now
         self._term = term
--- a/src/lagoonpulley/owner/session.py
+++ b/src/lagoonpulley/owner/session.py
@@ -79,8 +79,8 @@
         self._ended_token = 0
         # Lease of the last election attempt.
         self._election_lease_id = ""
-        # The mark in the head that the last attempted election replaces.
-        self._settled_revision = 0
+        # The head that the last attempted election replaces.
+        self._earlier_head = HeadDocument(token=0, number=0)
         # Lives of the stronger entries that had a head start; ``None`` before this
         # candidate has looked for them.
         self._stronger_lives: frozenset[str] | None = None
@@ -207,7 +207,13 @@
         self._token = revision
         self._log_elected(revision)
         passed_over_lives = self._stronger_lives or frozenset()
-        elected = Elected(revision, revision, passed_over_lives, self._settled_revision)
+        elected = Elected(
+            revision,
+            revision,
+            passed_over_lives,
+            self._earlier_head.settled_revision,
+            self._earlier_head.restarted_workers,
+        )
         self.emit(self._owner_role, elected)
         self._report_session(session)
 
@@ -250,10 +256,8 @@
             return
         head_revision = head.entry.revision if head.entry else ABSENT
         self._election_lease_id = session.lease_id
-        self._settled_revision = HeadDocument.from_item(head.entry).settled_revision
-        new_head = HeadDocument(
-            token=0, number=0, settled_revision=self._settled_revision
-        )
+        self._earlier_head = HeadDocument.from_item(head.entry)
+        new_head = self._earlier_head.model_copy(update={"token": 0, "number": 0})
         change = Transaction(
             expected=((OWNER_KEY, ABSENT), (HEAD_KEY, head_revision)),
             puts=(
--- a/src/lagoonpulley/owner/starts.py
+++ b/src/lagoonpulley/owner/starts.py
@@ -122,6 +122,8 @@
         # of a run whose start got no answer.
         until = latest_lease_end(self._host.now.mono, worker.max_lease_s)
         worker.leases.presume(until)
+        term.recent_restarts.record(worker.info.id, self._host.now.mono)
+        term.journal.call_after_next_commit(lambda: None)
         if isinstance(result, CommandAccepted):
             tracked.late_lease_until = max(tracked.late_lease_until, until)
         return result
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -20,6 +20,7 @@
 from .incarnations import begin_incarnation
 from .journal import Journal
 from .long_checkpoints import LongCheckpoints
+from .recent_restarts import RecentRestarts
 from .run_ends import give_up_all_runs
 from .settled_runs import SettledRuns
 from .worker_leases import (
@@ -83,6 +84,8 @@
     ended_at_by_job_id: dict[str, float] = field(default_factory=dict)
     ended_jobs: EndedJobs = field(init=False)
     long_checkpoints: LongCheckpoints = field(default_factory=LongCheckpoints)
+    restarted_workers: tuple[str, ...] = ()
+    recent_restarts: RecentRestarts = field(init=False)
     settled_revision: int = 0
     settled_runs: SettledRuns = field(init=False)
     policy: Policy | None = None
@@ -98,6 +101,10 @@
         self.ended_jobs = EndedJobs(self.max_lease_s)
         self.settled_runs = SettledRuns(self.settled_revision)
         self.journal.read_mark = self.settled_runs.mark
+        self.recent_restarts = RecentRestarts(
+            self.max_lease_s, self.restarted_workers, self.began_at
+        )
+        self.journal.read_restarted = lambda: self.recent_restarts.names(self.now.mono)
 
     def add_job(self, spec: JobSpec) -> JobRecord:
         """Add a submitted job and return its record; idempotent."""
@@ -357,9 +364,11 @@
         """Return whether a worker may have restarted shortly before this term.
 
         Its earlier owner counted the leases that commands for the former incarnation
-        may have extended, see :meth:`WorkerState.begin_incarnation`; this one knows no
-        more than when the incarnation started.
+        may have extended, see :meth:`WorkerState.begin_incarnation`; this one knows
+        what that one has stored, and when the incarnation started by its own clock.
         """
+        if self.recent_restarts.includes(worker.info.id, self.began_at):
+            return True
         started_at = worker.info.born / MS_PER_S
         return bool(started_at) and may_have_former_times(
             started_at, self.began_wall, self.max_lease_s
--- a/tests/owner/test_recut.py
+++ b/tests/owner/test_recut.py
@@ -18,8 +18,8 @@
 JOB = "a" * 16
 
 
-def play_until_all_jobs_are_done(seed, kills_owner, directory_lag_s=0.1):
-    world, specs = crash_silently_and_cut_off(seed, kills_owner, directory_lag_s)
+def play_until_all_jobs_are_done(seed, kills_owner, **more):
+    world, specs = crash_silently_and_cut_off(seed, kills_owner, **more)
     world.run_until(lambda: is_completed(world, specs), 60.0)
     check_all(world, specs, {})
 
@@ -29,6 +29,13 @@
     play_until_all_jobs_are_done(seed, kills_owner=True)
 
 
+@pytest.mark.parametrize("offset_s", [-60.0, 60.0])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 6, 7, 9])
+def test_restart_by_another_wall_clock_is_unknown_to_the_next_owner(seed, offset_s):
+    """The workers' clocks are a minute off, so their start seems to be long ago."""
+    play_until_all_jobs_are_done(seed, kills_owner=True, wall_offset_s=offset_s)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_lease_by_a_former_clock_outlives_the_wait_of_the_same_owner(seed):
     play_until_all_jobs_are_done(seed, kills_owner=False)
--- a/tests/support/recut.py
+++ b/tests/support/recut.py
@@ -56,7 +56,10 @@
 
 
 def crash_silently_and_cut_off(
-    seed: int, kills_owner: bool, directory_lag_s: float = 0.1
+    seed: int,
+    kills_owner: bool,
+    directory_lag_s: float = 0.1,
+    wall_offset_s: float = 0.0,
 ) -> tuple[StepWorld, dict[str, JobSpec]]:
     """Crash half of the workers, which are back at once, and cut them off.
 
@@ -64,12 +67,15 @@
 
     :param kills_owner: whether the owner is killed shortly before the cut.
     :param directory_lag_s: how long after its start the directory lists a worker.
+    :param wall_offset_s: the wall clocks of the workers less that of the entries.
     :returns: the world after the cut, and the jobs by id.
     """
     rng = random.Random(seed)
     world = StepWorld(
         entries=ENTRIES, workers=WORKERS, seed=seed, max_lease_s=MAX_LEASE_S
     )
+    for worker in world.worker_by_id.values():
+        worker.wall_offset_s += wall_offset_s
     _set_advice(world, PERMIT_VALID_S)
     world.run(QUIET_S + rng.uniform(0.0, 1.0))
     arrivals = _Arrivals(world)
