--- a/src/lagoonpulley/intake/role.py
+++ b/src/lagoonpulley/intake/role.py
@@ -199,7 +199,7 @@
                 self._write_timeout.record_answer(self.now.mono - sent_at)
                 return result
             ran = ran.combine(result.ran)
-            if ran is Ran.NO and self._is_store_away():
+            if result.refused or (ran is Ran.NO and self._is_store_away()):
                 break
             if result.ran is Ran.NO:
                 # The next attempt may reach the store, and only it can tell whether an
--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -51,7 +51,10 @@
 
 @dataclass(slots=True, eq=False)
 class Commit:
-    """A transaction in flight: what it stores, and the calls that follow."""
+    """A transaction in flight: what it stores, and the calls that follow.
+
+    ``suspects`` are the jobs and keys of which it takes one, ``None`` if it takes any.
+    """
 
     number: int
     transaction: Transaction = field(default_factory=Transaction)
@@ -59,6 +62,7 @@
     record_by_id: dict[str, JobRecord] = field(default_factory=dict)
     callbacks_by_id: dict[str, list[Callback]] = field(default_factory=dict)
     head_callbacks: list[Callback] = field(default_factory=list)
+    suspects: frozenset[str] | None = None
 
     @property
     def size(self) -> int:
@@ -112,7 +116,7 @@
         # Final jobs whose progress the store does not take.
         self._without_progress: set[str] = set()
         # Jobs and keys of a refused transaction, which are committed one by one.
-        self._suspects: dict[str, None] = {}
+        self._suspects: set[str] = set()
         self._head_revision = head_revision
         self._number = 0
         self._record_by_id: dict[str, JobRecord] = {}
@@ -202,6 +206,8 @@
         )
         commit = Commit(self._number, head_callbacks=self._head_callbacks)
         self._head_callbacks = []
+        self._suspects &= self._value_by_key.keys() | self._record_by_id.keys()
+        commit.suspects = frozenset(self._suspects) or None
         rows = _Rows([Write(HEAD_KEY, head.model_dump_json())])
         self._add_values(commit, rows)
         self._add_records(commit, rows)
@@ -211,23 +217,29 @@
         self.in_flight = commit
         return commit
 
+    def _may_add(self, commit: Commit, key: str) -> bool:
+        """Return whether a job or a value belongs in a commit; a suspect is alone."""
+        if commit.suspects is None:
+            return True
+        return not commit.size and key in commit.suspects
+
     def _add_values(self, commit: Commit, rows: _Rows) -> None:
         for key in list(self._value_by_key):
-            if self._suspects and (commit.size or key not in self._suspects):
+            if not self._may_add(commit, key):
                 continue
-            self._suspects.pop(key, None)
+            self._suspects.discard(key)
             value = commit.value_by_key[key] = self._value_by_key.pop(key)
             rows.puts.append(Write(key, value))
 
     def _add_records(self, commit: Commit, rows: _Rows) -> None:
         for job_id in list(self._record_by_id):
-            if self._suspects and (commit.size or job_id not in self._suspects):
+            if not self._may_add(commit, job_id):
                 continue
             if rows.count + ROWS_OF_FINAL_RECORD > MAX_COMMIT_ROWS:
                 break
             if rows.document_bytes >= MAX_COMMIT_BYTES:
                 break
-            self._suspects.pop(job_id, None)
+            self._suspects.discard(job_id)
             record = self._record_by_id.pop(job_id)
             if not self._add_rows(record, rows):
                 self.unstorable.append(record)
@@ -276,7 +288,7 @@
             return
         for key, value in commit.value_by_key.items():
             self._value_by_key.setdefault(key, value)
-        self._suspects |= dict.fromkeys((*commit.value_by_key, *commit.record_by_id))
+        self._suspects |= {*commit.value_by_key, *commit.record_by_id}
 
     def pop_unstorable(self) -> list[JobRecord]:
         """Return and clear the records that could not be stored as they are."""
--- a/src/lagoonpulley/owner/long_checkpoints.py
+++ b/src/lagoonpulley/owner/long_checkpoints.py
@@ -82,8 +82,12 @@
         if not state.done and is_long_checkpoint(record.spec, state.checkpoint):
             self._wanted[key] = state.checkpoint
             self._stored_by_job_id.setdefault(key.job_id, set()).add(key)
-        else:
-            self._drop(key)
+            return
+        self._drop(key)
+        if state.done and record.step_of(task).gang:
+            # One member that is done completes all.
+            for member, _ in record.tasks_of(task.step_key):
+                self._drop(CheckpointKey(key.job_id, member))
 
     def forget_job(self, job_id: str) -> None:
         """Delete the checkpoints of a job that starts nothing any more."""
--- a/src/lagoonpulley/workload/occurrences.py
+++ b/src/lagoonpulley/workload/occurrences.py
@@ -20,6 +20,9 @@
     def __contains__(self, occurrence: int) -> bool:
         return occurrence < self._all_below or occurrence in self._others
 
+    def __len__(self) -> int:
+        return self._all_below + len(self._others)
+
     def add(self, occurrence: int) -> None:
         """Add an occurrence."""
         if occurrence in self:
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -322,7 +322,8 @@
 
     def is_done(self) -> bool:
         """Return whether every task is done."""
-        if self._next_occurrence < self.spec.occurrences:
+        known = len(self.done_occurrences) + len(self._open_occurrences)
+        if known < self.spec.occurrences:
             return False
         open_keys = map(self._step_keys, self._open_occurrences)
         return all(self.is_step_done(key) for keys in open_keys for key in keys)
--- a/tests/intake/test_role.py
+++ b/tests/intake/test_role.py
@@ -184,3 +184,10 @@
     assert outcome.kind is OutcomeKind.UNKNOWN
     writes.clear()
     assert perform(world, ReadState(JOB, "north")).state is JobState.CANCELLED
+
+
+def test_submission_that_the_store_refuses_is_sent_again_until_its_deadline(world):
+    world.unwritable_prefixes.add(JobKeys(JOB).submission)
+    began = world.clock.mono
+    assert perform(world, submission(world)).kind is OutcomeKind.REFUSED
+    assert world.clock.mono - began < 0.1
--- a/tests/owner/test_long_checkpoints.py
+++ b/tests/owner/test_long_checkpoints.py
@@ -96,3 +96,15 @@
     other = "b" * 16
     world.submit(other, step())
     world.run_until(lambda: world.final_state(other) == "completed", 3.0)
+
+
+def test_long_checkpoints_of_a_gang_are_held_after_it_is_done(world):
+    """One end represents all members, and so does the room of their checkpoints."""
+    gang = step(count=2, gang=True, saves_progress=True)
+    world.submit(JOB, gang, step(after=(0,)), payload="saves=5000 seconds=1")
+    held = world.owner().owner._term.long_checkpoints
+    world.run_until(lambda: held.held_characters == 10_000, 3.0)
+    world.run_until(lambda: held.held_characters == 5000, 3.0)
+    world.run_until(lambda: world.final_state(JOB) == "completed", 4.0)
+    world.run(0.3)
+    assert held.held_characters == 0
--- a/tests/owner/test_refused_commits.py
+++ b/tests/owner/test_refused_commits.py
@@ -130,3 +130,23 @@
         journal.apply_result(StoreResult(StoreStatus.OK, revision=commits + 1))
     assert durable == OTHERS
     assert commits == len(OTHERS)
+
+
+def test_last_suspect_is_committed_together_with_others():
+    """What is refused could then not be told from what came meanwhile."""
+    journal = Journal(token=1, head_revision=1)
+    records = [
+        JobRecord.from_spec(JobSpec(job, "q", "north", "", (step(),), 0.0))
+        for job in OTHERS
+    ]
+    for record in records[:2]:
+        journal.enqueue(record)
+    journal.next_commit()
+    journal.apply_refusal()
+    for record in records[2:]:
+        journal.enqueue(record)
+    sizes = []
+    while commit := journal.next_commit():
+        sizes.append(commit.size)
+        journal.apply_result(StoreResult(StoreStatus.OK, revision=len(sizes) + 1))
+    assert sizes == [1, 1, 4]
--- a/tests/owner/test_repeating_jobs.py
+++ b/tests/owner/test_repeating_jobs.py
@@ -7,8 +7,8 @@
 
 from lagoonpulley.owner.adoption import adopt_run
 from lagoonpulley.upstream.tasks import TaskRef
-from lagoonpulley.workload.documents import JobKeys
-from lagoonpulley.workload.record import MAX_LIVE_TASKS, JobRecord
+from lagoonpulley.workload.documents import JobKeys, ProgressDocument
+from lagoonpulley.workload.record import MAX_LIVE_TASKS, EndKind, JobRecord
 from lagoonpulley.workload.spec import JobSpec, TaskKey
 
 JOB = "a" * 16
@@ -85,6 +85,21 @@
     assert tracked.has_claim and tracked.stop_requested
 
 
+def test_occurrence_that_an_owner_with_a_slow_clock_takes_over_never_completes():
+    """By the next owner's wall clock, the last occurrence is not due yet."""
+    times = {"first_at": 100.0, "interval_s": 10.0, "repeats": 2}
+    earlier = JobRecord.from_spec(spec_of((step(),), **times))
+    earlier.open_due_occurrences(wall=110.0, early_s=0.0)
+    for key in list(earlier.task_by_key):
+        earlier.begin_run(key, 1, "w0", 1)
+    later = JobRecord.from_spec(earlier.spec)
+    ProgressDocument.from_record(earlier).apply_to(later)
+    later.open_due_occurrences(wall=105.0, early_s=0.0)
+    for key, _, _ in later.runs():
+        later.end_run(key, EndKind.DONE, "")
+    assert later.is_done()
+
+
 def spec_of(steps, **more):
     return JobSpec(JOB, "q", "north", "", steps, 0.0, **more)
 
