workload, owner: what was reckoned again for each row or job is reckoned once

Change: the length is reckoned once for a document, lengths are kept by job, and a job is done if its done occurrences are all. Behaviour as before.

--- a/src/lagoonpulley/owner/journal.py
+++ b/src/lagoonpulley/owner/journal.py
@@ -112,7 +112,7 @@
         self._token = token
         self._max_value_bytes = max_value_bytes
         # Records that could not be stored as they are; their callbacks wait.
-        self.unstorable: list[JobRecord] = []
+        self._unstorable: list[JobRecord] = []
         # Final jobs whose progress the store does not take.
         self._without_progress: set[str] = set()
         # Jobs and keys of a refused transaction, which are committed one by one.
@@ -190,7 +190,8 @@
     def next_commit(self) -> Commit | None:
         """Return the next transaction to send, or ``None`` if nothing is due.
 
-        Records that no transaction can store are left out, see :attr:`unstorable`.
+        Records that no transaction can store are left out, see
+        :meth:`pop_unstorable`.
         """
         if self.in_flight is not None:
             return None
@@ -242,7 +243,7 @@
             self._suspects.discard(job_id)
             record = self._record_by_id.pop(job_id)
             if not self._add_rows(record, rows):
-                self.unstorable.append(record)
+                self._unstorable.append(record)
                 continue
             commit.record_by_id[job_id] = record
             callbacks = self._callbacks_by_id.pop(job_id, [])
@@ -281,7 +282,7 @@
             self._callbacks_by_id[job_id] = commit.callbacks_by_id[job_id] + later
             if commit.size == 1:
                 self._record_by_id.pop(job_id, None)
-                self.unstorable.append(record)
+                self._unstorable.append(record)
             else:
                 self._record_by_id.setdefault(job_id, record)
         if commit.size == 1:
@@ -292,7 +293,7 @@
 
     def pop_unstorable(self) -> list[JobRecord]:
         """Return and clear the records that could not be stored as they are."""
-        records, self.unstorable = self.unstorable, []
+        records, self._unstorable = self._unstorable, []
         return records
 
     def give_up_progress(self, record: JobRecord) -> None:
--- a/src/lagoonpulley/owner/long_checkpoints.py
+++ b/src/lagoonpulley/owner/long_checkpoints.py
@@ -8,7 +8,11 @@
 from ..runtime.flows import Call, Flow, Sleep
 from ..runtime.role import STORE, CallFailed
 from ..store.messages import Transaction, Write
-from ..workload.documents import CHECKPOINTS_PREFIX, CheckpointKey, is_long_checkpoint
+from ..workload.documents import (
+    CHECKPOINTS_PREFIX,
+    CheckpointKey,
+    inline_checkpoint_length,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,7 +43,8 @@
     """
 
     def __init__(self) -> None:
-        self._length_by_key: dict[CheckpointKey, int] = {}
+        # By job.
+        self._length_by_task: dict[str, dict[TaskKey, int]] = {}
         self._stored_by_job_id: dict[str, set[CheckpointKey]] = {}
         # ``None`` deletes.
         self._wanted: dict[CheckpointKey, str | None] = {}
@@ -56,9 +61,9 @@
     def admit(self, record: JobRecord, task: TaskKey, checkpoint: str) -> bool:
         """Return whether a task's new checkpoint can be held, and count it if so."""
         key = CheckpointKey(record.spec.id, task)
-        is_long = is_long_checkpoint(record.spec, checkpoint)
-        length = len(checkpoint) if is_long else 0
-        total = self.held_characters - self._length_by_key.get(key, 0) + length
+        length = len(checkpoint) if _is_long(record, checkpoint) else 0
+        lengths = self._length_by_task.setdefault(key.job_id, {})
+        total = self.held_characters - lengths.get(task, 0) + length
         if length and total > MAX_HELD_CHARACTERS:
             log_event(
                 "checkpoint_refused",
@@ -70,16 +75,16 @@
             return False
         self.held_characters = total
         if length:
-            self._length_by_key[key] = length
+            lengths[task] = length
         else:
-            self._length_by_key.pop(key, None)
+            lengths.pop(task, None)
         return True
 
     def record_end(self, record: JobRecord, task: TaskKey) -> None:
         """Store or delete the checkpoint of a task whose run has ended."""
         key = CheckpointKey(record.spec.id, task)
         state = record.task_by_key[task]
-        if not state.done and is_long_checkpoint(record.spec, state.checkpoint):
+        if not state.done and _is_long(record, state.checkpoint):
             self._wanted[key] = state.checkpoint
             self._stored_by_job_id.setdefault(key.job_id, set()).add(key)
             return
@@ -93,16 +98,15 @@
         """Delete the checkpoints of a job that starts nothing any more."""
         for key in self._stored_by_job_id.pop(job_id, ()):
             self._wanted[key] = None
-        held = [key for key in self._length_by_key if key.job_id == job_id]
-        for key in held:
-            self.held_characters -= self._length_by_key.pop(key)
+        self.held_characters -= sum(self._length_by_task.pop(job_id, {}).values())
 
     def _drop(self, key: CheckpointKey) -> None:
         stored = self._stored_by_job_id.get(key.job_id, set())
         if key in stored:
             stored.discard(key)
             self._wanted[key] = None
-        self.held_characters -= self._length_by_key.pop(key, 0)
+        lengths = self._length_by_task.get(key.job_id, {})
+        self.held_characters -= lengths.pop(key.task, 0)
 
     def restore(self, term: OwnerTerm, items: Iterable[KeyValue]) -> None:
         """Restore what an earlier owner stored; delete what no task needs."""
@@ -134,6 +138,10 @@
         return Transaction(deletes=tuple(deletes))
 
 
+def _is_long(record: JobRecord, checkpoint: str) -> bool:
+    return len(checkpoint) > inline_checkpoint_length(record.spec)
+
+
 def write_long_checkpoints(term: OwnerTerm) -> Flow:
     """Send all changes of a term's long checkpoints to the store, one by one."""
     checkpoints = term.long_checkpoints
--- a/src/lagoonpulley/workload/documents.py
+++ b/src/lagoonpulley/workload/documents.py
@@ -30,7 +30,7 @@
     "decode_progress",
     "decode_submission",
     "encode_submission",
-    "is_long_checkpoint",
+    "inline_checkpoint_length",
 ]
 
 FORMAT = 1
@@ -114,18 +114,13 @@
         return cls(job_id, TaskKey(occurrence, step, index))
 
 
-def is_long_checkpoint(spec: JobSpec, checkpoint: str) -> bool:
-    """Return whether a checkpoint is too long for the job's progress document.
+def inline_checkpoint_length(spec: JobSpec) -> int:
+    """Return how long a checkpoint may be that is part of a job's progress document.
 
     The document takes one of each task that the job may have at a time.
     """
-    length = len(checkpoint)
-    if not length:
-        return False
-    if length > MAX_INLINE_CHECKPOINT_LENGTH:
-        return True
     tasks = min(spec.occurrences * spec.tasks_per_occurrence, MAX_LIVE_TASKS)
-    return length * tasks > MAX_INLINE_CHARACTERS
+    return min(MAX_INLINE_CHECKPOINT_LENGTH, MAX_INLINE_CHARACTERS // tasks)
 
 
 class _Document(BaseModel):
@@ -187,6 +182,7 @@
         """Create the progress document of a record; of a final one, its runs alone."""
         rows: list[TaskRow] = []
         has_long_checkpoints = False
+        inline_length = inline_checkpoint_length(record.spec)
         for key, task in record.task_by_key.items():
             if not task.last_run and not task.done:
                 continue
@@ -195,7 +191,7 @@
             worker_id = task.run.worker_id if task.run else ""
             born = task.run.born if task.run else 0
             checkpoint = task.checkpoint
-            if is_long_checkpoint(record.spec, checkpoint):
+            if len(checkpoint) > inline_length:
                 has_long_checkpoints = True
                 checkpoint = ""
             tail = (task.done, task.failures, checkpoint)
--- a/src/lagoonpulley/workload/record.py
+++ b/src/lagoonpulley/workload/record.py
@@ -163,7 +163,7 @@
     has_unstored_starts: bool = False
     _open_occurrences: dict[int, None] = field(default_factory=dict)
     # Open ones of which all tasks are done, in the order in which they were.
-    _closable: dict[int, None] = field(default_factory=dict)
+    _done_open: dict[int, None] = field(default_factory=dict)
     _next_occurrence: int = 0
     _remaining_path_s: list[float] | None = None
 
@@ -215,8 +215,8 @@
         :returns: the steps that were dropped.
         """
         closed: list[StepKey] = []
-        held = len(self._closable) * self.spec.tasks_per_occurrence
-        for occurrence in list(self._closable):
+        held = len(self._done_open) * self.spec.tasks_per_occurrence
+        for occurrence in list(self._done_open):
             if held <= MAX_DONE_TASKS_HELD:
                 break
             keys = self._step_keys(occurrence)
@@ -230,7 +230,7 @@
 
     def _close(self, occurrence: int) -> None:
         del self._open_occurrences[occurrence]
-        del self._closable[occurrence]
+        del self._done_open[occurrence]
         self.done_occurrences.add(occurrence)
         for key in self._step_keys(occurrence):
             for task_key, _ in self.tasks_of(key):
@@ -250,15 +250,13 @@
         for key, task in self.task_by_key.items():
             if task.is_waiting:
                 self.waiting_by_step.setdefault(key.step_key, {})[key] = None
-        self._closable = {}
+        self._done_open = {}
         for occurrence in self._open_occurrences:
-            self._note_if_closable(occurrence)
+            self._note_if_done(occurrence)
 
-    def _note_if_closable(self, occurrence: int) -> None:
-        if self.spec.repeats and all(
-            map(self.is_step_done, self._step_keys(occurrence))
-        ):
-            self._closable[occurrence] = None
+    def _note_if_done(self, occurrence: int) -> None:
+        if all(map(self.is_step_done, self._step_keys(occurrence))):
+            self._done_open[occurrence] = None
 
     def waiting_of(self, key: StepKey) -> list[TaskKey]:
         """Return the tasks of a step that have to be started."""
@@ -293,7 +291,7 @@
         """Return the unfinished steps of open occurrences whose tasks may start now."""
         found = []
         for occurrence in self._open_occurrences:
-            if occurrence in self._closable:
+            if occurrence in self._done_open:
                 continue
             for key in self._step_keys(occurrence):
                 if not self.is_step_done(key) and self.is_step_open(key):
@@ -322,11 +320,8 @@
 
     def is_done(self) -> bool:
         """Return whether every task is done."""
-        known = len(self.done_occurrences) + len(self._open_occurrences)
-        if known < self.spec.occurrences:
-            return False
-        open_keys = map(self._step_keys, self._open_occurrences)
-        return all(self.is_step_done(key) for keys in open_keys for key in keys)
+        done = len(self.done_occurrences) + len(self._done_open)
+        return done == self.spec.occurrences
 
     def begin_run(self, key: TaskKey, number: int, worker_id: str, born: int) -> Run:
         """Set the current run of a task before its start is sent to the worker."""
@@ -451,7 +446,7 @@
             count = self.done_count_by_step.get(key.step_key, 0)
             self.done_count_by_step[key.step_key] = count + 1
         if self.is_step_done(key.step_key):
-            self._note_if_closable(key.occurrence)
+            self._note_if_done(key.occurrence)
 
     def failures_of(self, key: TaskKey) -> int:
         """Return how often a task, or the gang it belongs to, has failed."""
--- a/tests/planning/test_gang_reservations.py
+++ b/tests/planning/test_gang_reservations.py
@@ -63,6 +63,16 @@
     return world
 
 
+def world_of_gang_behind(obstacle, payload="seconds=1"):
+    """Return a cell in which a gang waits behind a step with a task on each worker."""
+    world = world_of_idle_workers()
+    world.submit("e" * 16, obstacle, payload=payload)
+    world.run(1.0)
+    world.submit("f" * 16, step(count=6, processors=12000, gang=True))
+    world.run(1.0)
+    return world
+
+
 def assert_small_jobs_are_done(world):
     small = [f"{number:016x}" for number in range(20)]
     for job in small:
@@ -83,24 +93,14 @@
 
 def test_gang_behind_tasks_that_last_stops_smaller_jobs():
     """A gang that waits for room which no end of a task gives kept all other room."""
-    world = world_of_idle_workers()
     service = step(count=6, processors=6000, long_running=True, most_per_worker=1)
-    world.submit("e" * 16, service)
-    world.run(1.0)
-    world.submit("f" * 16, step(count=6, processors=12000, gang=True))
-    world.run(1.0)
-    assert_small_jobs_are_done(world)
+    assert_small_jobs_are_done(world_of_gang_behind(service))
 
 
 def test_gang_behind_tasks_that_take_longer_than_declared_stops_smaller_jobs():
     """A reservation lasted for as long as whatever kept its gang from starting."""
-    world = world_of_idle_workers()
     slow = step(count=6, processors=6000, most_per_worker=1)
-    world.submit("e" * 16, slow, payload="seconds=60")
-    world.run(1.0)
-    world.submit("f" * 16, step(count=6, processors=12000, gang=True))
-    world.run(1.0)
-    assert_small_jobs_are_done(world)
+    assert_small_jobs_are_done(world_of_gang_behind(slow, payload="seconds=60"))
 
 
 def test_gang_whose_reservation_has_ended_never_gets_another():
