tests: the workers of the simulated cell have a module of their own

StepWorkers (step_workers.py) performs the calls to workers and to the advisor, as StepStore does those to the store; the call of a worker is four methods in place of nested functions. No test changes but in what it imports.

--- a/tests/owner/test_capacity.py
+++ b/tests/owner/test_capacity.py
@@ -4,7 +4,8 @@
 
 import pytest
 from tests.support.step_invariants import check_capacity
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.upstream.tasks import StartTask, TaskRef, WorkerAddress
--- a/tests/owner/test_crashes.py
+++ b/tests/owner/test_crashes.py
@@ -4,7 +4,8 @@
 
 import pytest
 from tests.support.logged_events import capture_events
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.owner.takeover import restore_progress
 from lagoonpulley.owner.term import OwnerTerm
--- a/tests/owner/test_drains.py
+++ b/tests/owner/test_drains.py
@@ -4,7 +4,8 @@
 
 import pytest
 from tests.support.step_documents import DRAINS_PREFIX
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 # From the operators' request until no start may reach the data centre.
 DRAIN_BOUND_S = 5.0
--- a/tests/owner/test_late_grants.py
+++ b/tests/owner/test_late_grants.py
@@ -6,7 +6,8 @@
 from tests.support.late_grants import cut_off_workers_with_late_commands, is_completed
 from tests.support.lateness import Lateness
 from tests.support.step_invariants import check_all
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.upstream.tasks import Refusal, StartTask, SyncWorker
 
--- a/tests/owner/test_load.py
+++ b/tests/owner/test_load.py
@@ -5,7 +5,8 @@
 import pytest
 from tests.support.logged_events import capture_events
 from tests.support.step_documents import JsonDirectory
-from tests.support.steps import LEASE_S, StepWorld, step
+from tests.support.step_workers import LEASE_S
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.owner.load import LOG_INTERVAL_S
 from lagoonpulley.owner.messages import Deposed, Resign
--- a/tests/owner/test_review_41.py
+++ b/tests/owner/test_review_41.py
@@ -14,7 +14,8 @@
     check_limits,
     check_one_run_at_a_time,
 )
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.model.resources import Resources
 from lagoonpulley.standin.task_worker import TaskWorkerState
--- a/tests/owner/test_review_44.py
+++ b/tests/owner/test_review_44.py
@@ -10,7 +10,8 @@
     check_no_start_after_acknowledged_end,
     check_one_run_at_a_time,
 )
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.model.verdict import Ran
 from lagoonpulley.owner.worker_leases import TimedCommand, WorkerLeases
--- a/tests/owner/test_second_review_41.py
+++ b/tests/owner/test_second_review_41.py
@@ -5,7 +5,8 @@
 import pytest
 from tests.support.late_starts import start_late_beside_a_busy_worker
 from tests.support.step_invariants import check_all
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.upstream.tasks import SyncWorker
 from lagoonpulley.workload.documents import ProgressDocument
--- a/tests/owner/test_settled_runs.py
+++ b/tests/owner/test_settled_runs.py
@@ -9,7 +9,8 @@
 import json
 
 from tests.support.logged_events import capture_events
-from tests.support.steps import CAPACITY, StepWorld, step
+from tests.support.step_workers import CAPACITY
+from tests.support.steps import StepWorld, step
 
 from lagoonpulley.owner.journal import HEAD_KEY, HeadDocument, Journal
 from lagoonpulley.owner.session import OWNER_KEY
--- a/tests/support/late_grants.py
+++ b/tests/support/late_grants.py
@@ -9,7 +9,8 @@
 
 from .lateness import Lateness
 from .step_invariants import check_all
-from .steps import CAPACITY, StepWorld, step
+from .step_workers import CAPACITY
+from .steps import StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.workload.spec import JobSpec
--- a/tests/support/late_histories.py
+++ b/tests/support/late_histories.py
@@ -23,7 +23,7 @@
     WORKERS,
     StepHistory,
 )
-from .steps import CAPACITY
+from .step_workers import CAPACITY
 
 if TYPE_CHECKING:
     pass
--- a/tests/support/late_starts.py
+++ b/tests/support/late_starts.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from .steps import CAPACITY, StepWorld, step
+from .step_workers import CAPACITY
+from .steps import StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.standin.task_worker import TaskWorkerState
--- a/tests/support/recut.py
+++ b/tests/support/recut.py
@@ -6,7 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from .steps import CAPACITY, StepWorld, step
+from .step_workers import CAPACITY
+from .steps import StepWorld, step
 
 if TYPE_CHECKING:
     from lagoonpulley.standin.task_worker import TaskWorkerState
--- a/tests/support/step_store.py
+++ b/tests/support/step_store.py
@@ -8,7 +8,7 @@
 from lagoonpulley.model.verdict import Ran
 from lagoonpulley.runtime.role import CallFailed, Request
 from lagoonpulley.standin.store import StoreState
-from lagoonpulley.store.messages import ReadRange, Transaction, WatchPrefix
+from lagoonpulley.store.messages import ReadRange, Transaction, WatchPrefix, Write
 from lagoonpulley.store.route import STORE_RELAY, RelayCall
 
 from .network import Clock
@@ -51,6 +51,15 @@
         self.unwritable_prefixes: set[str] = set()
         self.max_value_characters = 1_048_576
 
+    def put(self, key: str, value: str) -> None:
+        """Write a key to the store."""
+        change = Transaction(puts=(Write(key, value),))
+        self.store.apply(change, self.clock.mono)
+
+    def delete(self, key: str) -> None:
+        """Delete a key of the store."""
+        self.store.apply(Transaction(deletes=(key,)), self.clock.mono)
+
     def _call_store(self, entry: StepEntry, request: Request) -> None:
         if not entry.route.should_call_directly(request):
             entry.mailbox.append((STORE_RELAY, RelayCall(request)))
