--- a/tests/intake/test_owner_absence.py
+++ b/tests/intake/test_owner_absence.py
@@ -12,7 +12,7 @@
 from lagoonpulley.observability.prometheus import REGISTRY
 from lagoonpulley.owner.session import OWNER_KEY
 from lagoonpulley.owner.status import STATUS_KEY
-from lagoonpulley.store.messages import Get, Transaction
+from lagoonpulley.store.messages import Get
 from lagoonpulley.workload.documents import JOBS_PREFIX, JobKeys
 from lagoonpulley.workload.record import JobState
 
@@ -36,10 +36,6 @@
     return next(entry for entry in world.entry_by_name.values() if entry.alive)
 
 
-def remove(world, key):
-    world.store.apply(Transaction(deletes=(key,)), world.clock.mono)
-
-
 def test_submission_is_admitted_during_a_takeover(world):
     world.run(2.0)
     assert world.submit(JOB).kind is OutcomeKind.DONE
@@ -143,7 +139,7 @@
 
 
 def test_absent_status_beside_an_owner_without_status_is_trusted(world):
-    remove(world, STATUS_KEY)
+    world.delete(STATUS_KEY)
     world.run(6.0)
     assert world.submit(JOB).kind is OutcomeKind.REFUSED
     test_owner_of_a_build_without_status_is_trusted(world)
--- a/tests/support/step_workers.py
+++ b/tests/support/step_workers.py
@@ -10,7 +10,6 @@
 from lagoonpulley.model.verdict import Ran
 from lagoonpulley.runtime.role import CallFailed, Reply, Request
 from lagoonpulley.standin.task_worker import TaskWorkerState
-from lagoonpulley.store.messages import Transaction
 from lagoonpulley.upstream.tasks import (
     Advice,
     AskAdvice,
@@ -168,11 +167,8 @@
             self.worker_by_id[worker_id].restart(self.clock.mono)
             self.add_worker(worker_id)
             return
-        record = Transaction(deletes=(WORKERS_PREFIX + worker_id,))
-        self.clock.after(
-            RECORD_LIFETIME_S - RESTART_S,
-            lambda: self.store.apply(record, self.clock.mono),
-        )
+        key = WORKERS_PREFIX + worker_id
+        self.clock.after(RECORD_LIFETIME_S - RESTART_S, lambda: self.delete(key))
         address = self.address_by_worker_id[worker_id]
         self.add_worker(f"{worker_id}+", address=address)
 
