owner: step_waits tells whether there is room after all

Cause: the line named the reason that was recorded, so a step that waits beside idle workers for a reason that has passed looked like one that waits in a full cell.

Change: step_waits has the number of waiting tasks, how many would fit now on the workers that the advisor allows and on those that it was not asked about, whether a request was postponed, and how long the advisor is left alone after a refusal. No logic changes.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -32,6 +32,7 @@
 from .status import OwnerStatusWriter
 from .team_use import TeamUseStore
 from .term import OwnerTerm
+from .wait_log import log_waiting_step
 from .workers import WorkerMonitor
 
 if TYPE_CHECKING:
@@ -257,20 +258,7 @@
         for demand in sorted(demands, key=lambda demand: demand.due_at)[
             :MAX_LOGGED_WAITS
         ]:
-            spec = demand.record.spec
-            permits = term.permits.for_step(spec.id, demand.key)
-            log_event(
-                "step_waits",
-                job=spec.id,
-                step=list(demand.key),
-                team=spec.team,
-                blocked=demand.block_reason,
-                asking=permits.request_pending,
-                allowed=len(permits.allowed_ids),
-                fits_drained=demand.fits_drained_workers,
-                waited_s=round(self.now.wall - spec.submitted_at, 3),
-                waiting_steps=len(demands),
-            )
+            log_waiting_step(term, demand, len(demands))
 
     def plan_and_commit(self) -> None:
         """Plan if anything changed, then commit changed records to the store."""
--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -18,7 +18,7 @@
     from .demand import Demand
     from .permits import StepPermits
 
-__all__ = ["AdviceBudget", "AdviceRequest", "AdviceRequests"]
+__all__ = ["AdviceBudget", "AdviceRequest", "AdviceRequests", "find_room"]
 
 # The advisor accepts at most this many workers in one request.
 MAX_WORKERS_PER_REQUEST = 100
@@ -94,7 +94,9 @@
         if self.is_exhausted_for(demand.queue):
             permits.request_postponed = True
             return []
-        room, unknown = self._find_room(demand, permits, reserved_by_worker_id)
+        room, unknown = find_room(
+            self._cell, demand, permits, self._now, reserved_by_worker_id
+        )
         missing = count - room
         if missing <= 0 or not unknown:
             return []
@@ -108,34 +110,6 @@
         asked = _first_with_room(limited, wanted, step)
         return asked if self._request(demand, permits, asked) else []
 
-    def _find_room(
-        self,
-        demand: Demand,
-        permits: StepPermits,
-        reserved_by_worker_id: dict[str, Resources],
-    ) -> tuple[int, list[tuple[int, CellWorker]]]:
-        """Return for how many tasks the allowed workers have room now, and the others.
-
-        The workers that the advisor was not asked about come with the number of tasks
-        that fit there.
-        """
-        step = demand.step
-        request = step.capacity_request
-        service = demand.queue.service
-        room = 0
-        unknown: list[tuple[int, CellWorker]] = []
-        for worker in eligible_workers(self._cell, service, step, self._now, None):
-            if not permits.may_run_on(worker.info.id):
-                continue
-            if not request.fits_in(worker.info.capacity):
-                continue
-            copies = request.copies_in(worker.free_beside(reserved_by_worker_id))
-            if worker.info.id in permits.allowed_ids:
-                room += copies
-            else:
-                unknown.append((copies, worker))
-        return room, unknown
-
     @staticmethod
     def _asks_ahead(demand: Demand, permits: StepPermits) -> bool:
         """Return whether to ask before any of the workers has room.
@@ -180,6 +154,38 @@
         return True
 
 
+def find_room(
+    cell: Cell,
+    demand: Demand,
+    permits: StepPermits,
+    now: float,
+    reserved_by_worker_id: dict[str, Resources],
+) -> tuple[int, list[tuple[int, CellWorker]]]:
+    """Return for how many tasks the allowed workers have room now, and the others.
+
+    The workers that the advisor was not asked about come with the number of tasks that
+    fit there.
+
+    :param now: monotonic time in seconds.
+    """
+    step = demand.step
+    request = step.capacity_request
+    service = demand.queue.service
+    room = 0
+    unknown: list[tuple[int, CellWorker]] = []
+    for worker in eligible_workers(cell, service, step, now, None):
+        if not permits.may_run_on(worker.info.id):
+            continue
+        if not request.fits_in(worker.info.capacity):
+            continue
+        copies = request.copies_in(worker.free_beside(reserved_by_worker_id))
+        if worker.info.id in permits.allowed_ids:
+            room += copies
+        else:
+            unknown.append((copies, worker))
+    return room, unknown
+
+
 def _most_room_first(item: tuple[int, CellWorker]) -> int:
     return -item[0]
 
