planning: a gang whose advisor refused a request waited for ever

Cause: a planning round leaves a blocked step alone until what blocks it is lifted. While an advisor is left alone after a refusal, a round asks nothing, finds too little room on the workers that are allowed so far, and recorded a lack of room. That the pause is over is no event, and only a worker that gains room lifted the reason: in a cell in which nothing else ends, nothing does. The same held for a task that may crash its worker and lacked valid permits, waited for probations elsewhere, or was at its team's limit. Class: a reason to wait that nothing is sure to lift.

Change: LIFT_BY_REASON has what lifts each reason; a cause that passes with time blocks until that time (advisor pause, probation, avoided workers after a second, which were considered in each round).

Tests: tests/owner/test_idle_cell.py failed before. tests/planning/test_block_reasons.py goes over all reasons; the case of the team's limit failed without its line. Tests of owner/ and planning/ pass with their known red ones.

--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -38,7 +38,7 @@
     def unblock(self, job_id: str) -> None:
         """Make the next planning round consider all demands of a job."""
         for demand in self._demands_by_job_id.get(job_id, ()):
-            demand.block_reason = BlockReason.NONE
+            demand.unblock()
 
     def set_reserved_gangs(self, gangs: list[tuple[str, tuple[int, int]]]) -> bool:
         """Set the gangs that hold a reservation and unblock demands if they changed.
@@ -55,7 +55,7 @@
             # The reason of a gang does not tell that others' reservations block it.
             gang_waits = demand.step.gang and reason is BlockReason.CAPACITY
             if reason is BlockReason.RESERVED or (has_ended and gang_waits):
-                demand.block_reason = BlockReason.NONE
+                demand.unblock()
         return True
 
     def in_order(self) -> list[Demand]:
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -227,6 +227,15 @@
         """Return the number of workers with a task on probation."""
         return sum(w.probation_until > now for w in self.worker_by_id.values())
 
+    def probation_ends_at(self, now: float) -> float:
+        """Return when the next worker has no task on probation any more.
+
+        :param now: monotonic time in seconds.
+        :returns: monotonic time in seconds, infinity if no worker has such a task.
+        """
+        ends = [w.probation_until for w in self.worker_by_id.values()]
+        return min((end for end in ends if end > now), default=float("inf"))
+
     def put_worker(self, info: WorkerInfo) -> CellWorker:
         """Add a worker or update its description."""
         worker = self.worker_by_id.get(info.id)
--- a/src/lagoonpulley/planning/demand.py
+++ b/src/lagoonpulley/planning/demand.py
@@ -14,7 +14,13 @@
     from .cell import CellWorker, Changes
     from .permits import StepPermits
 
-__all__ = ["AVOID_FAILED_WORKERS_S", "BlockReason", "Demand"]
+__all__ = [
+    "AVOID_FAILED_WORKERS_S",
+    "LIFT_BY_REASON",
+    "BlockReason",
+    "Demand",
+    "Lift",
+]
 
 # How long a step that lacks capacity keeps avoiding the workers it failed on.
 AVOID_FAILED_WORKERS_S = 1.0
@@ -23,11 +29,30 @@
 RESERVATION_PAUSE_S = 0.5
 
 
+class Lift(Enum):
+    """What lets a planning round consider a blocked demand again.
+
+    ``ROOM``: a worker may have gained room for one of its tasks. ``RESERVATIONS``: the
+    same, or other gangs than before hold reservations. ``TEAM_RELEASE``: its team has
+    released resources. ``ANSWER``: the advisor has answered. ``TIME``: the cause passes
+    by itself.
+    """
+
+    NEXT_ROUND = "next round"
+    ROOM = "room"
+    RESERVATIONS = "reservations"
+    TEAM_RELEASE = "team release"
+    ANSWER = "answer"
+    TIME = "time"
+
+
 class BlockReason(Enum):
     """What kept a demand from starting in the last round that considered it.
 
-    ``RESERVED``: capacity is or may be free, but gangs hold reservations. ``ADVICE``:
-    an answer from the advisor is pending.
+    ``CAPACITY``: too little room is free. ``RESERVED``: capacity is or may be free, but
+    gangs hold reservations. ``ADVICE``: an answer from the advisor is pending.
+    ``ADVISOR_PAUSE``: the advisor has refused, and is left alone for a while.
+    ``PROBATION``: as many workers as may be have a task that may crash them.
     """
 
     NONE = "not"
@@ -35,13 +60,29 @@
     TEAM_LIMIT = "limit"
     RESERVED = "kept"
     ADVICE = "advice"
+    ADVISOR_PAUSE = "advisor pause"
+    PROBATION = "probation"
+
+
+# A demand that is blocked until a time is lifted then, whatever its reason.
+LIFT_BY_REASON = {
+    BlockReason.NONE: Lift.NEXT_ROUND,
+    BlockReason.CAPACITY: Lift.ROOM,
+    BlockReason.TEAM_LIMIT: Lift.TEAM_RELEASE,
+    BlockReason.RESERVED: Lift.RESERVATIONS,
+    BlockReason.ADVICE: Lift.ANSWER,
+    BlockReason.ADVISOR_PAUSE: Lift.TIME,
+    BlockReason.PROBATION: Lift.TIME,
+}
 
 
 @dataclass(slots=True, eq=False)
 class Demand:
     """A step with pending tasks whose dependencies are done.
 
-    ``due_at`` is when the job should be complete, in seconds of the wall clock.
+    ``blocked_until`` is when the reason for which it is blocked ends at the latest, in
+    monotonic seconds; infinity if only an event ends it. ``due_at`` is when the job
+    should be complete, in seconds of the wall clock.
     ``lacks_capacity_since`` is in monotonic seconds. ``fits_drained_workers`` tells
     whether a gang that asked for a reservation can start once all runs that end have
     ended; its reservation ends at ``reserved_until``, and it gets another one from
@@ -58,6 +99,7 @@
     queue: Queue
     due_at: float
     block_reason: BlockReason = BlockReason.NONE
+    blocked_until: float = float("inf")
     lacks_capacity_since: float | None = None
     fits_drained_workers: bool = True
     reserved_until: float | None = None
@@ -83,6 +125,18 @@
         """Ids of workers on which the step failed, stalled or got no start answer."""
         return self.record.avoided_workers_by_step.get(self.key, set())
 
+    def block(self, reason: BlockReason, until: float = float("inf")) -> None:
+        """Leave the demand alone until its reason is lifted, see :class:`Lift`.
+
+        :param until: when the reason ends by itself, in monotonic seconds.
+        """
+        self.block_reason = reason
+        self.blocked_until = until
+
+    def unblock(self) -> None:
+        """Let the next round consider the demand."""
+        self.block(BlockReason.NONE)
+
     def has_lacked_capacity_for(self, duration_s: float, now: float) -> bool:
         """Return whether capacity has been lacking for at least a duration.
 
@@ -91,6 +145,17 @@
         since = self.lacks_capacity_since
         return since is not None and now - since >= duration_s
 
+    def returns_to_avoided_at(self, now: float) -> float:
+        """Return when the step may use the workers again that it avoids now.
+
+        :param now: monotonic time in seconds.
+        :returns: monotonic time in seconds, infinity if it avoids none.
+        """
+        if not self.avoided_worker_ids or self.lacks_capacity_since is None:
+            return float("inf")
+        returns_at = self.lacks_capacity_since + AVOID_FAILED_WORKERS_S
+        return returns_at if now < returns_at else float("inf")
+
     def may_reserve(self, now: float) -> bool:
         """Return whether a gang may have a reservation in a round.
 
@@ -112,7 +177,7 @@
         if self.block_reason is not BlockReason.CAPACITY or self.step.gang:
             return
         if reserved_by_worker_id and changes.may_fit_unreserved(self.request):
-            self.block_reason = BlockReason.RESERVED
+            self.block(BlockReason.RESERVED, self.blocked_until)
 
     def may_be_unblocked(
         self,
@@ -125,16 +190,11 @@
 
         See :meth:`.cell.Changes.may_fit` for the parameters.
         """
-        reason = self.block_reason
-        if reason is BlockReason.NONE:
+        lift = LIFT_BY_REASON[self.block_reason]
+        if lift is Lift.NEXT_ROUND or now >= self.blocked_until:
             return True
-        if reason is BlockReason.ADVICE:
-            return False
-        if reason is BlockReason.TEAM_LIMIT:
+        if lift is Lift.TEAM_RELEASE:
             return self.record.spec.team in changes.teams_with_releases
-        if changes.may_fit(self.request, reserved_by_worker_id, permits):
-            return True
-        # Most jobs avoid no worker, which is the cheapest to check.
-        if not self.record.avoided_workers_by_step or not self.avoided_worker_ids:
-            return False
-        return self.has_lacked_capacity_for(AVOID_FAILED_WORKERS_S, now)
+        if lift in (Lift.ROOM, Lift.RESERVATIONS):
+            return changes.may_fit(self.request, reserved_by_worker_id, permits)
+        return False
--- a/src/lagoonpulley/planning/permits.py
+++ b/src/lagoonpulley/planning/permits.py
@@ -36,6 +36,10 @@
         """Return whether no answer is pending and none has just been refused."""
         return not self.request_pending and self.next_request_at <= now
 
+    def is_paused(self, now: float) -> bool:
+        """Return whether a refusal keeps the advisor from being asked at present."""
+        return not self.request_pending and now < self.next_request_at
+
     def valid_ids(self, now: float) -> set[str]:
         """Return the workers whose permit is still usable."""
         return {
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -118,9 +118,9 @@
                 continue
             if started >= max_starts:
                 # The changes are already consumed, so unblock it for the next round.
-                demand.block_reason = BlockReason.NONE
+                demand.unblock()
                 continue
-            demand.block_reason = BlockReason.NONE
+            demand.unblock()
             demand.held_workers = ()
             if permits is not None:
                 permits.request_postponed = False
@@ -130,7 +130,7 @@
                 self._reserve_for_gang(demand)
             if permits is not None and permits.request_postponed:
                 # No event tells when an advisor is free again.
-                demand.block_reason = BlockReason.NONE
+                demand.unblock()
         return Plan(tuple(self._starts), self._advice.made)
 
     def _permits_of(self, demand: Demand) -> StepPermits | None:
@@ -200,16 +200,13 @@
         if not waiting or (step.gang and len(waiting) < step.count):
             return 0
         if not self._is_within_team_limit(demand):
-            demand.block_reason = BlockReason.TEAM_LIMIT
+            demand.block(BlockReason.TEAM_LIMIT)
             return 0
         permits = self._permits_of(demand)
         if permits is not None:
             self._ask_about_new_workers(demand, permits, len(waiting))
             if not permits.allowed_ids:
-                if permits.request_pending:
-                    demand.block_reason = BlockReason.ADVICE
-                elif permits.may_request(self._now):
-                    self._set_lacks_capacity(demand)
+                self._block_without_permits(demand, permits)
                 return 0
         # Most jobs have no task that a worker has crashed under.
         if not demand.record.crashes_by_task:
@@ -254,8 +251,7 @@
                 demand, permits, chosen, workers, len(keys)
             )
         if not chosen:
-            if permits.request_pending:
-                demand.block_reason = BlockReason.ADVICE
+            self._block_without_permits(demand, permits)
             return 0
         self._add_starts(demand, keys, chosen)
         return len(chosen)
@@ -287,13 +283,28 @@
     ) -> list[CellWorker]:
         """Choose the workers for one task or gang: few, with little to lose."""
         workers = least_at_risk(self._candidate_workers(demand), self._now)
-        if permits is not None:
-            workers = self._permitted_workers(demand, permits, workers, count)
-        on_probation = self._cell.on_probation(self._now)
-        most = len(workers)
-        if on_probation:
-            share = int(len(self._cell.worker_by_id) * MAX_PROBATION_SHARE)
-            most = min(most, share - on_probation)
+        chosen = self._choose_few(demand, workers, count)
+        if not chosen:
+            self._block_probation(demand, len(workers))
+            return []
+        if permits is None:
+            return chosen
+        valid = permits.valid_ids(self._now)
+        permitted = [worker for worker in workers if worker.info.id in valid]
+        chosen_permitted = self._choose_few(demand, permitted, count)
+        if chosen_permitted:
+            return chosen_permitted
+        asked = [*chosen, *workers[:MIN_WORKERS_FOR_PROBATION]]
+        if self._advice.ask_about(demand, permits, asked):
+            demand.held_workers = tuple(chosen)
+        self._block_without_permits(demand, permits)
+        return []
+
+    def _choose_few(
+        self, demand: Demand, workers: list[CellWorker], count: int
+    ) -> list[CellWorker]:
+        """Choose as few of the workers for one task or gang as hold it, if they do."""
+        most = self._most_on_probation(len(workers))
         considered = 1
         while workers and most > 0:
             chosen = self._choose_workers(demand, workers[:considered], count)
@@ -302,26 +313,34 @@
             if considered >= most:
                 break
             considered = min(most, 2 * considered)
-        if permits is None or not permits.request_pending:
-            self._set_lacks_capacity(demand)
-        else:
-            demand.block_reason = BlockReason.ADVICE
         return []
 
-    def _permitted_workers(
-        self,
-        demand: Demand,
-        permits: StepPermits,
-        workers: list[CellWorker],
-        count: int,
-    ) -> list[CellWorker]:
-        """Return the workers with a valid permit; request permits if there are none."""
-        valid = permits.valid_ids(self._now)
-        permitted = [worker for worker in workers if worker.info.id in valid]
-        if not permitted and workers:
-            asked = workers[: max(count, MIN_WORKERS_FOR_PROBATION)]
-            self._advice.ask_about(demand, permits, asked)
-        return permitted
+    def _most_on_probation(self, workers: int) -> int:
+        """Return how many of some workers may get a task that may crash them."""
+        on_probation = self._cell.on_probation(self._now)
+        if not on_probation:
+            return workers
+        share = int(len(self._cell.worker_by_id) * MAX_PROBATION_SHARE)
+        return min(workers, share - on_probation)
+
+    def _block_probation(self, demand: Demand, workers: int) -> None:
+        """Block a demand of which a task or gang got no workers for its probation."""
+        if not self._is_within_team_limit(demand):
+            demand.block(BlockReason.TEAM_LIMIT)
+            return
+        if self._most_on_probation(workers) < workers:
+            demand.block(BlockReason.PROBATION, self._cell.probation_ends_at(self._now))
+            return
+        self._set_lacks_capacity(demand)
+
+    def _block_without_permits(self, demand: Demand, permits: StepPermits) -> None:
+        """Block a demand that got no valid permits for workers with room."""
+        if permits.request_pending:
+            demand.block(BlockReason.ADVICE)
+        elif not permits.may_request(self._now):
+            demand.block(BlockReason.ADVISOR_PAUSE, permits.next_request_at)
+        elif not permits.allowed_ids:
+            self._set_lacks_capacity(demand)
 
     def _choose_workers(
         self, demand: Demand, workers: list[CellWorker], count: int
@@ -354,12 +373,17 @@
         return self._count_within_limit(team, step.request, needed) >= needed
 
     def _set_lacks_capacity(self, demand: Demand) -> None:
-        """Record that no worker has room for a demand."""
+        """Record that no worker has room for a demand, as far as may be asked now."""
         if demand.lacks_capacity_since is None:
             demand.lacks_capacity_since = self._now
-        demand.block_reason = (
+        permits = self._permits_of(demand)
+        if permits is not None and permits.is_paused(self._now):
+            demand.block(BlockReason.ADVISOR_PAUSE, permits.next_request_at)
+            return
+        reason = (
             BlockReason.RESERVED if self._reservations.gangs else BlockReason.CAPACITY
         )
+        demand.block(reason, demand.returns_to_avoided_at(self._now))
 
     def _count_within_limit(self, team: str, request: Resources, count: int) -> int:
         """Return how many of ``count`` tasks fit within a team's limit."""
