planning: a step waited for ever for room that was held for another

Cause: a step that asks its advisor has room held from those that follow. They were blocked for want of room, which only a worker that gains room lifts; the answer, or the end of the job that had asked, ended the hold and told nobody.

Change: the workers of a hold that ends count as freed in the next round, which is due at once.

Evidence: two tests in tests/owner/test_idle_cell.py and a case of tests/planning/test_block_reasons.py failed before and pass now. Tests of owner/ and planning/ pass with their known red ones.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -316,7 +316,7 @@
             self.now.wall,
         )
         plan = planner.plan(demands, max_starts)
-        if len(plan.starts) >= max_starts:
+        if len(plan.starts) >= max_starts or term.cell.has_changes:
             term.needs_planning = True
         if term.backlog.set_reserved_gangs(planner.reserved_gangs):
             term.needs_planning = True
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -191,7 +191,7 @@
         self.needs_planning = True
         queue = self.queue_of(record)
         if record.is_final or queue is None or self.now is None:
-            self.backlog.replace(record.spec.id, [])
+            self._replace_demands(record, [])
             return
         if record.spec.repeats:
             self._update_occurrences(record)
@@ -200,7 +200,11 @@
             if record.waiting_by_step.get(key):
                 due_at = self._due_at(record, queue, key.occurrence)
                 demands.append(Demand(record, key, queue, due_at))
-        self.backlog.replace(record.spec.id, demands)
+        self._replace_demands(record, demands)
+
+    def _replace_demands(self, record: JobRecord, demands: list[Demand]) -> None:
+        """Set the demands of a job; others may use what the former ones held."""
+        self.cell.mark_freed(self.backlog.replace(record.spec.id, demands))
 
     def _update_occurrences(self, record: JobRecord) -> None:
         """Drop occurrences that are done, and open those that are due."""
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -9,6 +9,8 @@
 from .worker_speed import SpeedTier
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..upstream.directory import WorkerInfo
     from ..upstream.tasks import TaskRef
     from ..workload.spec import StepKey, StepSpec
@@ -203,6 +205,17 @@
         self._teams_with_releases = set()
         return changes
 
+    def mark_freed(self, workers: Iterable[CellWorker]) -> None:
+        """Record that room on workers is no longer withheld from other steps."""
+        for worker in workers:
+            if self.worker_by_id.get(worker.info.id) is worker:
+                self._freed_by_id[worker.info.id] = worker
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether :meth:`pop_changes` has something to return."""
+        return bool(self._freed_by_id or self._teams_with_releases)
+
     def capacity(self) -> Resources:
         """Return the capacity of all workers that accept tasks."""
         total = ZERO
--- a/tests/owner/test_idle_cell.py
+++ b/tests/owner/test_idle_cell.py
@@ -6,6 +6,7 @@
 from tests.support.steps import StepWorld, step
 
 GANG = "f" * 16
+SMALL = "e" * 16
 WORKERS = 12
 # Of a gang of six, two fit on a worker. The first request names nine workers.
 GANG_STEP = step(count=6, processors=8000, gang=True)
@@ -29,6 +30,13 @@
     world.run(3.0)
 
 
+def let_advisor_answer_soon(world):
+    """Let room be held until the advisor answers, as its answers are soon."""
+    soon = {**ADVISED, "advice": [0.085, 0.001, 2.0]}
+    world.set_policy(3, queues={**QUEUES, "reviews": soon})
+    world.run(1.0)
+
+
 def test_gang_whose_advisor_refused_its_requests_waits_for_ever(world):
     """Nothing told that the advisor may be asked again."""
     run_gang_on_few_workers(world)
@@ -37,3 +45,25 @@
     world.crash_worker(second)
     world.advice_failures = 2
     world.run_until(lambda: len(world.executions(GANG)) == 12, 15.0)
+
+
+def test_step_waits_for_ever_for_room_that_was_held_for_another(world):
+    """The answer that ended the hold was told to the step that had asked only."""
+    world.forbidden_workers = set(world.worker_by_id)
+    hopeless = step(count=WORKERS, processors=12000)
+    let_advisor_answer_soon(world)
+    world.submit(GANG, hopeless)
+    world.run(0.02)
+    world.submit(SMALL, step(processors=6000), queue="checks")
+    world.run_until(lambda: world.final_state(SMALL) == "completed", 4.0)
+
+
+def test_step_waits_for_ever_for_room_that_was_held_for_a_cancelled_job(world):
+    world.advice_s = 1.5
+    let_advisor_answer_soon(world)
+    world.submit(GANG, step(count=WORKERS, processors=12000))
+    world.run(0.02)
+    world.submit(SMALL, step(processors=6000), queue="checks")
+    world.run(0.1)
+    world.cancel(GANG)
+    world.run_until(lambda: world.final_state(SMALL) == "completed", 4.0)
