planning: a step with few tasks a worker never learned of more workers

Cause: the room on the workers that the advisor allows was counted as if any number of the step's tasks might go to one worker. So it looked like enough, no further worker was asked about, and a gang waits for ever for room of which there is no more to come. Akin to: a reason to wait (room) that nothing is sure to lift.

Change: the room counts no more tasks than may still go to a worker.

Evidence: the test in tests/owner/test_idle_cell.py failed before.

--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -171,6 +171,7 @@
     step = demand.step
     request = step.capacity_request
     service = demand.queue.service
+    job_id = demand.record.spec.id
     room = 0
     unknown: list[tuple[int, CellWorker]] = []
     for worker in eligible_workers(cell, service, step, now, None):
@@ -179,6 +180,9 @@
         if not request.fits_in(worker.info.capacity):
             continue
         copies = request.copies_in(worker.free_beside(reserved_by_worker_id))
+        if step.most_per_worker:
+            left = step.most_per_worker - worker.count_of(job_id, demand.key)
+            copies = min(copies, max(0, left))
         if worker.info.id in permits.allowed_ids:
             room += copies
         else:
@@ -220,5 +224,6 @@
         if wanted <= 0:
             break
         found.append(worker)
-        wanted -= step.capacity_request.copies_in(worker.info.capacity)
+        copies = step.capacity_request.copies_in(worker.info.capacity)
+        wanted -= min(copies, step.most_per_worker or copies)
     return found
--- a/tests/owner/test_idle_cell.py
+++ b/tests/owner/test_idle_cell.py
@@ -67,3 +67,11 @@
     world.run(0.1)
     world.cancel(GANG)
     world.run_until(lambda: world.final_state(SMALL) == "completed", 4.0)
+
+
+def test_step_with_few_tasks_on_a_worker_never_learns_of_more_workers(world):
+    """The room for its tasks was counted as if all of them might go to one worker."""
+    world.forbidden_workers = set(sorted(world.worker_by_id)[3:9])
+    wide = step(count=6, processors=1000, gang=True, most_per_worker=1)
+    world.submit(GANG, wide)
+    world.run_until(lambda: world.final_state(GANG) == "completed", 10.0)
