owner: steps of a repeating job lost what they had waited for at each check

Cause: each check, every 0.2 s, made the demands of all repeating jobs anew. How long a step has lacked room begins with its demand, so neither the second after which avoided workers are used again nor the 0.4 s before a reservation ever passed.

Change: a check only opens the occurrences that are due, and the demands of the others stay. It also costs less.

Evidence: both tests added to tests/owner/test_repeating_jobs.py failed before.

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -232,7 +232,7 @@
 
     def _check(self, term: OwnerTerm) -> None:
         for record in list(term.repeating_by_id.values()):
-            term.refresh_demands(record)
+            term.refresh_occurrences(record)
         for worker in list(term.worker_by_id.values()):
             self._workers.check(term, worker)
         # No event is sent for changes that depend only on elapsed time.
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -37,7 +37,7 @@
     from ..runtime.role import Now
     from ..workload.documents import FinalDocument
     from ..workload.record import Run
-    from ..workload.spec import JobSpec, TaskKey
+    from ..workload.spec import JobSpec, StepKey, TaskKey
 
 __all__ = ["OwnerTerm"]
 
@@ -195,22 +195,44 @@
             return
         if record.spec.repeats:
             self._update_occurrences(record)
+        self._replace_demands(record, self._demands_of(record, queue, {}))
+
+    def refresh_occurrences(self, record: JobRecord) -> None:
+        """Open the occurrences of a job that are due; others wait as they did."""
+        queue = self.queue_of(record)
+        if record.is_final or queue is None or not self._update_occurrences(record):
+            return
+        known = {each.key: each for each in self.backlog.demands_of(record.spec.id)}
+        self._replace_demands(record, self._demands_of(record, queue, known))
+        self.needs_planning = True
+
+    def _demands_of(
+        self, record: JobRecord, queue: Queue, known: dict[StepKey, Demand]
+    ) -> list[Demand]:
+        """Return the demands of a job: those that are known, and new ones."""
         demands = []
         for key in record.open_steps():
-            if record.waiting_by_step.get(key):
+            if not record.waiting_by_step.get(key):
+                continue
+            demand = known.get(key)
+            if demand is None:
                 due_at = self._due_at(record, queue, key.occurrence)
-                demands.append(Demand(record, key, queue, due_at))
-        self._replace_demands(record, demands)
+                demand = Demand(record, key, queue, due_at)
+            demands.append(demand)
+        return demands
 
     def _replace_demands(self, record: JobRecord, demands: list[Demand]) -> None:
         """Set the demands of a job; others may use what the former ones held."""
         self.cell.mark_freed(self.backlog.replace(record.spec.id, demands))
 
-    def _update_occurrences(self, record: JobRecord) -> None:
-        """Drop occurrences that are done, and open those that are due."""
+    def _update_occurrences(self, record: JobRecord) -> bool:
+        """Drop occurrences that are done, and open those that are due.
+
+        :returns: whether any were opened.
+        """
         for key in record.close_done_occurrences():
             self.permits.forget_step(record.spec.id, key)
-        record.open_due_occurrences(self.now.wall, self.early_s)
+        return record.open_due_occurrences(self.now.wall, self.early_s)
 
     def queue_of(self, record: JobRecord) -> Queue | None:
         """Return the latest known definition of a job's queue."""
--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -39,6 +39,10 @@
             self._demands_by_job_id[job_id] = demands
         return released
 
+    def demands_of(self, job_id: str) -> list[Demand]:
+        """Return the demands of a job."""
+        return self._demands_by_job_id.get(job_id, [])
+
     def unblock(self, job_id: str) -> None:
         """Make the next planning round consider all demands of a job."""
         for demand in self._demands_by_job_id.get(job_id, ()):
--- a/tests/owner/test_repeating_jobs.py
+++ b/tests/owner/test_repeating_jobs.py
@@ -5,6 +5,7 @@
 import pytest
 from tests.support.steps import StepWorld, step
 
+from lagoonpulley.model.resources import Resources
 from lagoonpulley.owner.adoption import adopt_run
 from lagoonpulley.upstream.tasks import TaskRef
 from lagoonpulley.workload.documents import JobKeys, ProgressDocument
@@ -66,6 +67,38 @@
     assert all(runs == [1] for runs in runs_by_task.values())
 
 
+def test_task_of_a_repeating_job_never_returns_to_the_worker_it_failed_on(world):
+    """Its demands were made anew at each check, so no time ever passed for them."""
+    for worker_id in sorted(world.worker_by_id)[1:]:
+        world.add_worker(worker_id, capacity=Resources(500, 512))
+    world.set_policy(2, queues={"reviews": {"max_attempts": 4, "target_s": 1.0}})
+    world.run(1.0)
+    world.failing_workers = {"w0"}
+    submit_repeating(world, 1, 1.0, step())
+    world.run_until(lambda: world.executions(JOB), 3.0)
+    world.run(0.1)
+    world.failing_workers = set()
+    world.run_until(lambda: world.final_state(JOB) == "completed", 8.0)
+
+
+def test_gang_of_a_repeating_job_never_gets_a_reservation(world):
+    """Small tasks that end one after the other leave it no room at once."""
+    reviews = {"max_attempts": 2, "priority": 1, "target_s": 1.0}
+    world.set_policy(
+        2, queues={"reviews": reviews, "checks": {**reviews, "priority": 2}}
+    )
+    world.run(1.0)
+    for number in range(60):
+        small = f"{number:016x}"
+        payload = f"seconds={0.7 + number % 7 * 0.1:.1f}"
+        world.submit(
+            small, step(count=4, processors=4000), payload=payload, queue="checks"
+        )
+    submit_repeating(world, 40, 0.3, step(count=2, processors=16000, gang=True))
+    world.run_until(lambda: world.executions(JOB), 6.0)
+    assert world.final_state(f"{59:016x}") is None
+
+
 def test_job_that_repeats_is_completed_before_its_last_occurrence(world):
     submit_repeating(world, 50, 0.2, step(count=10))
     world.run(6.0)
