--- a/tests/support/entry_process.py
+++ b/tests/support/entry_process.py
@@ -148,7 +148,15 @@
 
         A caller that is refused or gets no answer asks once more, as callers do.
         """
-        return any(self._status_of_request(name) == 200 for _ in range(2))
+        return self.ask_twice(name)[-1] == 200
+
+    def ask_twice(self, name: str) -> list[int]:
+        """Make an ordinary request, and another one unless it is successful.
+
+        :returns: the status of each, 0 if there was no answer in time.
+        """
+        first = self._status_of_request(name)
+        return [first] if first == 200 else [first, self._status_of_request(name)]
 
     def _status_of_request(self, name: str) -> int:
         host, port = self.address_by_name[name]
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -46,7 +46,8 @@
     """What the callers and the processes of a soak have seen.
 
     ``cut_off`` counts responses that ended in the middle, ``closed`` connections that
-    ended without any part of one.
+    ended without any part of one. ``statuses_at_the_end`` are those of a request at
+    each address, and of a second one if the first had no success.
     """
 
     answered: int = 0
@@ -55,7 +56,7 @@
     exit_codes: list[int] = field(default_factory=list)
     peak_memory_mb: float = 0.0
     most_descriptors: int = 0
-    answers_at_the_end: bool = False
+    statuses_at_the_end: dict[str, list[int]] = field(default_factory=dict)
 
     def faults(self) -> list[str]:
         """Return what must not be."""
@@ -68,8 +69,13 @@
             faults.append(f"a process had {self.peak_memory_mb:.0f} MB")
         if self.most_descriptors >= MAX_DESCRIPTORS:
             faults.append(f"a process had {self.most_descriptors} descriptors")
-        if not self.answered or not self.answers_at_the_end:
-            faults.append("an ordinary caller is not answered")
+        if not self.answered:
+            faults.append("no ordinary caller was answered")
+        if not self.statuses_at_the_end:
+            faults.append("nobody asked at the end")
+        for name, statuses in self.statuses_at_the_end.items():
+            if statuses[-1] != 200:
+                faults.append(f"an ordinary caller is not answered: {name} {statuses}")
         return faults
 
 
@@ -113,9 +119,8 @@
             step()
             self._record_use(self._entry)
             time.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
-        self.report.answers_at_the_end = all(
-            self._entry.answers(name) for name in ("callers", "ready")
-        )
+        for name in ("callers", "ready"):
+            self.report.statuses_at_the_end[name] = self._entry.ask_twice(name)
         self._record_use(self._entry)
 
     def end(self) -> None:
