planning: permits that do for a step were asked for again

Cause: if the best fit for a step's tasks had workers without a valid permit, the advisor was asked about them even if all tasks could start on workers with a permit, and did. The answer came for a step that had started; a slow advisor is what gangs wait for.

Change: the workers with a permit are tried first; the advisor is asked if they hold fewer tasks.

Evidence: the test added to tests/planning/test_advice_requests.py failed before.

--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -408,14 +408,17 @@
         workers: list[CellWorker],
         count: int,
     ) -> list[CellWorker]:
-        """Replace workers whose permit has expired, and request new permits."""
+        """Replace workers without a valid permit; ask for more if they do not do."""
         valid = permits.valid_ids(self._now)
         if all(worker.info.id in valid for worker in chosen):
             return chosen
-        if self._advice.ask_about(demand, permits, chosen):
-            demand.held_workers = tuple(chosen)
         usable = [worker for worker in workers if worker.info.id in valid]
-        return self._choose_workers(demand, usable, count)
+        permitted = self._choose_workers(demand, usable, count)
+        if len(permitted) < len(chosen) and self._advice.ask_about(
+            demand, permits, chosen
+        ):
+            demand.held_workers = tuple(chosen)
+        return permitted
 
     def _add_starts(
         self, demand: Demand, waiting: list[TaskKey], chosen: list[CellWorker]
--- a/tests/planning/test_advice_requests.py
+++ b/tests/planning/test_advice_requests.py
@@ -146,3 +146,16 @@
     assert not plan(cell, permits, demands, 1.0, BusyEntries()).advice_requests
     made = plan(cell, permits, demands, 1.1).advice_requests
     assert made[0].record is demands[0].record
+
+
+def test_step_asks_again_though_its_permits_do(cell):
+    """The best fit was asked about while all tasks started elsewhere."""
+    permits = PermitTable()
+    demand = make_demand(1, count=3)
+    allow(permits, demand, ("w7",), 1.0)
+    permits.for_step(demand.record.spec.id, demand.key).allowed_ids.add("w3")
+    ref = TaskRef("busy", TaskKey(0, 0, 0), 1)
+    cell.claim("w3", Claim(ref, "north", TASK, TASK))
+    made = plan(cell, permits, [demand], 1.0)
+    assert len(made.starts) == 3
+    assert not made.advice_requests
