owner: owner_load splits the owner's time by what it does

What operators saw: on a busy owner, busiest_kinds named reply:SyncWorker or reply:Transaction, each with the planning round that followed the message. Cause: the runtime measures whole messages. Change: WorkMeter splits the role's time by nested work on an injected clock; owner_load gets work (planning, placing, making_commits, sending_starts and the rest by kind of message) and planned (rounds, demands, considered, results).

--- a/src/lagoonpulley/owner/load.py
+++ b/src/lagoonpulley/owner/load.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from ..runtime.load import LoadInterval, LoadSource
+    from ..runtime.work_meter import WorkLoad, WorkMeter
     from .settings import OwnerSettings
     from .term import OwnerTerm
 
@@ -19,6 +20,7 @@
 
 LOG_INTERVAL_S = 2.0
 MAX_LOGGED_KINDS = 8
+MAX_LOGGED_WORK = 12
 OWNER_ROLE = "owner"
 NO_ROLE_LOAD = RoleLoad(0, 0.0, 0.0, 0, {})
 # The store counts every other operation as a read.
@@ -30,9 +32,12 @@
 class OwnerLoadLog:
     """Writes ``owner_load`` at an interval while this entry is the owner."""
 
-    def __init__(self, settings: OwnerSettings, load: LoadSource) -> None:
+    def __init__(
+        self, settings: OwnerSettings, load: LoadSource, work: WorkMeter
+    ) -> None:
         self._settings = settings
         self._load = load
+        self._work = work
         self._next_at = 0.0
         self._commits = 0
         self._commits_s = 0.0
@@ -43,6 +48,7 @@
         :param at: monotonic time in seconds.
         """
         self._load.read(at)
+        self._work.take()
         self._next_at = at + LOG_INTERVAL_S
         self._commits = 0
         self._commits_s = 0.0
@@ -64,6 +70,7 @@
             return
         self._next_at = at + LOG_INTERVAL_S
         interval = self._load.read(at)
+        work, counts = self._work.take()
         commits, self._commits = self._commits, 0
         commits_s, self._commits_s = self._commits_s, 0.0
         if interval.duration_s <= 0:
@@ -74,6 +81,8 @@
             interval_s=round(interval.duration_s, 3),
             processor_share=round(interval.processor_s / interval.duration_s, 3),
             **_role_fields(interval),
+            work=_work_field(work, interval.duration_s),
+            planned=counts,
             **call_fields(interval),
             **self._rate_fields(interval),
             store_operations=interval.calls_by_port.get(STORE, {}),
@@ -121,5 +130,15 @@
     }
 
 
+def _work_field(
+    load_by_kind: dict[str, WorkLoad], duration_s: float
+) -> dict[str, list[float]]:
+    kinds = sorted(load_by_kind.items(), key=lambda item: item[1].busy_s, reverse=True)
+    return {
+        kind: [load.times, round(load.busy_s / duration_s, 3)]
+        for kind, load in kinds[:MAX_LOGGED_WORK]
+    }
+
+
 def _count_running(term: OwnerTerm) -> int:
     return sum(len(worker.tracked_by_ref) for worker in term.worker_by_id.values())
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -14,6 +14,7 @@
 from ..runtime.flows import Call, Flow, FlowRole, Sleep
 from ..runtime.load import NoLoad
 from ..runtime.role import PEERS, STORE, WAKE, CallFailed, WakeAfter
+from ..runtime.work_meter import WorkMeter
 from ..store.answer_timeout import AnswerTimeout
 from ..upstream.tasks import Advice
 from .advisors import AdvisorBalancer
@@ -37,7 +38,7 @@
 if TYPE_CHECKING:
     from ..planning.advice_requests import AdviceRequest
     from ..planning.demand import Demand
-    from ..planning.planner import Start
+    from ..planning.planner import Plan, Start
     from ..policy.values import Policy
     from ..runtime.load import LoadSource
     from ..store.health import StoreHealth
@@ -81,6 +82,7 @@
         health: StoreHealth,
         load: LoadSource | None = None,
         drains: DrainDecoder | None = None,
+        work: WorkMeter | None = None,
     ) -> None:
         super().__init__("owner")
         self._settings = settings
@@ -97,7 +99,8 @@
         self._status = OwnerStatusWriter()
         self._start_backlog = StartBacklog(0.0)
         self._advisors = AdvisorBalancer(self, settings)
-        self._load_log = OwnerLoadLog(settings, load or NoLoad())
+        self._work = work or WorkMeter(lambda: 0.0)
+        self._load_log = OwnerLoadLog(settings, load or NoLoad(), self._work)
         self._handover = HandoverMonitor(settings)
         self._next_round_at = 0.0
         self._wake_requested = False
@@ -124,7 +127,8 @@
         self.now = now
         if self._term is not None:
             self._term.now = now
-        return super().handle(message, now)
+        with self._work.measure(self.kind_of(message)):
+            return super().handle(message, now)
 
     def _begin_term(self, elected: Elected) -> None:
         self._end_term("elected again")
@@ -279,7 +283,8 @@
             return
         if term.needs_planning and term.may_plan():
             self._plan_when_due(term)
-        self._commit(term)
+        with self._work.measure("making_commits"):
+            self._commit(term)
         if term.long_checkpoints.has_changes and not term.long_checkpoints.is_writing:
             self.start(write_long_checkpoints(term))
 
@@ -307,7 +312,8 @@
             # The end of the commit in flight is followed by a round.
             return
         term.needs_planning = False
-        self._plan(term, max_starts)
+        with self._work.measure("planning"):
+            self._plan(term, max_starts)
         waiting = len(term.backlog.in_order())
         self._next_round_at = (
             self.now.mono
@@ -328,6 +334,7 @@
             self.now.wall,
         )
         plan = planner.plan(demands, max_starts)
+        self._count_round(demands, plan)
         if len(plan.starts) >= max_starts:
             term.needs_planning = True
         if term.backlog.set_reserved_gangs(planner.reserved_gangs):
@@ -335,10 +342,22 @@
             gangs = [[job_id, list(key)] for job_id, key in planner.reserved_gangs]
             log_event("gang_reservations", gangs=gangs)
         for start in plan.starts:
-            self._dispatch(term, start)
+            with self._work.measure("placing"):
+                self._dispatch(term, start)
         for request in plan.advice_requests:
             self.start(self._request_advice(term, request))
 
+    def _count_round(self, demands: list[Demand], plan: Plan) -> None:
+        """Count what a round did, for ``owner_load``."""
+        placements = sum(len(start.placements) for start in plan.starts)
+        requests = len(plan.advice_requests)
+        self._work.count("rounds", 1)
+        self._work.count("rounds_without_result", not (placements or requests))
+        self._work.count("demands", len(demands))
+        self._work.count("considered", plan.considered)
+        self._work.count("placements", placements)
+        self._work.count("advice_requests", requests)
+
     def _order(self, term: OwnerTerm, demands: list[Demand]) -> list[Demand]:
         """Return the waiting steps in the order of this round."""
         shares = self._settings.shares
@@ -373,7 +392,8 @@
 
     def _start_committed(self, term: OwnerTerm, start: Start) -> None:
         self._start_backlog.record_commit(start.record.spec.id)
-        self._dispatcher.start_all(term, start)
+        with self._work.measure("sending_starts"):
+            self._dispatcher.start_all(term, start)
 
     def _request_advice(self, term: OwnerTerm, request: AdviceRequest) -> Flow:
         """Request advice for a step and apply the answer."""
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -60,10 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """The decisions of one round."""
+    """The decisions of one round.
+
+    ``considered`` is the number of demands for which workers were sought.
+    """
 
     starts: tuple[Start, ...]
     advice_requests: tuple[AdviceRequest, ...]
+    considered: int
 
 
 class Planner:
@@ -103,7 +107,7 @@
         :param demands: sorted by urgency.
         :param max_starts: no demand is served once this many tasks have started.
         """
-        started = 0
+        started = considered = 0
         changes = self._cell.pop_changes(self._now)
         reserved = self._reservations.reserved_by_worker_id
         for demand in demands:
@@ -124,6 +128,7 @@
             demand.held_workers = ()
             if permits is not None:
                 permits.request_postponed = False
+            considered += 1
             started += self._start_waiting(demand)
             self._hold_for(demand)
             if demand.step.gang:
@@ -131,7 +136,7 @@
             if permits is not None and permits.request_postponed:
                 # No event tells when an advisor is free again.
                 demand.block_reason = BlockReason.NONE
-        return Plan(tuple(self._starts), self._advice.made)
+        return Plan(tuple(self._starts), self._advice.made, considered)
 
     def _permits_of(self, demand: Demand) -> StepPermits | None:
         """Return the permits of a demand's step, ``None`` if it needs none."""
--- a/src/lagoonpulley/platform/entry.py
+++ b/src/lagoonpulley/platform/entry.py
@@ -24,6 +24,7 @@
 from ..runtime.clocks import read_clocks
 from ..runtime.load import LoadMeter
 from ..runtime.role import PEERS, STORE, UPSTREAM
+from ..runtime.work_meter import WorkMeter
 from ..store.health import StoreHealthTracker
 from .documents import PlatformDirectory, PlatformDrains, PlatformPolicy
 from .gateway import MAX_BODY_BYTES, PlatformGateway, ReadinessApp
@@ -189,6 +190,7 @@
             self._store_health,
             self._load.add_reader(),
             PlatformDrains() if settings.drains_data_centres else None,
+            WorkMeter(),
         )
         rng = random.Random(f"{settings.entry_id}:{time.time_ns()}")
         for role in (
--- a/tests/owner/test_load.py
+++ b/tests/owner/test_load.py
@@ -14,6 +14,18 @@
 from lagoonpulley.owner.settings import OwnerSettings
 from lagoonpulley.runtime.load import CallLoad, LoadInterval, RoleLoad
 from lagoonpulley.runtime.role_meter import KindLoad
+from lagoonpulley.runtime.work_meter import WorkMeter
+
+
+class CountingClock:
+    """A monotonic clock on which each reading takes a second."""
+
+    def __init__(self) -> None:
+        self._readings = 0
+
+    def __call__(self) -> float:
+        self._readings += 1
+        return float(self._readings)
 
 
 class SteadyLoad:
@@ -57,7 +69,11 @@
         link_bytes_per_s=1_250_000.0,
     )
     entry.roles["owner"] = OwnerRole(
-        settings, JsonDirectory(), entry.store_health, SteadyLoad()
+        settings,
+        JsonDirectory(),
+        entry.store_health,
+        SteadyLoad(),
+        work=WorkMeter(CountingClock()),
     )
     return made
 
@@ -114,3 +130,41 @@
     assert all(event["mean_commit_s"] >= 0 for event in with_commits)
     without = [e for e in events.named("owner_load") if not e["commits"]]
     assert all(event["mean_commit_s"] is None for event in without)
+
+
+def test_owner_load_splits_the_time_of_messages_by_the_work(world):
+    with capture_events() as events:
+        world.run(1.0)
+        world.submit("a" * 16, step(count=3), payload="seconds=1")
+        world.run(3 * LOG_INTERVAL_S)
+    kinds = {kind for event in events.named("owner_load") for kind in event["work"]}
+    inner = {"planning", "placing", "making_commits", "sending_starts"}
+    assert inner | {"Tick", "reply:SyncWorker", "reply:StartTask"} <= kinds
+    for event in events.named("owner_load"):
+        shares = [share for _, share in event["work"].values()]
+        assert shares == sorted(shares, reverse=True)
+        assert all(share > 0 for share in shares)
+    placed = [e for e in events.named("owner_load") if "placing" in e["work"]]
+    # Each round is in only one line.
+    assert sum(event["work"]["placing"][0] for event in placed) == 3
+
+
+def test_owner_load_tells_what_planning_rounds_came_to(world):
+    with capture_events() as events:
+        world.run(1.0)
+        world.submit("a" * 16, step(count=3), payload="seconds=1")
+        world.submit("b" * 16, step(processors=99_000))
+        world.run(3 * LOG_INTERVAL_S)
+    planned = [event["planned"] for event in events.named("owner_load")]
+    total = {
+        name: sum(counts.get(name, 0) for counts in planned)
+        for counts in planned
+        for name in counts
+    }
+    assert total["placements"] == 3
+    assert total["advice_requests"] == 0
+    # The job that fits nowhere is in every round, but is considered only when a
+    # worker may have room.
+    assert 0 < total["rounds_without_result"] < total["rounds"]
+    assert total["demands"] >= total["rounds"]
+    assert 2 <= total["considered"] < total["demands"]
