planning: workers are sought for a step with less arithmetic

Cause: before an advisor is asked, copies_in, may_run_on and fits_in ran for each of the 176 workers and each step; eligible_workers passed over all workers also where an advisor allows few; all unknown workers were sorted and copied also if none of them has room. Change: copies_counter prepares a request once, known workers are left out first, the allowed ones are picked before they are checked.

--- a/src/lagoonpulley/model/resources.py
+++ b/src/lagoonpulley/model/resources.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 __all__ = ["RESOURCE_NAMES", "ZERO", "Resources"]
@@ -55,6 +56,23 @@
         copies = [have // want for have, want in zip(available, self) if want > 0]
         return max(0, min(copies, default=1))
 
+    def copies_counter(self) -> Callable[[Resources], int]:
+        """Return :meth:`copies_in` as a function, faster for many vectors."""
+        wanted = [(index, want) for index, want in enumerate(self) if want > 0]
+        if not wanted:
+            return self.copies_in
+        (first, first_want), *others = wanted
+
+        def count_copies(available: Resources) -> int:
+            copies = available[first] // first_want
+            for index, want in others:
+                fitting = available[index] // want
+                if fitting < copies:
+                    copies = fitting
+            return copies if copies > 0 else 0
+
+        return count_copies
+
     def largest_fraction_of(self, total: Resources) -> float:
         """Return the dominant share: the largest component relative to ``total``.
 
--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -98,14 +98,14 @@
         missing = count - room
         if missing <= 0 or not unknown:
             return []
+        has_room = any(copies for copies, _ in unknown)
+        if not has_room and not self._asks_ahead(demand, permits):
+            return []
         step = demand.step
         unknown.sort(key=_gang_order if step.gang else _most_room_first)
-        if not unknown[0][0] and not self._asks_ahead(demand, permits):
-            return []
-        # The advisor decides on workers: one with much room may still be refused.
-        limited = [(min(copies, missing), worker) for copies, worker in unknown]
         wanted = missing / allowed_share * SPARE_RATIO
-        asked = _first_with_room(limited, wanted, step)
+        # The advisor decides on workers: one with much room may still be refused.
+        asked = _first_with_room(unknown, wanted, missing, step)
         return asked if self._request(demand, permits, asked) else []
 
     def _find_room(
@@ -120,19 +120,21 @@
         that fit there.
         """
         step = demand.step
-        request = step.capacity_request
+        request = demand.request
+        count_copies = request.copies_counter()
         service = demand.queue.service
+        allowed_ids, known_ids = permits.allowed_ids, permits.known_ids
         room = 0
         unknown: list[tuple[int, CellWorker]] = []
         for worker in eligible_workers(self._cell, service, step, self._now, None):
-            if not permits.may_run_on(worker.info.id):
-                continue
-            if not request.fits_in(worker.info.capacity):
+            worker_id = worker.info.id
+            is_allowed = worker_id in allowed_ids
+            if not is_allowed and worker_id in known_ids:
                 continue
-            copies = request.copies_in(worker.free_beside(reserved_by_worker_id))
-            if worker.info.id in permits.allowed_ids:
+            copies = count_copies(worker.free_beside(reserved_by_worker_id))
+            if is_allowed:
                 room += copies
-            else:
+            elif copies or request.fits_in(worker.info.capacity):
                 unknown.append((copies, worker))
         return room, unknown
 
@@ -191,7 +193,7 @@
 
 
 def _first_with_room(
-    workers: list[tuple[int, CellWorker]], wanted: float, step: StepSpec
+    workers: list[tuple[int, CellWorker]], wanted: float, most: int, step: StepSpec
 ) -> list[CellWorker]:
     """Return the first workers that together have room for the wanted tasks now.
 
@@ -199,13 +201,14 @@
     would do if they were idle.
 
     :param workers: pairs of the number of tasks that fit now and the worker.
+    :param most: how many tasks of one worker count at most.
     """
     found: list[CellWorker] = []
     for copies, worker in workers:
         if not copies or wanted <= 0:
             break
         found.append(worker)
-        wanted -= copies
+        wanted -= min(copies, most)
     if wanted <= 0:
         return found
     if step.gang:
--- a/src/lagoonpulley/planning/packing.py
+++ b/src/lagoonpulley/planning/packing.py
@@ -64,15 +64,18 @@
     :param worker_ids: the workers that the queue's advisor allows, ``None`` for all.
     :param now: monotonic time in seconds.
     """
+    workers: Iterable[CellWorker] = cell.worker_by_id.values()
+    if worker_ids is not None:
+        # An advisor allows few of many, so the others are left out first.
+        worker_by_id = cell.worker_by_id.items()
+        workers = [worker for key, worker in worker_by_id if key in worker_ids]
+    label = step.required_label
     found = []
-    for worker in cell.worker_by_id.values():
-        if not worker.accepting or worker.info.service != service:
-            continue
-        if worker.avoid_until > now:
-            continue
-        if worker_ids is not None and worker.info.id not in worker_ids:
+    for worker in workers:
+        if not worker.accepting or worker.avoid_until > now:
             continue
-        if step.required_label and step.required_label not in worker.info.labels:
+        info = worker.info
+        if info.service != service or (label and label not in info.labels):
             continue
         found.append(worker)
     return found
