planning: no workers are sought for a request that no entry can send

Cause (shown in a trial, a cell with the site's kinds of work): more than half of them are gangs that no worker is allowed for yet, whose advisor takes so long that no entry is free. Each round counted the room of all workers for each of them, sorted them, and only then learned from the budget that no request may be sent. A refusal was remembered by its cost, with all workers it named, so it did not hold for the next gang. Change: AdviceBudget.may_reserve tells whether even a request about one worker would be refused; then a step without allowed workers is postponed at once, as before. A step that has allowed workers still counts their room first.

--- a/src/lagoonpulley/owner/advisors.py
+++ b/src/lagoonpulley/owner/advisors.py
@@ -75,6 +75,17 @@
         and is held back while many entries are busy, so that short requests need not
         wait for it. Return ``None`` if no entry may take the request now.
         """
+        name = self._find_entry(cost_s, now)
+        if name is not None:
+            self._busy_until_by_name[name] = self._free_at(name, now) + cost_s
+        return name
+
+    def may_reserve(self, cost_s: float, now: float) -> bool:
+        """See :class:`~.advice_requests.AdviceBudget`."""
+        return self._find_entry(cost_s, now) is not None
+
+    def _find_entry(self, cost_s: float, now: float) -> str | None:
+        """Return the entry that is free first, unless it may not take a request."""
         name = min(self._address_by_name, key=lambda name: self._free_at(name, now))
         free_at = self._free_at(name, now)
         if cost_s > LONG_REQUEST_S:
@@ -84,7 +95,6 @@
                 return None
         if free_at - now > MAX_BACKLOG_S:
             return None
-        self._busy_until_by_name[name] = free_at + cost_s
         return name
 
     def _free_at(self, name: str, now: float) -> float:
--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -40,7 +40,15 @@
 
 
 class AdviceBudget(Protocol):
-    """Limits requests to advisors to what they can answer soon."""
+    """Limits requests to advisors to what they can answer soon.
+
+    Once a request would be refused, so is in the same round each that takes as long or
+    longer.
+    """
+
+    def may_reserve(self, cost_s: float, now: float) -> bool:
+        """Return whether :meth:`reserve` would find an entry."""
+        ...
 
     def reserve(self, cost_s: float, now: float) -> str | None:
         """Return the entry that may send a request, or ``None`` if all are busy.
@@ -64,6 +72,8 @@
         self._requests: list[AdviceRequest] = []
         # A request that takes as long as one that was refused is refused as well.
         self._refused_cost_s = float("inf")
+        # The same of one that was not made, as it would have been refused.
+        self._busy_cost_s = float("inf")
 
     @property
     def made(self) -> tuple[AdviceRequest, ...]:
@@ -94,6 +104,9 @@
         if self.is_exhausted_for(demand.queue):
             permits.request_postponed = True
             return []
+        if not permits.allowed_ids and self._is_busy_for(demand.queue):
+            permits.request_postponed = True
+            return []
         room, unknown = self._find_room(demand, permits, reserved_by_worker_id)
         missing = count - room
         if missing <= 0 or not unknown:
@@ -153,6 +166,19 @@
         """Return whether no request of a queue can be sent any more in this round."""
         return queue.advice.cost_s(1) >= self._refused_cost_s
 
+    def _is_busy_for(self, queue: Queue) -> bool:
+        """Return whether the budget would refuse any request of a queue by now.
+
+        Tells that before workers are sought for a request.
+        """
+        cost_s = queue.advice.cost_s(1)
+        if cost_s >= self._busy_cost_s:
+            return True
+        if self._budget.may_reserve(cost_s, self._now):
+            return False
+        self._busy_cost_s = cost_s
+        return True
+
     def ask_about(
         self, demand: Demand, permits: StepPermits, workers: Iterable[CellWorker]
     ) -> bool:
--- a/tests/planning/test_advice_requests.py
+++ b/tests/planning/test_advice_requests.py
@@ -25,11 +25,17 @@
 
 
 class AnyEntry:
+    def may_reserve(self, cost_s, now):
+        return True
+
     def reserve(self, cost_s, now):
         return "e0"
 
 
 class BusyEntries:
+    def may_reserve(self, cost_s, now):
+        return False
+
     def reserve(self, cost_s, now):
         return None
 
