--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -40,7 +40,15 @@
 
 
 class AdviceBudget(Protocol):
-    """Limits requests to advisors to what they can answer soon."""
+    """Limits requests to advisors to what they can answer soon.
+
+    Once a request would be refused, so is in the same round each that takes as long or
+    longer.
+    """
+
+    def may_reserve(self, cost_s: float, now: float) -> bool:
+        """Return whether :meth:`reserve` would find an entry."""
+        ...
 
     def reserve(self, cost_s: float, now: float) -> str | None:
         """Return the entry that may send a request, or ``None`` if all are busy.
@@ -64,6 +72,8 @@
         self._requests: list[AdviceRequest] = []
         # A request that takes as long as one that was refused is refused as well.
         self._refused_cost_s = float("inf")
+        # The same of one that was not made, as it would have been refused.
+        self._busy_cost_s = float("inf")
 
     @property
     def made(self) -> tuple[AdviceRequest, ...]:
@@ -94,20 +104,23 @@
         if self.is_exhausted_for(demand.queue):
             permits.request_postponed = True
             return []
+        if not permits.allowed_ids and self._is_busy_for(demand.queue):
+            permits.request_postponed = True
+            return []
         room, unknown = find_room(
             self._cell, demand, permits, self._now, reserved_by_worker_id
         )
         missing = count - room
         if missing <= 0 or not unknown:
             return []
+        has_room = any(copies for copies, _ in unknown)
+        if not has_room and not self._asks_ahead(demand, permits):
+            return []
         step = demand.step
         unknown.sort(key=_gang_order if step.gang else _most_room_first)
-        if not unknown[0][0] and not self._asks_ahead(demand, permits):
-            return []
-        # The advisor decides on workers: one with much room may still be refused.
-        limited = [(min(copies, missing), worker) for copies, worker in unknown]
         wanted = missing / allowed_share * SPARE_RATIO
-        asked = _first_with_room(limited, wanted, step)
+        # The advisor decides on workers: one with much room may still be refused.
+        asked = _first_with_room(unknown, wanted, missing, step)
         return asked if self._request(demand, permits, asked) else []
 
     @staticmethod
@@ -125,6 +138,19 @@
         """Return whether no request of a queue can be sent any more in this round."""
         return queue.advice.cost_s(1) >= self._refused_cost_s
 
+    def _is_busy_for(self, queue: Queue) -> bool:
+        """Return whether the budget would refuse any request of a queue by now.
+
+        Tells that before workers are sought for a request.
+        """
+        cost_s = queue.advice.cost_s(1)
+        if cost_s >= self._busy_cost_s:
+            return True
+        if self._budget.may_reserve(cost_s, self._now):
+            return False
+        self._busy_cost_s = cost_s
+        return True
+
     def ask_about(
         self, demand: Demand, permits: StepPermits, workers: Iterable[CellWorker]
     ) -> bool:
@@ -169,23 +195,25 @@
     :param now: monotonic time in seconds.
     """
     step = demand.step
-    request = step.capacity_request
+    request = demand.request
+    count_copies = request.copies_counter()
     service = demand.queue.service
     job_id = demand.record.spec.id
+    allowed_ids, known_ids = permits.allowed_ids, permits.known_ids
     room = 0
     unknown: list[tuple[int, CellWorker]] = []
     for worker in eligible_workers(cell, service, step, now, None):
-        if not permits.may_run_on(worker.info.id):
-            continue
-        if not request.fits_in(worker.info.capacity):
+        worker_id = worker.info.id
+        is_allowed = worker_id in allowed_ids
+        if not is_allowed and worker_id in known_ids:
             continue
-        copies = request.copies_in(worker.free_beside(reserved_by_worker_id))
+        copies = count_copies(worker.free_beside(reserved_by_worker_id))
         if step.most_per_worker:
             left = step.most_per_worker - worker.count_of(job_id, demand.key)
             copies = min(copies, max(0, left))
-        if worker.info.id in permits.allowed_ids:
+        if is_allowed:
             room += copies
-        else:
+        elif copies or request.fits_in(worker.info.capacity):
             unknown.append((copies, worker))
     return room, unknown
 
@@ -201,7 +229,7 @@
 
 
 def _first_with_room(
-    workers: list[tuple[int, CellWorker]], wanted: float, step: StepSpec
+    workers: list[tuple[int, CellWorker]], wanted: float, most: int, step: StepSpec
 ) -> list[CellWorker]:
     """Return the first workers that together have room for the wanted tasks now.
 
@@ -209,13 +237,14 @@
     would do if they were idle.
 
     :param workers: pairs of the number of tasks that fit now and the worker.
+    :param most: how many tasks of one worker count at most.
     """
     found: list[CellWorker] = []
     for copies, worker in workers:
         if not copies or wanted <= 0:
             break
         found.append(worker)
-        wanted -= copies
+        wanted -= min(copies, most)
     if wanted <= 0:
         return found
     if step.gang:
--- a/tests/planning/test_block_reasons.py
+++ b/tests/planning/test_block_reasons.py
@@ -41,6 +41,9 @@
     def reserve(self, cost_s, now):
         return "e0"
 
+    def may_reserve(self, cost_s, now):
+        return True
+
 
 @dataclass
 class Rounds:
