planning: a gang lost its reservation while its advisor was left alone

In a full cell, smaller and less urgent tasks take the room of a gang each time its advisor refuses to tell of a further worker.

Change: lack of room stays the reason; it ends with the pause at the latest.

Tests of planning/ and owner/test_idle_cell.py pass.

--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -379,14 +379,15 @@
         """Record that no worker has room for a demand, as far as may be asked now."""
         if demand.lacks_capacity_since is None:
             demand.lacks_capacity_since = self._now
+        until = demand.returns_to_avoided_at(self._now)
         permits = self._permits_of(demand)
         if permits is not None and permits.is_paused(self._now):
-            demand.block(BlockReason.ADVISOR_PAUSE, permits.next_request_at)
-            return
+            # The reason stays, as a gang would lose its reservation with it.
+            until = min(until, permits.next_request_at)
         reason = (
             BlockReason.RESERVED if self._reservations.gangs else BlockReason.CAPACITY
         )
-        demand.block(reason, demand.returns_to_avoided_at(self._now))
+        demand.block(reason, until)
 
     def _count_within_limit(self, team: str, request: Resources, count: int) -> int:
         """Return how many of ``count`` tasks fit within a team's limit."""
