placement: a job behind a cancelled one waited for ever

A team's small job is not placed on idle workers after the jobs before it, which fit nowhere, were cancelled.

Cause: a team whose next jobs all lack room is left alone until a worker is freed. Jobs beyond the backfill depth, or behind one that has stopped backfill, were not among those tried, and the cancellation of what kept them back was told to nobody. The class of: a reason to wait that nothing is sure to lift.

Change: a cancellation lets its team be tried again.

Tests of placement/ and scheduler/ pass.

--- a/src/lagoonpulley/placement/event_handler.py
+++ b/src/lagoonpulley/placement/event_handler.py
@@ -77,6 +77,8 @@
         if pending is not None and not pending.cancelled:
             pending.cancelled = True
             self._state.adjust_waiting(pending.job.team, -len(pending.indexes))
+            # It may have kept later jobs of its team from being tried.
+            self._state.team(pending.job.team).blocked_version = 0
 
     def _withdraw(self, event: TaskWithdrawn) -> None:
         pending = self._state.pending_by_job_id.get(event.job_id)
