owner: a step lost what it had waited for at each end of another step of its job

A gang beside a wide step of its own job got no room until that step was done: its tasks took each gap.

Cause: each start and end of a run made the demands of all steps of the job anew.

Change: an event of a run renews the demand of its own step only. What keeps the others waiting has something that is sure to lift it, see LIFT_BY_REASON. Room that is held for them stays held.

--- a/src/lagoonpulley/owner/adoption.py
+++ b/src/lagoonpulley/owner/adoption.py
@@ -27,7 +27,7 @@
     if task is not None:
         tracked = term.track_run(worker, record, ref)
         record.hold_back(ref.key, worker.info.id, ref.run)
-        term.refresh_demands(record)
+        term.refresh_demands(record, ref.key.step_key)
     elif record is not None and record.is_task(ref.key):
         # Of an occurrence that is done, and held no longer.
         tracked = term.track_run(worker, record, ref)
--- a/src/lagoonpulley/owner/crashes.py
+++ b/src/lagoonpulley/owner/crashes.py
@@ -99,7 +99,7 @@
         if record is None or record.is_final or ref.key not in record.task_by_key:
             continue
         record.change_crashes(ref.key, -1, -share)
-        term.refresh_demands(record)
+        term.refresh_demands(record, ref.key.step_key)
         term.journal.enqueue(record)
     worker.blamed_runs = {}
 
--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -355,7 +355,8 @@
                 token=term.token,
                 waited_s=round(waited_s, 3),
             )
-        term.refresh_demands(record)
+        placed_key, _ = start.placements[0]
+        term.refresh_demands(record, placed_key.step_key)
         self._start_backlog.record_placement(record.spec.id, self.now.mono)
         term.journal.enqueue(record, lambda: self._start_committed(term, start))
 
--- a/src/lagoonpulley/owner/run_ends.py
+++ b/src/lagoonpulley/owner/run_ends.py
@@ -121,7 +121,7 @@
     term.needs_planning = True
     record = term.record_by_id.get(ref.job_id)
     if record and record.release(ref.key, worker.info.id, ref.run):
-        term.refresh_demands(record)
+        term.refresh_demands(record, ref.key.step_key)
     return worker.tracked_by_ref.pop(ref, None)
 
 
@@ -147,7 +147,7 @@
     if record.step_of(ref.key).gang and kind is not EndKind.DONE:
         _stop_gang(term, record, ref)
     _finish_if_decided(term, record, ref, kind)
-    term.refresh_demands(record)
+    term.refresh_demands(record, ref.key.step_key)
     term.enqueue_record(record)
 
 
--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -186,8 +186,14 @@
             return
         self.finish(record, JobState.FAILED, "its progress cannot be stored")
 
-    def refresh_demands(self, record: JobRecord) -> None:
-        """Recompute which steps of a job wait for workers."""
+    def refresh_demands(
+        self, record: JobRecord, changed: StepKey | None = None
+    ) -> None:
+        """Recompute which steps of a job wait for workers.
+
+        :param changed: the step whose runs have changed, ``None`` if more may have; the
+            others wait as they did.
+        """
         self.needs_planning = True
         queue = self.queue_of(record)
         if record.is_final or queue is None or self.now is None:
@@ -195,17 +201,22 @@
             return
         if record.spec.repeats:
             self._update_occurrences(record)
-        self._replace_demands(record, self._demands_of(record, queue, {}))
+        known = self._known_demands(record) if changed is not None else {}
+        known.pop(changed, None)
+        self._replace_demands(record, self._demands_of(record, queue, known))
 
     def refresh_occurrences(self, record: JobRecord) -> None:
         """Open the occurrences of a job that are due; others wait as they did."""
         queue = self.queue_of(record)
         if record.is_final or queue is None or not self._update_occurrences(record):
             return
-        known = {each.key: each for each in self.backlog.demands_of(record.spec.id)}
+        known = self._known_demands(record)
         self._replace_demands(record, self._demands_of(record, queue, known))
         self.needs_planning = True
 
+    def _known_demands(self, record: JobRecord) -> dict[StepKey, Demand]:
+        return {each.key: each for each in self.backlog.demands_of(record.spec.id)}
+
     def _demands_of(
         self, record: JobRecord, queue: Queue, known: dict[StepKey, Demand]
     ) -> list[Demand]:
