owner: a job that silent watches had passed over was never known

An accepted job is not known to the owner, and so never run, until another entry takes over.

Cause: the owner continued its watch of the jobs from the revision of an answer without events.

Change: only an answer with events moves the watch on. The owner's status is an event in the second, so it does not fall behind.

--- a/src/lagoonpulley/owner/jobs.py
+++ b/src/lagoonpulley/owner/jobs.py
@@ -189,8 +189,10 @@
                 log_event("jobs_history_gone", revision=revision)
                 yield from self._recover(term, watched, revision)
                 continue
-            self.known_revision = max(self.known_revision, result.revision)
             has_changes = bool(result.entries)
+            if has_changes:
+                # An answer without events may have passed over some for a while.
+                self.known_revision = max(self.known_revision, result.revision)
             watched.record_watch(self.known_revision, has_changes, self._host.now.mono)
             for item in result.entries:
                 self._apply_change(term, item)
--- a/tests/owner/test_watch_recovery.py
+++ b/tests/owner/test_watch_recovery.py
@@ -192,3 +192,19 @@
     world.run_until(lambda: not watched._is_rereading, 9.0)
     put_submission(world, "a" * 16)
     world.run_until(lambda: world.executions("a" * 16), VISIBLE_S)
+
+
+@pytest.mark.parametrize("silent_watches_advance", [False, True])
+def test_job_that_silent_watches_have_passed_over_is_never_known(
+    silent_watches_advance,
+):
+    """An answer without events was believed to tell that there were none."""
+    world = StepWorld()
+    world.run(3.0)
+    world.silent_watches_advance = silent_watches_advance
+    world.delivers_watch_events = False
+    world.run(1.0)
+    world.submit("a" * 16)
+    world.run(3.0)
+    world.delivers_watch_events = True
+    world.run_until(lambda: world.executions("a" * 16), 2.0)
