owner: a slow advisor was not asked while one of two entries could not reach it

In a cell with two entries of which one cannot ask the advisor, steps whose requests take longer than 0.25 s wait for as long as that lasts, beside idle workers and an idle entry.

Cause: an entry that is left alone after a failure counted as busy, so that the share of busy entries, one of two, held back every long request; once its 3 s were over it was free first again, and failed again. Neither an event nor a time was sure to end that wait.

Change: an entry that is left alone is no candidate and counts as none. Of entries that are free, the one that failed least since its last answer is asked.

Evidence: the added test failed before.

--- a/src/lagoonpulley/owner/advisors.py
+++ b/src/lagoonpulley/owner/advisors.py
@@ -51,6 +51,9 @@
         self._own_name = settings.entry_id
         self._address_by_name: dict[str, str] = {settings.entry_id: ""}
         self._busy_until_by_name: dict[str, float] = {}
+        # Failures of each entry since its last answer, and until when it is left alone.
+        self._failures_by_name: dict[str, int] = {}
+        self._left_alone_until_by_name: dict[str, float] = {}
 
     def poll_entries(self, term: OwnerTerm, observe: EntriesObserver) -> Flow:
         """Poll the list of entries while the term lasts.
@@ -69,17 +72,28 @@
             yield Sleep(ENTRIES_POLL_INTERVAL_S)
 
     def reserve(self, cost_s: float, now: float) -> str | None:
-        """Reserve the entry that is free first.
+        """Reserve the entry that is free first, of these the one that failed least.
 
         See :class:`~.advice_requests.AdviceBudget`. A long request needs an idle entry
         and is held back while many entries are busy, so that short requests need not
         wait for it. Return ``None`` if no entry may take the request now.
         """
-        name = min(self._address_by_name, key=lambda name: self._free_at(name, now))
+        names = [
+            name
+            for name in self._address_by_name
+            if self._left_alone_until_by_name.get(name, 0.0) <= now
+        ]
+        if not names:
+            return None
+
+        def sort_key(name: str) -> tuple[float, int]:
+            return self._free_at(name, now), self._failures_by_name.get(name, 0)
+
+        name = min(names, key=sort_key)
         free_at = self._free_at(name, now)
         if cost_s > LONG_REQUEST_S:
-            busy = sum(at > now for at in self._busy_until_by_name.values())
-            max_busy = max(1, int(len(self._address_by_name) * LONG_REQUESTS_MAX_SHARE))
+            busy = sum(self._free_at(each, now) > now for each in names)
+            max_busy = max(1, int(len(names) * LONG_REQUESTS_MAX_SHARE))
             if busy >= max_busy or free_at > now:
                 return None
         if free_at - now > MAX_BACKLOG_S:
@@ -112,6 +126,12 @@
                 entry=name,
                 reason=result.reason,
             )
-            retry_at = self._role.now.mono + FAILED_ENTRY_BACKOFF_S
-            self._busy_until_by_name[name] = retry_at
+            self._leave_alone(name, self._role.now.mono)
+        else:
+            self._failures_by_name.pop(name, None)
         return result
+
+    def _leave_alone(self, name: str, now: float) -> None:
+        """Send nothing to an entry for a while, as its request has failed."""
+        self._failures_by_name[name] = self._failures_by_name.get(name, 0) + 1
+        self._left_alone_until_by_name[name] = now + FAILED_ENTRY_BACKOFF_S
--- a/tests/owner/test_idle_cell.py
+++ b/tests/owner/test_idle_cell.py
@@ -47,6 +47,16 @@
     world.run_until(lambda: len(world.executions(GANG)) == 12, 15.0)
 
 
+def test_slow_advisor_is_never_asked_while_one_of_two_entries_cannot_reach_it():
+    """The entry that was left alone counted as busy, and was tried first thereafter."""
+    world = StepWorld(entries=2, workers=WORKERS)
+    world.set_policy(2, queues=QUEUES)
+    world.run(8.0)
+    world.advice_failures = 1000
+    world.submit(GANG, GANG_STEP)
+    world.run_until(lambda: world.executions(GANG), 2.0)
+
+
 def test_step_waits_for_ever_for_room_that_was_held_for_another(world):
     """The answer that ended the hold was told to the step that had asked only."""
     world.forbidden_workers = set(world.worker_by_id)
