owner: a single refusal of the advisor delayed steps by 3 s

In an idle cell with one entry nothing that needs advice starts for 3 s after a refusal.

Cause: an entry is left alone for 3 s after any failure, also the first.

Change: for 0.4 s after the first, and twice as long after each further one, up to 3 s.

Evidence: the added test failed before.

--- a/src/lagoonpulley/owner/advisors.py
+++ b/src/lagoonpulley/owner/advisors.py
@@ -34,7 +34,9 @@
 READ_TIMEOUT_S = 1.0
 # Added to the time in which the advisor should finish the request.
 ANSWER_MARGIN_S = 1.0
-FAILED_ENTRY_BACKOFF_S = 3.0
+# How long an entry is left alone after a failure; twice as long after each further one.
+FIRST_ENTRY_BACKOFF_S = 0.4
+MAX_ENTRY_BACKOFF_S = 3.0
 # Requests that keep the advisor busy for longer than this count as long.
 LONG_REQUEST_S = 0.25
 # Share of busy entries from which on no long request is sent.
@@ -133,5 +135,7 @@
 
     def _leave_alone(self, name: str, now: float) -> None:
         """Send nothing to an entry for a while, as its request has failed."""
-        self._failures_by_name[name] = self._failures_by_name.get(name, 0) + 1
-        self._left_alone_until_by_name[name] = now + FAILED_ENTRY_BACKOFF_S
+        failures = self._failures_by_name.get(name, 0)
+        self._failures_by_name[name] = failures + 1
+        pause_s = min(MAX_ENTRY_BACKOFF_S, FIRST_ENTRY_BACKOFF_S * 2**failures)
+        self._left_alone_until_by_name[name] = now + pause_s
--- a/tests/owner/test_idle_cell.py
+++ b/tests/owner/test_idle_cell.py
@@ -57,6 +57,13 @@
     world.run_until(lambda: world.executions(GANG), 2.0)
 
 
+def test_step_of_an_idle_cell_waits_for_seconds_as_its_advisor_refused_once(world):
+    """The rules allow 3 s, and the only entry was left alone for as long."""
+    world.advice_failures = 1
+    world.submit(GANG, GANG_STEP)
+    world.run_until(lambda: world.executions(GANG), 2.0)
+
+
 def test_step_waits_for_ever_for_room_that_was_held_for_another(world):
     """The answer that ended the hold was told to the step that had asked only."""
     world.forbidden_workers = set(world.worker_by_id)
