planning: a gang on over a hundred workers never had all of its permits

Cause: a request names a hundred workers at most, the first ones. A gang on more workers whose permits had expired asked for the same hundred again and again.

Change: workers without a valid permit go first.

Evidence: the added test failed before; tests of planning/, owner/test_idle_cell.py and owner/test_planning.py pass.

--- a/src/lagoonpulley/planning/advice_requests.py
+++ b/src/lagoonpulley/planning/advice_requests.py
@@ -128,13 +128,17 @@
     def ask_about(
         self, demand: Demand, permits: StepPermits, workers: Iterable[CellWorker]
     ) -> bool:
-        """Ask for new permits for the given workers, the first ones if too many.
+        """Ask for new permits for the given workers.
+
+        If they are too many, those without a valid one go first.
 
         :returns: whether a request was made.
         """
         if not permits.may_request(self._now):
             return False
-        return self._request(demand, permits, workers)
+        valid = permits.valid_ids(self._now)
+        missing_first = sorted(workers, key=lambda worker: worker.info.id in valid)
+        return self._request(demand, permits, missing_first)
 
     def _request(
         self, demand: Demand, permits: StepPermits, workers: Iterable[CellWorker]
--- a/tests/planning/test_advice_requests.py
+++ b/tests/planning/test_advice_requests.py
@@ -146,3 +146,26 @@
     assert not plan(cell, permits, demands, 1.0, BusyEntries()).advice_requests
     made = plan(cell, permits, demands, 1.1).advice_requests
     assert made[0].record is demands[0].record
+
+
+def test_gang_on_more_workers_than_one_request_names_never_has_all_permits():
+    """Each request named the same hundred workers, whose permits were valid."""
+    wide = Cell()
+    workers = 110
+    for number in range(workers):
+        worker_id = f"w{number}"
+        info = WorkerInfo(worker_id, "service", worker_id, "a", TASK, (), "", 1)
+        wide.put_worker(info)
+        wide.set_accepting(worker_id, True)
+    permits = PermitTable()
+    demand = make_demand(0, count=workers, gang=True)
+    # They have expired since.
+    allow(permits, demand, tuple(wide.worker_by_id), 90.0)
+    starts = ()
+    for number in range(6):
+        now = 100.0 + 0.5 * number
+        planned = plan(wide, permits, [demand], now)
+        starts += planned.starts
+        for request in planned.advice_requests:
+            allow(permits, demand, request.worker_ids, now + 0.4)
+    assert starts
