--- a/tests/planning/test_block_reasons.py
+++ b/tests/planning/test_block_reasons.py
@@ -92,6 +92,12 @@
         known.request_pending = False
         self.backlog.unblock(demand.record.spec.id)
 
+    def used_by_worker(self):
+        """Return the workers that have a task."""
+        return [
+            each.info.id for each in self.cell.worker_by_id.values() if any(each.used)
+        ]
+
     def plan(self, now):
         """Return whether a round has started or asked anything."""
         planner = Planner(self.cell, self.permits, self.limits_by_team, now, AnyEntry())
@@ -207,10 +213,7 @@
     (BlockReason.RESERVED, is_kept_out_by_a_gang),
     (BlockReason.ADVICE, awaits_its_advisor),
     (BlockReason.ADVISOR_PAUSE, was_refused_by_its_advisor),
-    (
-        BlockReason.ADVISOR_PAUSE,
-        was_refused_with_too_little_room_on_allowed_workers,
-    ),
+    (BlockReason.CAPACITY, was_refused_with_too_little_room_on_allowed_workers),
     (BlockReason.ADVISOR_PAUSE, was_refused_new_permits),
     (BlockReason.ADVISOR_PAUSE, suspect_was_refused_new_permits),
     (
@@ -247,3 +250,45 @@
     rounds.plan(NOW)
     if LIFT_BY_REASON[reason] is Lift.TIME or after_s:
         assert NOW < demand.blocked_until <= NOW + after_s
+
+
+def test_gang_loses_its_reservation_while_its_advisor_is_left_alone():
+    """It could be asked about a worker more, and refused."""
+    rounds = Rounds()
+    rounds.occupy("w0")
+    gang = rounds.add(ADVISED, count=WORKERS - 1, request=CAPACITY, gang=True)
+    known = rounds.allow(gang, "w0", "w1", "w2")
+    assert rounds.plan(NOW)
+    known.request_pending = False
+    known.next_request_at = NOW + RESERVE_AFTER_S + PAUSE_S
+    rounds.backlog.unblock(gang.record.spec.id)
+    rounds.add()
+    rounds.add()
+    rounds.plan(NOW + RESERVE_AFTER_S + 0.05)
+    assert set(rounds.used_by_worker()) == {"w0", "w3"}
+
+
+def test_step_waits_for_room_that_a_gang_has_ceased_to_reserve():
+    """The gang reserves a worker with more room by now, and only its end was told."""
+    rounds = Rounds()
+    rounds.occupy("w0", "w3")
+    half = Claim(
+        TaskRef("half", TaskKey(0, 0, 0), 1), "south", TASK, Resources(8000, 0)
+    )
+    most = Claim(
+        TaskRef("most", TaskKey(0, 0, 0), 1), "south", TASK, Resources(12_000, 0)
+    )
+    little = Claim(
+        TaskRef("little", TaskKey(0, 0, 0), 1), "south", TASK, Resources(4000, 0)
+    )
+    rounds.cell.claim("w1", half)
+    rounds.cell.claim("w2", most)
+    rounds.cell.claim("w2", little)
+    rounds.add(count=1, request=CAPACITY, gang=True)
+    rounds.plan(NOW - RESERVE_AFTER_S - 0.1)
+    rounds.plan(NOW - 0.05)
+    small = rounds.add()
+    rounds.plan(NOW)
+    assert small.block_reason is BlockReason.RESERVED
+    rounds.cell.release("w2", most.ref)
+    assert any(rounds.plan(NOW + 0.05 * number) for number in range(1, 4))
