--- a/src/lagoonpulley/owner/term.py
+++ b/src/lagoonpulley/owner/term.py
@@ -197,13 +197,13 @@
         self.needs_planning = True
         queue = self.queue_of(record)
         if record.is_final or queue is None or self.now is None:
-            self._replace_demands(record, [])
+            self.backlog.replace(record.spec.id, [])
             return
         if record.spec.repeats:
             self._update_occurrences(record)
         known = self._known_demands(record) if changed is not None else {}
         known.pop(changed, None)
-        self._replace_demands(record, self._demands_of(record, queue, known))
+        self.backlog.replace(record.spec.id, self._demands_of(record, queue, known))
 
     def refresh_occurrences(self, record: JobRecord) -> None:
         """Open the occurrences of a job that are due; others wait as they did."""
@@ -211,7 +211,7 @@
         if record.is_final or queue is None or not self._update_occurrences(record):
             return
         known = self._known_demands(record)
-        self._replace_demands(record, self._demands_of(record, queue, known))
+        self.backlog.replace(record.spec.id, self._demands_of(record, queue, known))
         self.needs_planning = True
 
     def _known_demands(self, record: JobRecord) -> dict[StepKey, Demand]:
@@ -232,10 +232,6 @@
             demands.append(demand)
         return demands
 
-    def _replace_demands(self, record: JobRecord, demands: list[Demand]) -> None:
-        """Set the demands of a job; others may use what the former ones held."""
-        self.cell.mark_freed(self.backlog.replace(record.spec.id, demands))
-
     def _update_occurrences(self, record: JobRecord) -> bool:
         """Drop occurrences that are done, and open those that are due.
 
--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -9,7 +9,6 @@
 from .demand import BlockReason
 
 if TYPE_CHECKING:
-    from .cell import CellWorker
     from .demand import Demand
 
 __all__ = ["Backlog"]
@@ -26,18 +25,15 @@
         self._in_order: list[Demand] = []
         self._reserved_gangs: list[tuple[str, tuple[int, int]]] = []
 
-    def replace(self, job_id: str, demands: list[Demand]) -> list[CellWorker]:
-        """Set the demands of a job; return the workers that the former ones held."""
-        released: list[CellWorker] = []
+    def replace(self, job_id: str, demands: list[Demand]) -> None:
+        """Set the demands of a job."""
         for demand in self._demands_by_job_id.pop(job_id, ()):
-            released += demand.held_workers
             index = bisect_left(self._in_order, demand.order, key=_order_of)
             del self._in_order[index]
         for demand in demands:
             insort(self._in_order, demand, key=_order_of)
         if demands:
             self._demands_by_job_id[job_id] = demands
-        return released
 
     def demands_of(self, job_id: str) -> list[Demand]:
         """Return the demands of a job."""
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -9,8 +9,6 @@
 from .worker_speed import SpeedTier
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from ..upstream.directory import WorkerInfo
     from ..upstream.tasks import TaskRef
     from ..workload.spec import StepKey, StepSpec
@@ -206,12 +204,6 @@
         self._teams_with_releases = set()
         return changes
 
-    def mark_freed(self, workers: Iterable[CellWorker]) -> None:
-        """Record that room on workers is no longer withheld from other steps."""
-        for worker in workers:
-            if self.worker_by_id.get(worker.info.id) is worker:
-                self._freed_by_id[worker.info.id] = worker
-
     def record_reservations(self, reserved_by_worker_id: dict[str, Resources]) -> None:
         """Record what a round has withheld; where it is less, room counts as freed."""
         for worker_id, before in self._reserved_by_worker_id.items():
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -125,15 +125,12 @@
                 demand.unblock()
                 continue
             demand.unblock()
-            held = demand.held_workers
             demand.held_workers = ()
             if permits is not None:
                 permits.request_postponed = False
             considered += 1
             started += self._start_waiting(demand)
             self._hold_for(demand)
-            kept = demand.held_workers
-            self._cell.mark_freed(worker for worker in held if worker not in kept)
             if demand.step.gang:
                 self._reserve_for_gang(demand)
             if permits is not None and permits.request_postponed:
