planning: a step that is kept out is told of room, not of each change of reservations

Cause: each change of the gangs that hold reservations lifted the reason of every step that one had kept out, whether room that fits it was set free or not. Since a worker of which less is withheld than before counts as freed.

Change: that alone lifts the reason. Demand.recognize_reservation, Changes.may_fit_unreserved and the loop over the backlog go, and their class of reasons (Lift.RESERVATIONS).

--- a/src/lagoonpulley/owner/role.py
+++ b/src/lagoonpulley/owner/role.py
@@ -326,7 +326,6 @@
         if len(plan.starts) >= max_starts or term.cell.has_changes:
             term.needs_planning = True
         if term.backlog.set_reserved_gangs(planner.reserved_gangs):
-            term.needs_planning = True
             gangs = [[job_id, list(key)] for job_id, key in planner.reserved_gangs]
             log_event("gang_reservations", gangs=gangs)
         for start in plan.starts:
--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -6,8 +6,6 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
-from .demand import BlockReason
-
 if TYPE_CHECKING:
     from .demand import Demand
 
@@ -45,21 +43,10 @@
             demand.unblock()
 
     def set_reserved_gangs(self, gangs: list[tuple[str, tuple[int, int]]]) -> bool:
-        """Set the gangs that hold a reservation and unblock demands if they changed.
-
-        :returns: whether the gangs changed, so that demands which a reservation
-            blocked need another round.
-        """
+        """Set the gangs that hold a reservation; return whether they changed."""
         if gangs == self._reserved_gangs:
             return False
-        has_ended = not set(self._reserved_gangs) <= set(gangs)
         self._reserved_gangs = gangs
-        for demand in self.in_order():
-            reason = demand.block_reason
-            # The reason of a gang does not tell that others' reservations block it.
-            gang_waits = demand.step.gang and reason is BlockReason.CAPACITY
-            if reason is BlockReason.RESERVED or (has_ended and gang_waits):
-                demand.unblock()
         return True
 
     def in_order(self) -> list[Demand]:
--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -133,18 +133,6 @@
     freed: tuple[CellWorker, ...]
     teams_with_releases: set[str]
     _misfits: set[Resources] = field(default_factory=set)
-    _fits_unreserved: dict[Resources, bool] = field(default_factory=dict)
-
-    def may_fit_unreserved(self, request: Resources) -> bool:
-        """Return whether a task of this size fits but for the reservations."""
-        fits = self._fits_unreserved.get(request)
-        if fits is None:
-            fits = any(
-                worker.accepting and request.fits_in(worker.free)
-                for worker in self.freed
-            )
-            self._fits_unreserved[request] = fits
-        return fits
 
     def may_fit(
         self,
--- a/src/lagoonpulley/planning/demand.py
+++ b/src/lagoonpulley/planning/demand.py
@@ -32,15 +32,13 @@
 class Lift(Enum):
     """What lets a planning round consider a blocked demand again.
 
-    ``ROOM``: a worker may have gained room for one of its tasks. ``RESERVATIONS``: the
-    same, or other gangs than before hold reservations. ``TEAM_RELEASE``: its team has
-    released resources. ``ANSWER``: the advisor has answered. ``TIME``: the cause passes
-    by itself.
+    ``ROOM``: a worker may have gained room for one of its tasks, also as less of it is
+    withheld for others. ``TEAM_RELEASE``: its team has released resources. ``ANSWER``:
+    the advisor has answered. ``TIME``: the cause passes by itself.
     """
 
     NEXT_ROUND = "next round"
     ROOM = "room"
-    RESERVATIONS = "reservations"
     TEAM_RELEASE = "team release"
     ANSWER = "answer"
     TIME = "time"
@@ -69,7 +67,7 @@
     BlockReason.NONE: Lift.NEXT_ROUND,
     BlockReason.CAPACITY: Lift.ROOM,
     BlockReason.TEAM_LIMIT: Lift.TEAM_RELEASE,
-    BlockReason.RESERVED: Lift.RESERVATIONS,
+    BlockReason.RESERVED: Lift.ROOM,
     BlockReason.ADVICE: Lift.ANSWER,
     BlockReason.ADVISOR_PAUSE: Lift.TIME,
     BlockReason.PROBATION: Lift.TIME,
@@ -166,19 +164,6 @@
             self.may_reserve_at = now + RESERVATION_PAUSE_S
         return now >= self.may_reserve_at
 
-    def recognize_reservation(
-        self, changes: Changes, reserved_by_worker_id: dict[str, Resources]
-    ) -> None:
-        """Set the reason of a blocked demand if only reservations block it by now.
-
-        Otherwise the end of the reservations would not unblock it. A gang keeps its
-        reason, as it may have a reservation of its own.
-        """
-        if self.block_reason is not BlockReason.CAPACITY or self.step.gang:
-            return
-        if reserved_by_worker_id and changes.may_fit_unreserved(self.request):
-            self.block(BlockReason.RESERVED, self.blocked_until)
-
     def may_be_unblocked(
         self,
         changes: Changes,
@@ -195,6 +180,6 @@
             return True
         if lift is Lift.TEAM_RELEASE:
             return self.record.spec.team in changes.teams_with_releases
-        if lift in (Lift.ROOM, Lift.RESERVATIONS):
+        if lift is Lift.ROOM:
             return changes.may_fit(self.request, reserved_by_worker_id, permits)
         return False
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -113,7 +113,6 @@
         for demand in demands:
             permits = self._permits_of(demand)
             if not demand.may_be_unblocked(changes, reserved, permits, self._now):
-                demand.recognize_reservation(changes, reserved)
                 self._hold_for(demand)
                 if demand.step.gang:
                     self._reserve_for_gang(demand)
