--- a/tests/owner/test_invariants.py
+++ b/tests/owner/test_invariants.py
@@ -90,3 +90,18 @@
     executions = [done(1, 0.0), done(2, 5.0)][::order]
     with pytest.raises(AssertionError):
         check_no_start_after_acknowledged_end(executions)
+
+
+def test_gangs_break_each_other_for_ever_on_a_worker_that_answers_no_start():
+    """Each returns to it before the broken run of the other has left the sound ones."""
+    world = StepWorld(entries=3, seed=22)
+    world.set_policy(2, teams=TEAMS)
+    world.run(7.0)
+    spec_by_id = {}
+    for number in range(12):
+        job_id = f"{number:016x}"
+        team = "north" if number % 2 else "south"
+        world.submit(job_id, *STEPS[number % 3], payload="seconds=2.16", team=team)
+        spec_by_id[job_id] = world.last_spec
+    world.late_workers.add("w1")
+    check_until_completed(world, spec_by_id)
--- a/tests/planning/test_block_reasons.py
+++ b/tests/planning/test_block_reasons.py
@@ -263,3 +263,29 @@
     rounds.add()
     rounds.plan(NOW + RESERVE_AFTER_S + 0.05)
     assert set(rounds.used_by_worker()) == {"w0", "w3"}
+
+
+def test_step_waits_for_room_that_a_gang_has_ceased_to_reserve():
+    """The gang reserves a worker with more room by now, and only its end was told."""
+    rounds = Rounds()
+    rounds.occupy("w0", "w3")
+    half = Claim(
+        TaskRef("half", TaskKey(0, 0, 0), 1), "south", TASK, Resources(8000, 0)
+    )
+    most = Claim(
+        TaskRef("most", TaskKey(0, 0, 0), 1), "south", TASK, Resources(12_000, 0)
+    )
+    little = Claim(
+        TaskRef("little", TaskKey(0, 0, 0), 1), "south", TASK, Resources(4000, 0)
+    )
+    rounds.cell.claim("w1", half)
+    rounds.cell.claim("w2", most)
+    rounds.cell.claim("w2", little)
+    rounds.add(count=1, request=CAPACITY, gang=True)
+    rounds.plan(NOW - RESERVE_AFTER_S - 0.1)
+    rounds.plan(NOW - 0.05)
+    small = rounds.add()
+    rounds.plan(NOW)
+    assert small.block_reason is BlockReason.RESERVED
+    rounds.cell.release("w2", most.ref)
+    assert any(rounds.plan(NOW + 0.05 * number) for number in range(1, 4))
