--- a/src/lagoonpulley/planning/cell.py
+++ b/src/lagoonpulley/planning/cell.py
@@ -190,6 +190,7 @@
         self._freed_by_id: dict[str, CellWorker] = {}
         self._teams_with_releases: set[str] = set()
         self._avoided_by_id: dict[str, CellWorker] = {}
+        self._reserved_by_worker_id: dict[str, Resources] = {}
 
     def pop_changes(self, now: float) -> Changes:
         """Return and clear the changes since the last call.
@@ -211,6 +212,15 @@
             if self.worker_by_id.get(worker.info.id) is worker:
                 self._freed_by_id[worker.info.id] = worker
 
+    def record_reservations(self, reserved_by_worker_id: dict[str, Resources]) -> None:
+        """Record what a round has withheld; where it is less, room counts as freed."""
+        for worker_id, before in self._reserved_by_worker_id.items():
+            present = reserved_by_worker_id.get(worker_id, ZERO)
+            worker = self.worker_by_id.get(worker_id)
+            if worker is not None and not before.fits_in(present):
+                self._freed_by_id[worker_id] = worker
+        self._reserved_by_worker_id = reserved_by_worker_id
+
     @property
     def has_changes(self) -> bool:
         """Whether :meth:`pop_changes` has something to return."""
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -134,6 +134,7 @@
             if permits is not None and permits.request_postponed:
                 # No event tells when an advisor is free again.
                 demand.unblock()
+        self._cell.record_reservations(reserved)
         return Plan(tuple(self._starts), self._advice.made)
 
     def _permits_of(self, demand: Demand) -> StepPermits | None:
