--- a/src/lagoonpulley/planning/demand.py
+++ b/src/lagoonpulley/planning/demand.py
@@ -22,8 +22,8 @@
     "Lift",
 ]
 
-# How long a step that lacks capacity keeps avoiding the workers it failed on. Longer than
-# a gang whose start there got no answer keeps the room of its other members.
+# How long a step that lacks capacity keeps avoiding the workers it failed on. A gang
+# whose start there got no answer keeps the room of its other members for less.
 AVOID_FAILED_WORKERS_S = 2.0
 # How long others may use what a gang's reservation kept, once that has ended without
 # a start of the gang.
