--- a/tests/owner/test_planning.py
+++ b/tests/owner/test_planning.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from tests.support.logged_events import capture_events
 from tests.support.steps import StepWorld, step
 
 from lagoonpulley.runtime.flows import Sleep
@@ -182,3 +183,15 @@
         world.put(JobKeys(job_id).submission, encode_submission(spec))
     world.run_until(lambda: all(map(world.final_state, jobs)), 60.0)
     assert max(waits) < PERMIT_VALID_S
+
+
+def test_line_of_a_waiting_step_hides_that_there_is_room(world):
+    set_policy_with_advice(world, 2)
+    world.run(1.0)
+    world.advice_s = 8.0
+    with capture_events() as events:
+        world.submit("a" * 16, step(count=2, processors=8000))
+        world.run(4.0)
+    line = events.named("step_waits")[0]
+    assert (line["blocked"], line["asking"], line["tasks"]) == ("advice", True, 2)
+    assert (line["room_allowed"], line["room_unknown"]) == (0, 6)
