planning: three small pieces are said once

Lift.NEXT_ROUND was not explained. No behaviour and no assertion changes.

Tests of planning/ and of owner/ for invariants, idle cells, cells at rest, planning and repeating jobs pass; the linter is clean.

--- a/src/lagoonpulley/planning/backlog.py
+++ b/src/lagoonpulley/planning/backlog.py
@@ -39,7 +39,7 @@
 
     def unblock(self, job_id: str) -> None:
         """Make the next planning round consider all demands of a job."""
-        for demand in self._demands_by_job_id.get(job_id, ()):
+        for demand in self.demands_of(job_id):
             demand.unblock()
 
     def set_reserved_gangs(self, gangs: list[tuple[str, tuple[int, int]]]) -> bool:
--- a/src/lagoonpulley/planning/demand.py
+++ b/src/lagoonpulley/planning/demand.py
@@ -33,9 +33,10 @@
 class Lift(Enum):
     """What lets a planning round consider a blocked demand again.
 
-    ``ROOM``: a worker may have gained room for one of its tasks, also as less of it is
-    withheld for others. ``TEAM_RELEASE``: its team has released resources. ``ANSWER``:
-    the advisor has answered. ``TIME``: the cause passes by itself.
+    ``NEXT_ROUND``: it is not blocked. ``ROOM``: a worker may have gained room for one
+    of its tasks, also as less of it is withheld for others. ``TEAM_RELEASE``: its team
+    has released resources. ``ANSWER``: the advisor has answered. ``TIME``: the cause
+    passes by itself.
     """
 
     NEXT_ROUND = "next round"
--- a/src/lagoonpulley/planning/planner.py
+++ b/src/lagoonpulley/planning/planner.py
@@ -342,7 +342,7 @@
         """Block a demand that got no valid permits for workers with room."""
         if permits.request_pending:
             demand.block(BlockReason.ADVICE)
-        elif not permits.may_request(self._now):
+        elif permits.is_paused(self._now):
             demand.block(BlockReason.ADVISOR_PAUSE, permits.next_request_at)
         elif not permits.allowed_ids:
             self._set_lacks_capacity(demand)
--- a/tests/planning/test_block_reasons.py
+++ b/tests/planning/test_block_reasons.py
@@ -185,12 +185,9 @@
 
 
 def suspect_was_refused_new_permits(rounds):
-    demand = rounds.add(ADVISED)
+    demand, lift, after_s = was_refused_new_permits(rounds)
     demand.record.change_crashes(TaskKey(0, 0, 0), 1, 1.0)
-    known = rounds.allow(demand, *rounds.cell.worker_by_id)
-    known.expires_by_worker_id.clear()
-    known.next_request_at = NOW + PAUSE_S
-    return demand, lambda: None, PAUSE_S
+    return demand, lift, after_s
 
 
 def suspect_waits_for_probations_on_workers_that_it_may_not_use(rounds):
