--- a/tests/owner/test_invariants.py
+++ b/tests/owner/test_invariants.py
@@ -22,19 +22,24 @@
 )
 
 
+def submit_more_than_fits(world, payload):
+    """Submit jobs of all kinds for both teams, and return their specs by id."""
+    spec_by_id = {}
+    for number in range(12):
+        job_id = f"{number:016x}"
+        team = "north" if number % 2 else "south"
+        world.submit(job_id, *STEPS[number % 3], payload=payload, team=team)
+        spec_by_id[job_id] = world.last_spec
+    return spec_by_id
+
+
 @pytest.fixture
 def loaded():
     """Return a cell with more jobs than capacity, and the job specs by id."""
     world = StepWorld(entries=3)
     world.set_policy(2, teams=TEAMS)
     world.run(7.0)
-    spec_by_id = {}
-    for number in range(12):
-        job_id = f"{number:016x}"
-        team = "north" if number % 2 else "south"
-        world.submit(job_id, *STEPS[number % 3], payload="seconds=2", team=team)
-        spec_by_id[job_id] = world.last_spec
-    return world, spec_by_id
+    return world, submit_more_than_fits(world, "seconds=2")
 
 
 def check_until_completed(world, spec_by_id):
@@ -97,11 +102,6 @@
     world = StepWorld(entries=3, seed=22)
     world.set_policy(2, teams=TEAMS)
     world.run(7.0)
-    spec_by_id = {}
-    for number in range(12):
-        job_id = f"{number:016x}"
-        team = "north" if number % 2 else "south"
-        world.submit(job_id, *STEPS[number % 3], payload="seconds=2.16", team=team)
-        spec_by_id[job_id] = world.last_spec
+    spec_by_id = submit_more_than_fits(world, "seconds=2.16")
     world.late_workers.add("w1")
     check_until_completed(world, spec_by_id)
